--- /dev/null
+++ b/cowslipcourse/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: the ports, met with libraries and published protocols."""
--- /dev/null
+++ b/cowslipcourse/adapters/peer/codec.py
@@ -0,0 +1,108 @@
+"""Messages between members as protocol buffers."""
+
+import msgspec
+
+from cowslipcourse.adapters.peer import peer_pb2
+from cowslipcourse.membership import (
+    Heartbeat,
+    HeartbeatAnswer,
+    Member,
+    Record,
+    Revision,
+    Role,
+)
+
+__all__ = [
+    "decode_answer",
+    "decode_heartbeat",
+    "encode_answer",
+    "encode_heartbeat",
+    "members_from_rows",
+    "members_to_rows",
+]
+
+
+def members_to_rows(members):
+    """Return members by name as plain lists, for JSON."""
+    return {name: list(member) for name, member in members.items()}
+
+
+def members_from_rows(rows):
+    """Return members by name from plain lists."""
+    members = (Member(*values) for values in rows.values())
+    return {m.name: m._replace(role=Role(m.role)) for m in members}
+
+
+def _encode_revision(revision):
+    value = {
+        "number": revision.number,
+        "members": members_to_rows(revision.members),
+        "configuration": revision.configuration,
+        "configuration_number": revision.configuration_number,
+    }
+    return msgspec.json.encode(value)
+
+
+def _decode_revision(content):
+    value = msgspec.json.decode(content)
+    members = members_from_rows(value.pop("members"))
+    return Revision(members=members, **value)
+
+
+def encode_heartbeat(heartbeat):
+    """Return a ``HeartbeatRequest``."""
+    return peer_pb2.HeartbeatRequest(**heartbeat._asdict())
+
+
+def decode_heartbeat(message):
+    """Return a :class:`~cowslipcourse.membership.Heartbeat`."""
+    return Heartbeat(
+        name=message.name,
+        incarnation=message.incarnation,
+        revision=message.revision,
+        configuration_number=message.configuration_number,
+        position_incarnation=message.position_incarnation,
+        position=message.position,
+        silent=frozenset(message.silent),
+    )
+
+
+def encode_answer(answer):
+    """Return a ``HeartbeatReply``."""
+    reply = peer_pb2.HeartbeatReply(
+        incarnation=answer.incarnation,
+        revision=answer.revision,
+        stopped=answer.stopped,
+        position=answer.position,
+        silent=answer.silent,
+    )
+    if answer.newer is not None:
+        reply.revision_content = _encode_revision(answer.newer)
+    for record in answer.records:
+        reply.records.add(
+            key=record.key,
+            fence=record.fence,
+            sequence=record.sequence,
+            value=record.value,
+            age_s=record.observed_at,
+            origin=record.origin,
+        )
+    return reply
+
+
+def decode_answer(reply):
+    """Return a :class:`~cowslipcourse.membership.HeartbeatAnswer`."""
+    content = reply.revision_content
+    records = (
+        Record(r.key, r.fence, r.sequence, r.value, r.age_s, r.origin)
+        for r in reply.records
+    )
+    return HeartbeatAnswer(
+        incarnation=reply.incarnation,
+        revision=reply.revision,
+        stopped=reply.stopped,
+        position=reply.position,
+        silent=frozenset(reply.silent),
+        newer=_decode_revision(content) if content else None,
+        records=tuple(records),
+    )
--- /dev/null
+++ b/cowslipcourse/admission/__init__.py
@@ -0,0 +1,19 @@
+"""Which requests are let in: shares, priorities, deadlines and retries."""
+
+from cowslipcourse.admission.budget import RetryBudget
+from cowslipcourse.admission.control import (
+    AdmissionControl,
+    AdmissionLimits,
+    CapacityView,
+    Priority,
+)
+from cowslipcourse.admission.shares import max_min_shares
+
+__all__ = [
+    "AdmissionControl",
+    "AdmissionLimits",
+    "CapacityView",
+    "Priority",
+    "RetryBudget",
+    "max_min_shares",
+]
--- /dev/null
+++ b/cowslipcourse/admission/control.py
@@ -0,0 +1,116 @@
+"""Admission of model requests at one gateway."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from cowslipcourse.admission.shares import max_min_shares
+from cowslipcourse.exceptions import (
+    DeadlinePassed,
+    NoTargetAvailable,
+    WorkspaceOverShare,
+)
+
+__all__ = ["AdmissionControl", "AdmissionLimits", "CapacityView", "Priority"]
+
+
+class Priority(IntEnum):
+    """Priority of a request; larger is more urgent."""
+
+    LOW = 0
+    NORMAL = 1
+    HIGH = 2
+
+
+class AdmissionLimits(NamedTuple):
+    """How full the targets may be before requests are refused.
+
+    Each is a multiple of what the targets can run at once.
+
+    :param over_share: for workspaces beyond their share.
+    :param within_share: for workspaces within their share, by priority.
+    :param jitter: fraction by which times to come back are spread.
+    """
+
+    over_share: float = 1.0
+    within_share: tuple[float, float, float] = (1.0, 1.2, 1.3)
+    jitter: float = 0.2
+
+
+class CapacityView(NamedTuple):
+    """What can run and what runs, for the targets that a request may use.
+
+    :param slots: requests that the targets can run at once.
+    :param in_flight: requests in flight by workspace, of all gateways.
+    :param weights: share weight by workspace.
+    :param answer_s: recent mean seconds of a whole answer.
+    :param wait_s: expected seconds to the first token at the best target.
+    """
+
+    slots: int
+    in_flight: dict[str, int]
+    weights: dict[str, float]
+    answer_s: float
+    wait_s: float
+
+
+class AdmissionControl:
+    """Decides at once whether a request is let in.
+
+    Capacity that nobody else wants may be used by anybody. Once the targets are
+    full, only workspaces within their weighted share get in, and of those the
+    urgent requests longest.
+
+    :param limits: :class:`AdmissionLimits`
+    :param rng: :class:`random.Random` for the spread of times to come back.
+    """
+
+    def __init__(self, limits, rng):
+        self._limits = limits
+        self._rng = rng
+
+    def admit(self, workspace, priority, remaining_s, view):
+        """Return if the request may start; raise otherwise.
+
+        :param workspace: workspace name.
+        :param priority: :class:`Priority`
+        :param remaining_s: seconds to the deadline, or ``None``.
+        :param view: :class:`CapacityView`
+        :raises DeadlinePassed: the first token would come too late.
+        :raises WorkspaceOverShare: full, and the workspace is beyond its share.
+        :raises NoTargetAvailable: full.
+        """
+        if view.slots <= 0:
+            raise NoTargetAvailable("no group serves this model now", 2.0)
+        if remaining_s is not None and view.wait_s > remaining_s:
+            detail = f"the first token would take about {view.wait_s:.1f} s"
+            raise DeadlinePassed(detail, self._come_back_s(view, 0.0))
+        total = sum(view.in_flight.values())
+        own = view.in_flight.get(workspace, 0)
+        within = own < self._share(workspace, view)
+        if not within:
+            if total >= self._limits.over_share * view.slots:
+                excess = total - self._limits.over_share * view.slots
+                raise WorkspaceOverShare(
+                    "the workspace uses its share and the targets are full",
+                    self._come_back_s(view, excess),
+                )
+            return
+        bound = self._limits.within_share[priority] * view.slots
+        if total >= bound:
+            raise NoTargetAvailable(
+                "the targets are full", self._come_back_s(view, total - bound)
+            )
+
+    def _share(self, workspace, view):
+        demands = dict(view.in_flight)
+        # What the newcomer could want is not known, so it may want everything.
+        demands[workspace] = float("inf")
+        weights = {name: view.weights.get(name, 1.0) for name in demands}
+        return max_min_shares(view.slots, demands, weights)[workspace]
+
+    def _come_back_s(self, view, excess):
+        """Time until the excess has drained at the recent rate, spread."""
+        per_s = view.slots / max(view.answer_s, 0.05)
+        drain_s = (excess + 1 + self._rng.random() * view.slots * 0.5) / per_s
+        spread = 1 + self._limits.jitter * self._rng.random()
+        return max(0.2, drain_s * spread)
--- /dev/null
+++ b/cowslipcourse/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/cowslipcourse/cli/read_commands.py
@@ -0,0 +1,220 @@
+"""Commands that only look."""
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from cowslipcourse.cli.command import ExitCode, OperatorCommand
+from cowslipcourse.exceptions import ConfigurationError, Problem, SettingsError
+from cowslipcourse.settings import (
+    ControllerSettings,
+    GatewaySettings,
+    StandinSettings,
+    load_settings,
+)
+
+__all__ = ["AuditCommand", "CheckSettingsCommand", "GetCommand", "StatusCommand"]
+
+SCHEMAS = {
+    "gateway": GatewaySettings,
+    "controller": ControllerSettings,
+    "standin": StandinSettings,
+}
+
+
+class StatusCommand(OperatorCommand):
+    """Show the state of everything."""
+
+    name = "status"
+    description = "Show groups, services, daemons and who runs which revision."
+
+    def work(self):
+        """Print the status, what is wrong first."""
+        status = self.client.get("/v1/status")
+        if self.wants_json:
+            self.print_json(status)
+        else:
+            for line in _headline(status):
+                self.line(line)
+            self._tables(status)
+        return ExitCode.REFUSED if _faults(status) else ExitCode.DONE
+
+    def _tables(self, status):
+        self.line("")
+        rows = [
+            (
+                d["declaration"],
+                d["wanted"],
+                d["formed"],
+                d["serving"],
+                d["vms_selected"],
+            )
+            for d in status["declarations"]
+        ]
+        self.print_table(("GROUPS OF", "WANTED", "FORMED", "SERVING", "VMS"), rows)
+        self.line("")
+        rows = [
+            (
+                g["group"],
+                g["domain"],
+                g["model"],
+                g["epoch"],
+                "serving" if g["serving"] else g["reason"],
+                g["running"],
+                g["waiting"],
+            )
+            for g in status["groups"]
+        ]
+        headers = ("GROUP", "DOMAIN", "MODEL", "EPOCH", "STATE", "RUNNING", "WAITING")
+        self.print_table(headers, rows)
+        self.line("")
+        rows = [
+            (s["service"], s["vm"], "serving" if s["serving"] else s["reason"])
+            for s in status["services"]
+        ]
+        self.print_table(("SERVICE", "VM", "STATE"), rows)
+        self.line("")
+        rows = [
+            (
+                d["name"],
+                d["role"],
+                d["data_centre"],
+                d["state"],
+                d["revision"],
+                d["heard_s"],
+            )
+            for d in status["daemons"]
+        ]
+        headers = ("DAEMON", "ROLE", "DATA CENTRE", "STATE", "REVISION", "HEARD S AGO")
+        self.print_table(headers, rows)
+
+
+def _faults(status):
+    """Return a sentence for everything that needs attention."""
+    faults = []
+    if not status["table_answers"]:
+        faults.append("the table service does not answer: no edits, no repairs")
+    if not status["serving"]:
+        faults.append(f"{status['from']} is cut off and has stopped")
+    for daemon in status["daemons"]:
+        if daemon["state"] != "serving":
+            faults.append(f"{daemon['name']} is {daemon['state']}")
+    for declared in status["declarations"]:
+        lacking = declared["wanted"] - declared["serving"]
+        if lacking > 0:
+            name = declared["declaration"]
+            faults.append(f"{name}: {lacking} of {declared['wanted']} not serving")
+    faults.extend(
+        f"{service['service']} on {service['vm']}: {service['reason']}"
+        for service in status["services"]
+        if not service["serving"]
+    )
+    if status["missing"]:
+        missing = ", ".join(status["missing"])
+        faults.append(f"revision {status['revision']} is not in force at {missing}")
+    faults.extend(status["problems"])
+    return faults
+
+
+def _headline(status):
+    faults = _faults(status)
+    number, accepted = status["revision"], status["accepted"]
+    lines = [f"revision {number}, in force everywhere: {accepted}"]
+    if not faults:
+        return [*lines, "everything serves"]
+    return [*lines, *(f"ATTENTION {fault}" for fault in faults)]
+
+
+class GetCommand(OperatorCommand):
+    """Show declared objects."""
+
+    name = "get"
+    description = "Show declared objects, all of a kind or one."
+    arguments = [
+        argument("kind", "For example group", optional=True),
+        argument("name", "Name of one object", optional=True),
+    ]
+    options = [
+        *OperatorCommand.options,
+        option("revision", None, "An earlier revision", flag=False),
+    ]
+
+    def work(self):
+        """Print the objects as JSON."""
+        answer = self.client.get("/v1/configuration", revision=self.option("revision"))
+        found = answer["configuration"]
+        kind, name = self.argument("kind"), self.argument("name")
+        if kind is not None:
+            found = found.get(kind)
+        if name is not None and found is not None:
+            found = found.get(name)
+        if found is None:
+            raise ConfigurationError([Problem(f"{kind}/{name or ''}", "not declared")])
+        self.print_json(found)
+
+
+class AuditCommand(OperatorCommand):
+    """Show who changed what."""
+
+    name = "audit"
+    description = "Show who changed what, when, from where, under which plan."
+    options = [
+        *OperatorCommand.options,
+        option("operator", None, "Only this operator's edits", flag=False),
+        option("object", None, "Only edits of this object, as kind/name", flag=False),
+        option("since", None, "Only from this revision on", flag=False),
+        option("limit", None, "At most so many", flag=False, default="20"),
+    ]
+
+    def work(self):
+        """Print the records, newest first."""
+        names = ("operator", "object", "since", "limit")
+        filters = {name: self.option(name) for name in names}
+        records = self.client.get("/v1/audit", **filters)
+        if self.wants_json:
+            self.print_json(records)
+            return
+        rows = [
+            (
+                record["revision"],
+                record["at"],
+                record["operator"],
+                record["plan"]["digest"] if record["destructive"] else None,
+                ", ".join(record["changed"]),
+                record["source"],
+            )
+            for record in records
+        ]
+        headers = ("REVISION", "AT", "OPERATOR", "CONFIRMED", "CHANGED", "FROM")
+        self.print_table(headers, rows)
+
+
+class CheckSettingsCommand(Command):
+    """Check a settings file."""
+
+    name = "check-settings"
+    description = "Check the settings file of a gateway, controller or stand-in."
+    arguments = [argument("file", "TOML file")]
+    options = [
+        option("role", None, "gateway, controller or standin", flag=False),
+    ]
+
+    def handle(self):
+        """Print every problem, or that there is none."""
+        path = self.argument("file")
+        role = self.option("role")
+        if role is not None and role not in SCHEMAS:
+            self.line_error(f"<error>--role is one of {', '.join(SCHEMAS)}</error>")
+            return int(ExitCode.BAD_INPUT)
+        fewest = None
+        for name in [role] if role else SCHEMAS:
+            try:
+                load_settings(path, SCHEMAS[name])
+            except SettingsError as error:
+                if fewest is None or len(error.problems) < len(fewest):
+                    fewest = error.problems
+                continue
+            self.line(f"{path}: good settings of a {name}")
+            return int(ExitCode.DONE)
+        for problem in fewest:
+            self.line_error(f"<error>{problem}</error>")
+        return int(ExitCode.BAD_INPUT)
--- /dev/null
+++ b/cowslipcourse/config/documents.py
@@ -0,0 +1,135 @@
+"""Read operators' TOML files into objects.
+
+A file holds arrays of tables, one table for each object::
+
+    [[model]]
+    name = "draft-large"
+    version = "3"
+    weights_bytes = 120_000_000_000
+"""
+
+import difflib
+import re
+import tomllib
+
+from pydantic import ValidationError
+
+from cowslipcourse.config.edits import Change
+from cowslipcourse.config.objects import KINDS, ObjectRef
+from cowslipcourse.exceptions import ConfigurationError, Problem
+
+__all__ = ["describe_errors", "parse_documents"]
+
+_HEADER = re.compile(r"^\s*\[\[\s*([A-Za-z_\-]+)\s*\]\]")
+_SYNTAX_LINE = re.compile(r"at line (\d+)")
+_NAME = re.compile(r"[a-z0-9][a-z0-9.\-]{0,62}")
+
+
+def _suggest(word, known):
+    close = difflib.get_close_matches(word, known, n=1)
+    return f"; did you mean {close[0]!r}?" if close else ""
+
+
+def _line_of_table(text, kind, index):
+    seen = -1
+    for number, line in enumerate(text.splitlines(), start=1):
+        header = _HEADER.match(line)
+        if header and header.group(1) == kind:
+            seen += 1
+            if seen == index:
+                return number
+    return 0
+
+
+def _line_of_key(text, start, key):
+    lines = text.splitlines()
+    for number in range(start + 1, len(lines) + 1):
+        line = lines[number - 1]
+        if line.lstrip().startswith("["):
+            break
+        if re.match(rf"\s*{re.escape(key)}\s*[.=]", line):
+            return number
+    return start
+
+
+def describe_errors(error, known):
+    """Return ``(key, message)`` for each error of a pydantic validation.
+
+    :param error: :class:`pydantic.ValidationError`
+    :param known: keys that exist, for suggestions.
+    """
+    described = []
+    for item in error.errors():
+        path = ".".join(str(part) for part in item["loc"])
+        if item["type"] == "extra_forbidden":
+            message = f"unknown key{_suggest(str(item['loc'][-1]), known)}"
+        else:
+            message = item["msg"].removeprefix("Value error, ")
+        described.append((path, message))
+    return described
+
+
+def _parse_object(source, text, kind, index, table):
+    line = _line_of_table(text, kind, index)
+    name = table.pop("name", None)
+    if not isinstance(name, str) or not _NAME.fullmatch(name):
+        problem = Problem(f"{source}:{line} {kind}.name", "a lower-case name is needed")
+        return None, [problem]
+    schema = KINDS[kind]
+    try:
+        value = schema.model_validate(table)
+    except ValidationError as error:
+        problems = []
+        for key, message in describe_errors(error, schema.model_fields):
+            key_line = _line_of_key(text, line, key.split(".")[0])
+            problems.append(
+                Problem(f"{source}:{key_line} {kind}/{name} {key}", message)
+            )
+        return None, problems
+    return Change(ObjectRef(kind, name), value), []
+
+
+def _parse_one(source, text):
+    try:
+        tables = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        found = _SYNTAX_LINE.search(str(error))
+        line = found.group(1) if found else "?"
+        return [], [Problem(f"{source}:{line}", f"not valid TOML: {error}")]
+    changes, problems = [], []
+    for kind, entries in tables.items():
+        if kind not in KINDS:
+            message = f"unknown kind{_suggest(kind, KINDS)}"
+            problems.append(Problem(f"{source} [[{kind}]]", message))
+            continue
+        if not isinstance(entries, list):
+            problems.append(Problem(f"{source} {kind}", f"write [[{kind}]]"))
+            continue
+        for index, table in enumerate(entries):
+            change, found = _parse_object(source, text, kind, index, dict(table))
+            problems.extend(found)
+            if change is not None:
+                changes.append(change)
+    return changes, problems
+
+
+def parse_documents(documents):
+    """Parse operators' files.
+
+    :param documents: mapping of file name to text.
+    :returns: list of :class:`~cowslipcourse.config.Change`
+    :raises ConfigurationError: with every problem of every file.
+    """
+    changes, problems, where = [], [], {}
+    for source, text in documents.items():
+        found, faults = _parse_one(source, text)
+        problems.extend(faults)
+        for change in found:
+            if change.ref in where:
+                message = f"already declared in {where[change.ref]}"
+                problems.append(Problem(f"{source} {change.ref}", message))
+            where[change.ref] = source
+            changes.append(change)
+    if problems:
+        raise ConfigurationError(problems)
+    return changes
--- /dev/null
+++ b/cowslipcourse/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The controller: configuration, leases, groups and orders."""
--- /dev/null
+++ b/cowslipcourse/controller/api.py
@@ -0,0 +1,238 @@
+"""The operators' HTTP API."""
+
+import hashlib
+import hmac
+
+import msgspec
+from pydantic import ValidationError
+from starlette.applications import Starlette
+from starlette.routing import Route
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.adapters.web import json_response
+from cowslipcourse.config import Change, Edit, ObjectRef
+from cowslipcourse.config.documents import describe_errors
+from cowslipcourse.config.objects import KINDS
+from cowslipcourse.controller.status import system_status
+from cowslipcourse.exceptions import (
+    BadRequest,
+    ConfigurationError,
+    ConfirmationRequired,
+    CowslipError,
+    EditConflict,
+    EditError,
+    NotAuthorised,
+    Problem,
+    ReplyLost,
+    RequestError,
+    StoreError,
+)
+
+__all__ = ["OperatorApi"]
+
+MAX_EDIT_BYTES = 4 * 2**20
+DEFAULT_WAIT_S = 20.0
+
+log = get_logger(__name__)
+
+
+class ChangeBody(msgspec.Struct, forbid_unknown_fields=True):
+    """One change of an edit, as sent."""
+
+    kind: str
+    name: str
+    value: dict | None = None
+
+
+class EditBody(msgspec.Struct, forbid_unknown_fields=True):
+    """An edit, as sent."""
+
+    edit_id: str
+    base_revision: int
+    changes: list[ChangeBody]
+    source: str = ""
+    confirm: str = ""
+    trial: bool = False
+    wait_s: float = DEFAULT_WAIT_S
+
+
+class OperatorApi:
+    """Routes of the operators' API.
+
+    :param services: :class:`~cowslipcourse.controller.services.Services`
+    :param edits: :class:`~cowslipcourse.controller.edits.EditService`
+    :param acceptor: :class:`~cowslipcourse.controller.acceptor.Acceptor`
+    :param keeper: :class:`~cowslipcourse.controller.shards.ShardKeeper`
+    """
+
+    def __init__(self, services, edits, acceptor, keeper):
+        self._services = services
+        self._edits = edits
+        self._acceptor = acceptor
+        self._keeper = keeper
+
+    def app(self):
+        """Return the ASGI application."""
+        routes = [
+            Route("/v1/edits", self._guarded(self._edit), methods=["POST"]),
+            Route("/v1/configuration", self._guarded(self._configuration)),
+            Route("/v1/status", self._guarded(self._status)),
+            Route("/v1/audit", self._guarded(self._audit)),
+            Route("/v1/accepted", self._guarded(self._accepted)),
+        ]
+        return Starlette(routes=routes)
+
+    def _guarded(self, handler):
+        async def guarded(request):
+            try:
+                return await handler(request, self._operator(request))
+            except CowslipError as error:
+                return _error_response(error)
+
+        return guarded
+
+    def _operator(self, request):
+        """Return the operator's name.
+
+        :raises NotAuthorised: the token belongs to nobody.
+        """
+        header = request.headers.get("authorization", "")
+        token = header.removeprefix("Bearer ")
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        try:
+            text = self._services.settings.operators.tokens_file.read_text()
+        except OSError as error:
+            raise NotAuthorised("the tokens file cannot be read") from error
+        for line in text.splitlines():
+            name, _, known = line.strip().partition(" ")
+            if known and hmac.compare_digest(known.strip(), digest):
+                return name
+        raise NotAuthorised("unknown operator token")
+
+    async def _edit(self, request, operator):
+        body = await _read_body(request)
+        edit = Edit(
+            edit_id=body.edit_id,
+            operator=operator,
+            source=f"{request.client.host} {body.source}".strip(),
+            base_revision=body.base_revision,
+            changes=_changes(body.changes),
+            confirm=body.confirm,
+        )
+        if body.trial:
+            made = await self._edits.plan(edit)
+            return json_response(_made(made))
+        made = await self._edits.commit(edit)
+        accepted = await self._acceptor.wait_accepted(made.revision, body.wait_s)
+        missing = [] if accepted else self._acceptor.missing()
+        return json_response({**_made(made), "accepted": accepted, "missing": missing})
+
+    async def _accepted(self, request, operator):
+        number = _number(request, "revision", 0)
+        wait_s = min(float(_number(request, "wait_s", 0)), 60.0)
+        accepted = await self._acceptor.wait_accepted(number, wait_s)
+        missing = [] if accepted else self._acceptor.missing()
+        return json_response({"accepted": accepted, "missing": missing})
+
+    async def _configuration(self, request, operator):
+        number = _number(request, "revision", None)
+        number, configuration = await self._edits.revision(number)
+        return json_response({"revision": number, "configuration": configuration})
+
+    async def _status(self, request, operator):
+        return json_response(
+            system_status(self._services, self._acceptor, self._keeper)
+        )
+
+    async def _audit(self, request, operator):
+        records = await self._edits.audit()
+        wanted_operator = request.query_params.get("operator")
+        wanted_object = request.query_params.get("object")
+        since = _number(request, "since", 0)
+        limit = _number(request, "limit", 100)
+        found = [
+            record
+            for record in records
+            if wanted_operator in (None, record["operator"])
+            and (wanted_object is None or wanted_object in record["changed"])
+            and record["revision"] >= since
+        ]
+        return json_response(found[:limit])
+
+
+async def _read_body(request):
+    body = b""
+    async for piece in request.stream():
+        body += piece
+        if len(body) > MAX_EDIT_BYTES:
+            raise BadRequest(f"an edit may have {MAX_EDIT_BYTES} bytes at most")
+    try:
+        return msgspec.json.decode(body, type=EditBody)
+    except msgspec.DecodeError as error:
+        raise BadRequest(str(error)) from error
+
+
+def _changes(bodies):
+    changes, problems = [], []
+    for body in bodies:
+        ref = ObjectRef(body.kind, body.name)
+        schema = KINDS.get(body.kind)
+        if schema is None:
+            problems.append(Problem(str(ref), "unknown kind"))
+            continue
+        value = None
+        if body.value is not None:
+            try:
+                value = schema.model_validate(body.value)
+            except ValidationError as error:
+                described = describe_errors(error, schema.model_fields)
+                problems += [Problem(f"{ref} {key}", text) for key, text in described]
+                continue
+        changes.append(Change(ref, value))
+    if problems:
+        raise ConfigurationError(problems)
+    return tuple(changes)
+
+
+def _number(request, name, default):
+    text = request.query_params.get(name)
+    if text is None:
+        return default
+    try:
+        return int(text)
+    except ValueError as error:
+        raise BadRequest(f"{name} must be a whole number") from error
+
+
+def _made(made):
+    plan = {
+        **made.plan._asdict(),
+        "digest": made.plan.digest,
+        "destructive": made.plan.destructive,
+    }
+    return {"revision": made.revision, "plan": plan}
+
+
+def _error_response(error):
+    content = {"error": error.code, "detail": error.detail}
+    status = 500
+    if isinstance(error, RequestError):
+        status = error.status
+    elif isinstance(error, ConfigurationError):
+        status = 422
+        content["problems"] = [problem._asdict() for problem in error.problems]
+    elif isinstance(error, ConfirmationRequired):
+        status = 409
+        content["plan"] = {**error.plan._asdict(), "digest": error.plan.digest}
+    elif isinstance(error, EditConflict):
+        status = 409
+        content["other_edit"] = error.other_edit
+        content["names"] = error.names
+    elif isinstance(error, EditError):
+        status = 409
+    elif isinstance(error, StoreError):
+        status = 503
+        content["outcome"] = "unknown" if isinstance(error, ReplyLost) else "not_run"
+    else:
+        log.warning("operator-request-failed", code=error.code, detail=error.detail)
+    return json_response(content, status)
--- /dev/null
+++ b/cowslipcourse/controller/edits.py
@@ -0,0 +1,209 @@
+"""Edits of the configuration: plan, commit, audit.
+
+An edit is one transaction: head row, document, audit record and the edit's id, by
+which a lost reply is resolved.
+"""
+
+import datetime
+from typing import NamedTuple
+
+import msgspec
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.config import (
+    Configuration,
+    GroupUse,
+    Plan,
+    apply_changes,
+    make_plan,
+    overlapping,
+    resolve,
+)
+from cowslipcourse.controller.groups import GROUP_PREFIX
+from cowslipcourse.daemon.revisions import HEAD_KEY, document_key, head_value
+from cowslipcourse.exceptions import (
+    ConditionFailed,
+    ConfirmationRequired,
+    EditConflict,
+    ReplyLost,
+    StoreUnavailable,
+    UnknownObject,
+)
+from cowslipcourse.fleet import GroupSpec
+from cowslipcourse.membership import Revision
+from cowslipcourse.ports.platform import ABSENT, Transaction
+
+__all__ = ["AUDIT_PREFIX", "Committed", "EditService"]
+
+AUDIT_PREFIX = "audit/"
+COMMIT_TRIES = 20
+READ_BACK_TRIES = 3
+
+log = get_logger(__name__)
+
+
+class Committed(NamedTuple):
+    """An edit that was made, or that would be made.
+
+    :param revision: its revision number; 0 for a trial.
+    :param plan: its :class:`~cowslipcourse.config.Plan`
+    """
+
+    revision: int
+    plan: Plan
+
+
+class Draft(NamedTuple):
+    """An edit worked out against the newest revision.
+
+    :param head: newest :class:`~cowslipcourse.membership.Revision`
+    :param head_version: version of the head row.
+    :param history: last change by object name.
+    :param configuration: the configuration wanted.
+    :param plan: what it would do.
+    """
+
+    head: Revision
+    head_version: int
+    history: dict
+    configuration: Configuration
+    plan: Plan
+
+
+class EditService:
+    """Plans and commits edits.
+
+    :param table: :class:`~cowslipcourse.ports.TableService`
+    :param vm_list: :class:`~cowslipcourse.ports.VmList`
+    :param revisions: :class:`~cowslipcourse.daemon.RevisionTable`
+    """
+
+    def __init__(self, table, vm_list, revisions):
+        self._table = table
+        self._vm_list = vm_list
+        self._revisions = revisions
+
+    async def plan(self, edit):
+        """Work out an edit without making it.
+
+        :param edit: :class:`~cowslipcourse.config.Edit`
+        :returns: :class:`Committed` with revision 0.
+        :raises ConfigurationError: the result would not be valid.
+        :raises EditConflict: another edit changed the same objects.
+        """
+        draft = await self._draft(edit)
+        return Committed(0, draft.plan)
+
+    async def commit(self, edit):
+        """Make an edit.
+
+        :param edit: :class:`~cowslipcourse.config.Edit`
+        :returns: :class:`Committed`
+        :raises ConfirmationRequired: destructive and not confirmed.
+        :raises StoreUnavailable: nothing was changed.
+        :raises ReplyLost: it is not known whether it was made; the same edit may be
+            sent again with the same id.
+        """
+        for _ in range(COMMIT_TRIES):
+            made = await self._made(edit)
+            if made is not None:
+                return made
+            draft = await self._draft(edit)
+            if draft.plan.destructive and edit.confirm != draft.plan.digest:
+                raise ConfirmationRequired(draft.plan)
+            try:
+                return await self._commit(edit, draft)
+            except ConditionFailed:
+                continue
+            except ReplyLost:
+                made = await self._read_back(edit)
+                if made is not None:
+                    return made
+        raise StoreUnavailable("the head row is contended; nothing was changed")
+
+    async def revision(self, number=None):
+        """Return ``(revision number, configuration)``, the newest by default.
+
+        :raises UnknownObject: no edit made that revision.
+        """
+        head, _ = await self._revisions.read_head(None)
+        if number is None or number == head.number:
+            return head.number, head.configuration
+        row = await self._table.read(document_key(number))
+        if row is None:
+            raise UnknownObject(f"revision {number} was not made by an edit")
+        return number, row.value["configuration"]
+
+    async def audit(self):
+        """Return the audit records, newest first."""
+        rows = await self._table.scan(AUDIT_PREFIX)
+        return [row.value for row in reversed(rows)]
+
+    async def _made(self, edit):
+        row = await self._table.read(f"edit/{edit.edit_id}")
+        if row is None:
+            return None
+        plan = msgspec.convert(row.value["plan"], Plan)
+        return Committed(row.value["revision"], plan)
+
+    async def _read_back(self, edit):
+        """Find out whether a commit whose reply was lost took effect."""
+        for attempt in range(READ_BACK_TRIES):
+            try:
+                return await self._made(edit)
+            except StoreUnavailable:
+                if attempt == READ_BACK_TRIES - 1:
+                    raise ReplyLost("send the edit again with the same id") from None
+        return None
+
+    async def _draft(self, edit):
+        head, version = await self._revisions.read_head(None)
+        history = {}
+        if head.configuration_number:
+            row = await self._table.read(document_key(head.configuration_number))
+            history = row.value["history"]
+        clashes = overlapping(edit.changes, history, edit.base_revision)
+        clashes = [clash for clash in clashes if clash[1] != edit.edit_id]
+        if clashes:
+            names = [name for name, _ in clashes]
+            raise EditConflict(clashes[0][1], names)
+        old = Configuration.model_validate(head.configuration)
+        new = apply_changes(old, edit.changes)
+        vms = await self._vm_list.list_vms()
+        rows = await self._table.scan(GROUP_PREFIX)
+        specs = [msgspec.convert(row.value, GroupSpec) for row in rows]
+        groups = [GroupUse(s.group, s.declaration, s.vm_names) for s in specs]
+        new_resolved = resolve(new, vms)
+        plan = make_plan(old, resolve(old, vms), new, new_resolved, groups)
+        return Draft(head, version, history, new, plan)
+
+    async def _commit(self, edit, draft):
+        number = draft.head.number + 1
+        content = draft.configuration.model_dump(mode="json")
+        revision = Revision(number, draft.head.members, content, number)
+        touched = {str(ref): (number, edit.edit_id) for ref, _ in edit.changes}
+        plan = msgspec.to_builtins(draft.plan)
+        record = {
+            "revision": number,
+            "edit_id": edit.edit_id,
+            "operator": edit.operator,
+            "source": edit.source,
+            "at": datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds"),
+            "changed": sorted(touched),
+            "removed": sorted(str(r) for r, value in edit.changes if value is None),
+            "plan": {**draft.plan._asdict(), "digest": draft.plan.digest},
+            "destructive": draft.plan.destructive,
+        }
+        writes = {
+            HEAD_KEY: head_value(revision, edit.edit_id),
+            document_key(number): {
+                "configuration": content,
+                "history": {**draft.history, **touched},
+            },
+            f"{AUDIT_PREFIX}{number:010d}": msgspec.to_builtins(record),
+            f"edit/{edit.edit_id}": {"revision": number, "plan": plan},
+        }
+        conditions = {HEAD_KEY: draft.head_version, f"edit/{edit.edit_id}": ABSENT}
+        await self._table.commit(Transaction(conditions, writes))
+        log.info("edit", revision=number, operator=edit.operator, edit=edit.edit_id)
+        return Committed(number, draft.plan)
--- /dev/null
+++ b/cowslipcourse/controller/fleet_watch.py
@@ -0,0 +1,86 @@
+"""The controller's view of VMs and of the configuration over them."""
+
+import asyncio
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.config import Configuration, resolve
+from cowslipcourse.daemon import now
+from cowslipcourse.exceptions import ConfigurationError, StoreError
+
+__all__ = ["FleetWatch"]
+
+log = get_logger(__name__)
+
+
+class FleetWatch:
+    """Polls the VM list and resolves the configuration over it.
+
+    :param vm_list: :class:`~cowslipcourse.ports.VmList`
+    :param agent: :class:`~cowslipcourse.daemon.Agent`
+    :param poll_s: seconds between reads of the list.
+    """
+
+    def __init__(self, vm_list, agent, poll_s):
+        self._vm_list = vm_list
+        self._agent = agent
+        self._poll_s = poll_s
+        self._vms = []
+        self._listed_at = None
+        self._configuration = Configuration()
+        self._resolved = resolve(self._configuration, ())
+        self._problems = ()
+        agent.on_revision(self._take_revision)
+
+    @property
+    def configuration(self):
+        """The :class:`~cowslipcourse.config.Configuration` that runs here."""
+        return self._configuration
+
+    @property
+    def resolved(self):
+        """The configuration over the fleet, :class:`~cowslipcourse.config.Resolved`."""
+        return self._resolved
+
+    @property
+    def vms(self):
+        """VMs as last listed, with the platform's own labels."""
+        return self._vms
+
+    @property
+    def list_age_s(self):
+        """Seconds since the list was last read, or ``None``."""
+        return None if self._listed_at is None else now() - self._listed_at
+
+    @property
+    def problems(self):
+        """What is wrong with the configuration over the VMs as they are now."""
+        return self._problems
+
+    async def run(self):
+        """Poll for ever."""
+        while True:
+            try:
+                self._vms = await self._vm_list.list_vms()
+                self._listed_at = now()
+                self._resolve()
+            except StoreError as error:
+                log.warning("vm-list-failed", code=error.code)
+            await asyncio.sleep(self._poll_s)
+
+    def _take_revision(self, revision):
+        try:
+            self._configuration = Configuration.model_validate(revision.configuration)
+        except ValueError as error:
+            log.warning("unreadable-configuration", detail=str(error))
+            return
+        self._resolve()
+
+    def _resolve(self):
+        try:
+            self._resolved = resolve(self._configuration, self._vms)
+            self._problems = ()
+        except ConfigurationError as error:
+            # New VMs can make selectors overlap; what runs goes on as it is.
+            if error.problems != self._problems:
+                log.warning("selectors-clash", problems=error.detail)
+            self._problems = error.problems
--- /dev/null
+++ b/cowslipcourse/controller/main.py
@@ -0,0 +1,70 @@
+"""Program ``cowslip-controller``."""
+
+import sys
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.adapters.platform import HttpPlatform
+from cowslipcourse.adapters.targets import HttpTargets
+from cowslipcourse.adapters.web import WebServer
+from cowslipcourse.controller.acceptor import Acceptor
+from cowslipcourse.controller.api import OperatorApi
+from cowslipcourse.controller.edits import EditService
+from cowslipcourse.controller.fleet_watch import FleetWatch
+from cowslipcourse.controller.services import Services
+from cowslipcourse.controller.shards import ShardKeeper
+from cowslipcourse.daemon import Agent, run_daemon, run_forever
+from cowslipcourse.membership import Role
+from cowslipcourse.settings import ControllerSettings
+
+__all__ = ["Controller", "main"]
+
+VM_LIST_POLL_S = 1.0
+
+log = get_logger(__name__)
+
+
+class Controller:
+    """One controller process.
+
+    :param settings: :class:`~cowslipcourse.settings.ControllerSettings`
+    """
+
+    def __init__(self, settings):
+        self._settings = settings
+
+    async def run(self, stopping):
+        """Work until told to stop."""
+        settings = self._settings
+        platform = HttpPlatform(settings.platform, settings.daemon.name)
+        targets = HttpTargets(settings.target)
+        agent = Agent(settings, Role.CONTROLLER, platform)
+        watch = FleetWatch(platform, agent, VM_LIST_POLL_S)
+        services = Services(settings, agent, watch, platform, targets)
+        acceptor = Acceptor(agent, platform)
+        keeper = ShardKeeper(services)
+        edits = EditService(platform, platform, agent.revisions)
+        api = OperatorApi(services, edits, acceptor, keeper)
+        server = WebServer(api.app(), settings.daemon.public_address)
+        await agent.start()
+        await server.start()
+        tasks = [
+            run_forever(watch.run(), "fleet-watch"),
+            run_forever(acceptor.run(), "acceptor"),
+            run_forever(keeper.run(), "shard-keeper"),
+        ]
+        log.info("started", daemon=settings.daemon.name)
+        await stopping.wait()
+        await server.stop()
+        for task in tasks:
+            task.cancel()
+        await keeper.stop()
+        await agent.leave()
+        await agent.stop()
+        await targets.close()
+        await platform.close()
+        log.info("stopped-as-planned", daemon=settings.daemon.name)
+
+
+def main():
+    """Run a controller."""
+    sys.exit(run_daemon(sys.argv[1:], ControllerSettings, Controller))
--- /dev/null
+++ b/cowslipcourse/daemon/__init__.py
@@ -0,0 +1,8 @@
+"""What gateways and controllers have in common: membership at run time."""
+
+from cowslipcourse.daemon.agent import Agent
+from cowslipcourse.daemon.revisions import RevisionTable
+from cowslipcourse.daemon.runtime import now, run_daemon
+from cowslipcourse.daemon.tasks import run_forever
+
+__all__ = ["Agent", "RevisionTable", "now", "run_daemon", "run_forever"]
--- /dev/null
+++ b/cowslipcourse/daemon/runtime.py
@@ -0,0 +1,71 @@
+"""Event loop, clock and signals of a daemon."""
+
+import asyncio
+import signal
+import sys
+
+import uvloop
+
+from cowslipcourse.adapters.log import get_logger, set_up_logging
+from cowslipcourse.exceptions import CowslipError, SettingsError
+from cowslipcourse.settings import load_settings
+
+__all__ = ["now", "run_daemon"]
+
+EXIT_BAD_SETTINGS = 2
+EXIT_FAILED = 1
+
+log = get_logger(__name__)
+
+
+def now():
+    """Return the time of the running event loop in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+def run_daemon(arguments, schema, build):
+    """Run a daemon until it is told to stop.
+
+    The first SIGTERM or SIGINT asks for a planned stop, a second one ends it at once.
+
+    :param arguments: command-line arguments; the only one is the settings file.
+    :param schema: schema of the settings file.
+    :param build: called with the settings; returns an object with ``run(stopping)``,
+        where ``stopping`` is an :class:`asyncio.Event`.
+    :returns: exit code.
+    """
+    if len(arguments) != 1 or arguments[0].startswith("-"):
+        print("one argument is needed: the settings file (TOML)", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    try:
+        settings = load_settings(arguments[0], schema)
+    except SettingsError as error:
+        for problem in error.problems:
+            print(problem, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    set_up_logging(settings.log)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        try:
+            runner.run(_run_until_signal(build(settings)))
+        except CowslipError as error:
+            log.warning("daemon-failed", code=error.code, detail=error.detail)
+            return EXIT_FAILED
+    return 0
+
+
+async def _run_until_signal(daemon):
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    main = asyncio.current_task()
+
+    def on_signal():
+        if stopping.is_set():
+            main.cancel()
+        stopping.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    try:
+        await daemon.run(stopping)
+    except asyncio.CancelledError:
+        log.warning("stopped-at-once")
--- /dev/null
+++ b/cowslipcourse/fleet/__init__.py
@@ -0,0 +1,16 @@
+"""Values that describe the fleet: VMs, selectors and labels."""
+
+from cowslipcourse.fleet.groups import GroupMember, GroupSpec
+from cowslipcourse.fleet.selectors import Requirement, Selector, parse_selector
+from cowslipcourse.fleet.vms import VM, TargetKind, VmState
+
+__all__ = [
+    "VM",
+    "GroupMember",
+    "GroupSpec",
+    "Requirement",
+    "Selector",
+    "TargetKind",
+    "VmState",
+    "parse_selector",
+]
--- /dev/null
+++ b/cowslipcourse/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: callers' requests to groups and services."""
--- /dev/null
+++ b/cowslipcourse/gateway/app.py
@@ -0,0 +1,118 @@
+"""Callers' HTTP routes."""
+
+from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect
+from starlette.responses import Response
+from starlette.routing import Route
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.adapters.web import json_response, problem_response
+from cowslipcourse.exceptions import (
+    CallerGone,
+    GatewayDraining,
+    RequestError,
+    RequestFailed,
+)
+from cowslipcourse.gateway.addresses import address_answer
+from cowslipcourse.gateway.callers import read_call
+
+__all__ = ["CallerApi"]
+
+log = get_logger(__name__)
+
+
+class CallerApi:
+    """Routes for callers.
+
+    :param tools: :class:`~cowslipcourse.gateway.tools.GatewayTools`
+    :param chat: :class:`~cowslipcourse.gateway.chat.ChatRequests`
+    :param services: :class:`~cowslipcourse.gateway.services.ServiceRequests`
+    """
+
+    def __init__(self, tools, chat, services):
+        self._tools = tools
+        self._chat = chat
+        self._services = services
+        self._running = 0
+        self.leaving = False
+        self.refusing = False
+
+    @property
+    def running(self):
+        """Requests that have not been answered to the end."""
+        return self._running
+
+    def app(self):
+        """Return the ASGI application."""
+        chat = self._guarded(self._chat.answer)
+        service = self._guarded(self._services.answer)
+        path = "/v1/services/{service}/{operation}"
+        routes = [
+            Route("/v1/addresses", self._addresses),
+            Route("/v1/models", self._models),
+            Route("/v1/chat/completions", chat, methods=["POST"]),
+            Route(path, service, methods=["POST"]),
+            Route("/healthz", self._health),
+        ]
+        return _Counted(Starlette(routes=routes), self)
+
+    def _guarded(self, handler):
+        async def guarded(request):
+            metrics = self._tools.metrics
+            metrics.count("requests.received")
+            try:
+                if self.refusing:
+                    raise GatewayDraining("use another address", 0.0)
+                call = read_call(request, self._tools.view)
+                self._tools.agent.require_serving()
+                return await handler(request, call)
+            except ClientDisconnect:
+                error = CallerGone()
+            except RequestError as failed:
+                error = failed
+            except Exception as failed:
+                log.exception("request-crashed", path=request.url.path)
+                error = RequestFailed(f"the gateway failed: {failed!r}")
+            metrics.count(f"requests.refused.{error.code}")
+            log.info("refused", code=error.code, detail=error.detail)
+            return self._problem(error, request)
+
+        return guarded
+
+    def _problem(self, error, request):
+        headers = {}
+        request_id = request.headers.get("x-request-id", "")
+        if request_id.isprintable() and request_id.isascii():
+            headers["x-request-id"] = request_id[:100]
+        return problem_response(error, headers)
+
+    async def _addresses(self, request):
+        return json_response(address_answer(self._tools, self.leaving))
+
+    async def _models(self, request):
+        try:
+            call = read_call(request, self._tools.view)
+        except RequestError as error:
+            return self._problem(error, request)
+        names = self._tools.view.resolved.models_for(call.workspace)
+        models = [{"id": name, "object": "model"} for name in names]
+        return json_response({"object": "list", "data": models})
+
+    async def _health(self, request):
+        serving = self._tools.agent.may_serve() and not self.refusing
+        return Response("serving" if serving else "stopped", 200 if serving else 503)
+
+
+class _Counted:
+    """ASGI layer that counts requests until their last byte is sent."""
+
+    def __init__(self, app, api):
+        self._app = app
+        self._api = api
+
+    async def __call__(self, scope, receive, send):
+        self._api._running += 1
+        try:
+            await self._app(scope, receive, send)
+        finally:
+            self._api._running -= 1
--- /dev/null
+++ b/cowslipcourse/gateway/fleet_view.py
@@ -0,0 +1,174 @@
+"""What a gateway knows of groups, services and the other gateways."""
+
+import msgspec
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.config import Configuration, resolve
+from cowslipcourse.daemon import now
+from cowslipcourse.daemon.reports import (
+    GATEWAY_PREFIX,
+    GROUP_PREFIX,
+    SERVICE_PREFIX,
+    decode_report,
+)
+from cowslipcourse.exceptions import ConfigurationError
+
+__all__ = ["FleetView", "Grant"]
+
+REFUSED_FOR_S = 2.0
+
+log = get_logger(__name__)
+
+
+class Grant:
+    """A report with the time from which it counts.
+
+    :ivar report: :class:`~cowslipcourse.daemon.reports.GroupReport` or the like.
+    :ivar observed_at: loop time from which its age counts.
+    """
+
+    __slots__ = ("observed_at", "report")
+
+    def __init__(self, report, observed_at):
+        self.report = report
+        self.observed_at = observed_at
+
+
+class FleetView:
+    """Newest reports, and the configuration that runs here.
+
+    :param agent: :class:`~cowslipcourse.daemon.Agent`
+    :param grant_s: seconds for which a report that something serves is good.
+    """
+
+    def __init__(self, agent, grant_s):
+        self._agent = agent
+        self._grant_s = grant_s
+        self._groups = {}
+        self._by_declaration = {}
+        self._services = {}
+        self._gateways = {}
+        self._refused_until = {}
+        self._configuration = Configuration()
+        self._resolved = resolve(self._configuration, ())
+        self._workspaces_by_key = {}
+        agent.on_record(self._take_record)
+        agent.on_revision(self._take_revision)
+
+    @property
+    def configuration(self):
+        """The :class:`~cowslipcourse.config.Configuration` that runs here."""
+        return self._configuration
+
+    @property
+    def resolved(self):
+        """Placements and access, :class:`~cowslipcourse.config.Resolved`."""
+        return self._resolved
+
+    @property
+    def groups(self):
+        """:class:`Grant` by group id, fresh or not."""
+        return self._groups
+
+    def workspace_of(self, key_sha256):
+        """Return the workspace that a key belongs to, or ``None``."""
+        return self._workspaces_by_key.get(key_sha256)
+
+    def grants(self, declarations):
+        """Return the groups of declarations that may be sent requests now.
+
+        :param declarations: names of group declarations.
+        :returns: list of :class:`Grant`
+        """
+        at = now()
+        return [
+            grant
+            for declaration in declarations
+            for group in self._by_declaration.get(declaration, ())
+            if self._is_good(group, grant := self._groups[group], at)
+        ]
+
+    def is_granted(self, spec):
+        """Return whether a group may be sent a request at this very moment.
+
+        :param spec: :class:`~cowslipcourse.fleet.GroupSpec` that was chosen.
+        """
+        grant = self._groups.get(spec.group)
+        if grant is None or grant.report.spec.epoch != spec.epoch:
+            return False
+        return self._is_good(spec.group, grant, now())
+
+    def services(self, service):
+        """Return the targets of a plain service that may be called now."""
+        at = now()
+        return [
+            grant
+            for vm, grant in self._services.items()
+            if grant.report.service == service and self._is_good(vm, grant, at)
+        ]
+
+    def refused(self, name):
+        """Note that a target refused new work; it is left alone for a moment."""
+        self._refused_until[name] = now() + REFUSED_FOR_S
+
+    def peers_in_flight(self):
+        """Return requests in flight of the other gateways by group and workspace."""
+        groups, workspaces = {}, {}
+        at = now()
+        for grant in self._gateways.values():
+            if at - grant.observed_at > self._agent.times.isolation_s:
+                continue
+            for name, count in grant.report.groups.items():
+                groups[name] = groups.get(name, 0) + count
+            for name, count in grant.report.workspaces.items():
+                workspaces[name] = workspaces.get(name, 0) + count
+        return groups, workspaces
+
+    def leaving_gateways(self):
+        """Return the names of gateways that want no new callers."""
+        return {g.report.gateway for g in self._gateways.values() if g.report.leaving}
+
+    def _is_good(self, name, grant, at):
+        if not grant.report.serving or at - grant.observed_at >= self._grant_s:
+            return False
+        return self._refused_until.get(name, 0.0) <= at
+
+    def _take_record(self, record):
+        try:
+            report = decode_report(record)
+        except msgspec.DecodeError as error:
+            log.warning("unreadable-record", key=record.key, detail=str(error))
+            return
+        grant = Grant(report, record.observed_at)
+        if record.key.startswith(GROUP_PREFIX):
+            self._take_group(report, grant)
+        elif record.key.startswith(SERVICE_PREFIX):
+            self._services[report.vm] = grant
+        elif record.key.startswith(GATEWAY_PREFIX):
+            if record.origin != self._agent.member.name:
+                self._gateways[report.gateway] = grant
+
+    def _take_group(self, report, grant):
+        spec = report.spec
+        of_declaration = self._by_declaration.setdefault(spec.declaration, set())
+        if spec.state == "dissolved":
+            self._groups.pop(spec.group, None)
+            of_declaration.discard(spec.group)
+            return
+        self._groups[spec.group] = grant
+        of_declaration.add(spec.group)
+
+    def _take_revision(self, revision):
+        try:
+            self._configuration = Configuration.model_validate(revision.configuration)
+            self._resolved = resolve(self._configuration, ())
+        except (ValueError, ConfigurationError) as error:
+            log.warning("unreadable-configuration", detail=str(error))
+            return
+        workspaces = self._configuration.workspace.items()
+        self._workspaces_by_key = {w.key_sha256: name for name, w in workspaces}
+        self._gateways = {
+            name: grant
+            for name, grant in self._gateways.items()
+            if name in revision.members
+        }
--- /dev/null
+++ b/cowslipcourse/gateway/generation.py
@@ -0,0 +1,157 @@
+"""One model request at one gateway, over as many attempts as it takes."""
+
+import asyncio
+import secrets
+from contextlib import aclosing
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.daemon import now
+from cowslipcourse.exceptions import (
+    MalformedAnswer,
+    NoTargetAvailable,
+    OutcomeUnknown,
+    RequestFailed,
+    TargetError,
+    TargetRefused,
+    TargetUnreachable,
+)
+from cowslipcourse.ports import GenerateRequest
+from cowslipcourse.requests import AnswerRelay
+
+__all__ = ["Generation"]
+
+ATTEMPT_BYTES = 6
+RETRY_S = 1.0
+BACKOFF_S = 0.05
+
+log = get_logger(__name__)
+
+
+class Generation:
+    """Runs one model request and yields its answer.
+
+    An answer that breaks is resumed at its next token, at another group if it must
+    be, as long as the request may be repeated and the retry budget allows it.
+
+    :param call: :class:`~cowslipcourse.gateway.callers.Call`
+    :param body: caller's body.
+    :param declarations: names of the group declarations that may serve it.
+    :param tools: :class:`~cowslipcourse.gateway.tools.GatewayTools`
+    """
+
+    def __init__(self, call, body, declarations, tools):
+        self._call = call
+        self._body = body
+        self._declarations = declarations
+        self._tools = tools
+        self._hashes = tools.chooser.hashes(body)
+        self._relay = AnswerRelay()
+        self._tried = set()
+        self._started = False
+        self.groups = []
+
+    @property
+    def complete(self):
+        """Whether the whole answer has been yielded."""
+        return self._relay.complete
+
+    async def pieces(self):
+        """Yield the answer as pieces of server-sent events.
+
+        :raises RequestError: the answer is not complete and will not be.
+        """
+        attempts = self._tools.settings.limits.attempts
+        self._tools.retries.request()
+        self._tools.resumes.request()
+        for number in range(attempts):
+            if number:
+                await self._before_retry(number)
+            self._call.remaining_s()
+            try:
+                async with aclosing(self._attempt()) as pieces:
+                    async for piece in pieces:
+                        yield piece
+            except TargetError as error:
+                self._note_failure(error)
+                if not self._may_repeat(error) or number == attempts - 1:
+                    raise self._final(error) from error
+                continue
+            return
+
+    async def _before_retry(self, number):
+        budget = self._tools.resumes if self._relay.offset else self._tools.retries
+        if not budget.take():
+            raise self._final(NoTargetAvailable("retry budget spent"))
+        self._tools.metrics.count("retries")
+        await asyncio.sleep(BACKOFF_S * number * self._tools.rng.random())
+
+    async def _attempt(self):
+        tools = self._tools
+        spec = tools.chooser.choose(self._declarations, self._hashes, self._tried)
+        attempt_id = secrets.token_hex(ATTEMPT_BYTES)
+        self._group = spec.group
+        request = GenerateRequest(
+            self._call.request_id,
+            attempt_id,
+            spec.group,
+            spec.epoch,
+            int(self._call.priority),
+            self._relay.offset,
+            self._body,
+        )
+        started_at = tools.chooser.in_flight.start(spec.group, now())
+        ended = False
+        try:
+            # Nothing is awaited between these checks and the send.
+            if not tools.view.is_granted(spec) or not tools.agent.may_serve():
+                raise TargetRefused("grant-lapsed")
+            self.groups.append(spec.group)
+            batches = tools.targets.generate(spec.leader.address, request)
+            async with aclosing(batches):
+                async for events in batches:
+                    self._started = True
+                    piece = self._relay.take(attempt_id, events)
+                    if piece:
+                        yield piece
+            ended = True
+            if not self._relay.complete:
+                raise TargetUnreachable("the stream ended without its end event")
+        finally:
+            tools.chooser.in_flight.finish(spec.group, started_at)
+            if not ended:
+                tools.spawn(tools.targets.cancel(spec.leader.address, attempt_id))
+
+    def _note_failure(self, error):
+        self._tried.add(self._group)
+        if isinstance(error, TargetRefused):
+            if error.reason != "grant-lapsed":
+                self._tools.view.refused(self._group)
+        else:
+            self._tools.chooser.forget_cache(self._group)
+        log.info(
+            "attempt-failed",
+            request=self._call.request_id,
+            group=self._group,
+            code=error.code,
+            detail=error.detail,
+            offset=self._relay.offset,
+        )
+
+    def _may_repeat(self, error):
+        if isinstance(error, TargetRefused):
+            return True
+        if isinstance(error, TargetUnreachable) and not error.sent:
+            return True
+        return self._call.repeatable is not False
+
+    def _final(self, error):
+        """Return the error that the caller is told."""
+        if isinstance(error, TargetUnreachable) and error.sent:
+            self._started = True
+        if isinstance(error, MalformedAnswer):
+            self._started = True
+        if not self._started:
+            return NoTargetAvailable(error.detail, RETRY_S)
+        if self._relay.offset:
+            return RequestFailed(f"the answer broke off: {error.detail}", RETRY_S)
+        return OutcomeUnknown(error.detail, RETRY_S)
--- /dev/null
+++ b/cowslipcourse/gateway/problems.py
@@ -0,0 +1,23 @@
+"""Problems inside a stream that has begun."""
+
+import msgspec
+
+__all__ = ["problem_event"]
+
+
+def problem_event(error):
+    """Return the event that ends a stream which is not complete.
+
+    The end marker is never sent after it.
+
+    :param error: :class:`~cowslipcourse.exceptions.RequestError`
+    """
+    content = {
+        "error": {
+            "code": error.code,
+            "message": error.detail,
+            "outcome": error.outcome,
+            "retry_after_s": error.retry_after_s,
+        }
+    }
+    return b"event: error\ndata: " + msgspec.json.encode(content) + b"\n\n"
--- /dev/null
+++ b/cowslipcourse/gateway/service_calls.py
@@ -0,0 +1,126 @@
+"""Attempts at one call of a plain service."""
+
+import asyncio
+import secrets
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.daemon import now
+from cowslipcourse.exceptions import (
+    DeadlinePassed,
+    DeadlineWhileRunning,
+    NoTargetAvailable,
+    OutcomeUnknown,
+    TargetError,
+    TargetRefused,
+    TargetUnreachable,
+)
+from cowslipcourse.requests import Completed
+
+__all__ = ["ServiceCall"]
+
+ATTEMPT_BYTES = 6
+NO_TARGET_RETRY_S = 2.0
+
+log = get_logger(__name__)
+
+
+class ServiceCall:
+    """Runs one operation of a plain service.
+
+    A call that may not be repeated is sent again only if the attempt before was
+    provably not run: nothing was sent, or the target refused before it started.
+
+    :param service: service name.
+    :param operation: operation name.
+    :param body: body.
+    :param repeatable: whether it may run more than once.
+    :param deadline: loop time, or ``None``.
+    :param tools: :class:`~cowslipcourse.gateway.tools.GatewayTools`
+    """
+
+    def __init__(self, service, operation, body, repeatable, deadline, tools):
+        self._service = service
+        self._operation = operation
+        self._body = body
+        self._repeatable = repeatable
+        self._deadline = deadline
+        self._tools = tools
+        self._tried = set()
+        self._vm = ""
+        self._ran_before = False
+        self._may_have_run = False
+
+    async def run(self):
+        """Return :class:`~cowslipcourse.requests.Completed`.
+
+        :raises RequestError: it was not run, or may have run.
+        """
+        try:
+            async with asyncio.timeout_at(self._deadline):
+                return await self._attempts()
+        except TimeoutError:
+            if self._may_have_run:
+                raise DeadlineWhileRunning("the deadline passed", 1.0) from None
+            raise DeadlinePassed("the deadline passed", 1.0) from None
+
+    async def _attempts(self):
+        tools = self._tools
+        tools.retries.request()
+        for number in range(tools.settings.limits.attempts):
+            if number and not tools.retries.take():
+                break
+            try:
+                return await self._attempt()
+            except TargetError as error:
+                log.info(
+                    "call-failed", service=self._service, vm=self._vm, code=error.code
+                )
+                if self._ran(error) and not self._repeatable:
+                    raise OutcomeUnknown(error.detail) from error
+        if self._may_have_run:
+            raise OutcomeUnknown("no attempt was answered", NO_TARGET_RETRY_S)
+        raise NoTargetAvailable("no target took the call", NO_TARGET_RETRY_S)
+
+    def _ran(self, error):
+        """Note whether a failed attempt may have run, and return it."""
+        if isinstance(error, TargetRefused):
+            self._tools.view.refused(self._vm)
+            self._may_have_run = self._ran_before
+            return False
+        if isinstance(error, TargetUnreachable) and not error.sent:
+            self._tools.view.refused(self._vm)
+            self._may_have_run = self._ran_before
+            return False
+        return True
+
+    async def _attempt(self):
+        tools = self._tools
+        report = self._choose()
+        self._vm = report.vm
+        self._tried.add(report.vm)
+        attempt_id = secrets.token_hex(ATTEMPT_BYTES)
+        self._ran_before = self._may_have_run
+        tools.agent.require_serving()
+        # Nothing is awaited between the check and the send.
+        started_at = tools.chooser.in_flight.start(report.vm, now())
+        self._may_have_run = True
+        try:
+            answer = await tools.targets.call(
+                report.address, self._operation, attempt_id, self._body
+            )
+        finally:
+            tools.chooser.in_flight.finish(report.vm, started_at)
+        return Completed(answer.status, answer.content_type, answer.body)
+
+    def _choose(self):
+        grants = self._tools.view.services(self._service)
+        reports = [grant.report for grant in grants]
+        fresh = [report for report in reports if report.vm not in self._tried]
+        if not reports or not (fresh or self._repeatable):
+            if self._may_have_run:
+                raise OutcomeUnknown("no target is left to try", NO_TARGET_RETRY_S)
+            raise NoTargetAvailable("no target serves this now", NO_TARGET_RETRY_S)
+        in_flight = self._tools.chooser.in_flight
+        fewest = min(in_flight.count(report.vm) for report in fresh or reports)
+        best = [r for r in fresh or reports if in_flight.count(r.vm) == fewest]
+        return self._tools.rng.choice(best)
--- /dev/null
+++ b/cowslipcourse/gateway/services.py
@@ -0,0 +1,220 @@
+"""Calls of plain services, at most once where they may not be repeated."""
+
+import hashlib
+import secrets
+from typing import NamedTuple
+
+from starlette.responses import Response
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.daemon import now
+from cowslipcourse.exceptions import (
+    KeyHomeStopped,
+    OutcomeUnknown,
+    PeerUnreachable,
+    RequestError,
+    StoreError,
+    UnknownService,
+)
+from cowslipcourse.gateway.callers import read_body
+from cowslipcourse.gateway.claims import Claim, claim_key
+from cowslipcourse.gateway.service_calls import ServiceCall
+from cowslipcourse.ports.peers import ForwardAnswer, ForwardedCall
+from cowslipcourse.requests import Completed, parse_minted_key
+from cowslipcourse.requests.outcomes import error_from, unseal
+
+__all__ = ["ServiceRequests"]
+
+CLAIM_ID_BYTES = 9
+FORWARD_LIMIT_S = 30.0
+
+log = get_logger(__name__)
+
+
+class _Job(NamedTuple):
+    """A keyed call, with all that its home needs to know."""
+
+    key: str
+    workspace: str
+    service: str
+    operation: str
+    body: bytes
+    deadline: float | None
+
+    @property
+    def fingerprint(self):
+        """Digest of the request that the key stands for."""
+        digest = hashlib.sha256(f"{self.service}\n{self.operation}\n".encode())
+        digest.update(self.body)
+        return digest.hexdigest()
+
+    @property
+    def scoped_key(self):
+        """The key within its workspace."""
+        return f"{self.workspace}\n{self.key}"
+
+
+class ServiceRequests:
+    """Answers calls of plain services.
+
+    :param tools: :class:`~cowslipcourse.gateway.tools.GatewayTools`
+    :param claims: :class:`~cowslipcourse.gateway.claims.ClaimDesk`
+    """
+
+    def __init__(self, tools, claims):
+        self._tools = tools
+        self._claims = claims
+        tools.agent.on_forward(self.forwarded)
+
+    async def answer(self, request, call):
+        """Return the response to a call.
+
+        :param request: starlette request.
+        :param call: :class:`~cowslipcourse.gateway.callers.Call`
+        :raises RequestError: it ends without its answer.
+        """
+        service = request.path_params["service"]
+        operation = request.path_params["operation"]
+        allowed = self._tools.view.resolved.service_access.get(call.workspace, ())
+        if service not in allowed:
+            raise UnknownService(f"no service {service!r} for {call.workspace}")
+        body = await read_body(request, self._tools.settings.limits.body_bytes)
+        repeatable = self._tools.view.configuration.service[service].repeatable
+        if call.repeatable is not None:
+            repeatable = call.repeatable
+        if repeatable or not call.key:
+            run = ServiceCall(
+                service, operation, body, repeatable, call.deadline, self._tools
+            )
+            completed, remembered = await run.run(), False
+        else:
+            job = _Job(
+                call.key, call.workspace, service, operation, body, call.deadline
+            )
+            completed, remembered = await self._run_keyed(job)
+        return _response(completed, call.request_id, remembered)
+
+    async def forwarded(self, forwarded):
+        """Run a call that another gateway handed to this one, its home.
+
+        :param forwarded: :class:`~cowslipcourse.ports.peers.ForwardedCall`
+        :returns: :class:`~cowslipcourse.ports.peers.ForwardAnswer`
+        """
+        job = _Job(
+            forwarded.key,
+            forwarded.workspace,
+            forwarded.service,
+            forwarded.operation,
+            forwarded.body,
+            now() + forwarded.remaining_s if forwarded.remaining_s else None,
+        )
+        try:
+            if forwarded.incarnation != self._tools.agent.member.incarnation:
+                raise OutcomeUnknown("the home of the key was restarted")
+            completed, remembered = await self._run_here(job, forwarded.window)
+        except RequestError as error:
+            return ForwardAnswer(error.code, error.detail, error.retry_after_s or 0.0)
+        return ForwardAnswer(
+            status=completed.status,
+            content_type=completed.content_type,
+            body=completed.body,
+            remembered=remembered,
+        )
+
+    async def _run_keyed(self, job):
+        minted = parse_minted_key(job.key)
+        if minted is not None:
+            return await self._run_at_home(job, minted)
+        own = self._tools.agent.member
+        claim = Claim(
+            own.name,
+            own.incarnation,
+            self._tools.outcomes.window(now()),
+            job.fingerprint,
+            secrets.token_hex(CLAIM_ID_BYTES),
+        )
+        claim = await self._claims.claim(claim_key(job.workspace, job.key), claim)
+        return await self._run_at_home(job, claim)
+
+    async def _run_at_home(self, job, home):
+        """Run a call here if this is its home, else hand it over.
+
+        :param home: :class:`~cowslipcourse.requests.MintedKey` or
+            :class:`~cowslipcourse.gateway.claims.Claim`
+        """
+        own = self._tools.agent.member
+        if (home.gateway, home.incarnation) == (own.name, own.incarnation):
+            return await self._run_here(job, home.window)
+        member = self._tools.agent.revision.members.get(home.gateway)
+        if member is None or member.incarnation != home.incarnation:
+            return await self._from_sealed(job, home)
+        return await self._hand_over(job, home, member)
+
+    async def _run_here(self, job, window):
+        async def execute():
+            call = ServiceCall(
+                job.service, job.operation, job.body, False, job.deadline, self._tools
+            )
+            return await call.run()
+
+        return await self._tools.outcomes.run_once(
+            job.scoped_key, window, job.fingerprint, execute, now()
+        )
+
+    async def _hand_over(self, job, home, member):
+        remaining_s = job.deadline - now() if job.deadline is not None else 0.0
+        call = ForwardedCall(
+            key=job.key,
+            workspace=job.workspace,
+            service=job.service,
+            operation=job.operation,
+            body=job.body,
+            remaining_s=remaining_s,
+            window=home.window,
+            incarnation=home.incarnation,
+        )
+        timeout_s = remaining_s or FORWARD_LIMIT_S
+        try:
+            reply = await self._tools.agent.peers.forward(
+                member.peer_address, call, timeout_s
+            )
+        except PeerUnreachable as error:
+            detail = f"the home of the key does not answer: {error.detail}"
+            raise OutcomeUnknown(detail, 2.0) from error
+        if reply.error_code:
+            raise error_from(
+                reply.error_code, reply.detail, reply.retry_after_s or None
+            )
+        completed = Completed(reply.status, reply.content_type, reply.body)
+        return completed, reply.remembered
+
+    async def _from_sealed(self, job, home):
+        """Answer for a home that is gone, from what it left behind."""
+        name = sealed_name(home.gateway, home.incarnation)
+        try:
+            content = await self._tools.objects.get(name)
+        except StoreError as error:
+            detail = "the home of the key is gone and the object store is down"
+            raise OutcomeUnknown(detail, 5.0) from error
+        if content is None:
+            raise OutcomeUnknown("the home of the key is gone; not run again")
+        completed = unseal(content, job.scoped_key, job.fingerprint)
+        if completed is None:
+            raise KeyHomeStopped("the home of the key has stopped; use a new key")
+        return completed, True
+
+
+def sealed_name(gateway, incarnation):
+    """Return the name of the object in which a gateway leaves its outcomes."""
+    return f"outcomes/{gateway}.{incarnation}"
+
+
+def _response(completed, request_id, remembered):
+    headers = {"x-request-id": request_id}
+    if remembered:
+        headers["cowslip-remembered"] = "yes"
+    if completed.truncated:
+        headers["cowslip-truncated"] = "yes"
+    return Response(
+        completed.body, completed.status, headers, completed.content_type or None
+    )
--- /dev/null
+++ b/cowslipcourse/membership/__init__.py
@@ -0,0 +1,26 @@
+"""Who belongs to the system, who may serve, and what is in force everywhere."""
+
+from cowslipcourse.membership.acceptance import AcceptanceRule, AcceptedList
+from cowslipcourse.membership.contacts import Contact, Contacts
+from cowslipcourse.membership.members import Member, Revision, Role
+from cowslipcourse.membership.messages import Heartbeat, HeartbeatAnswer
+from cowslipcourse.membership.node import MembershipNode
+from cowslipcourse.membership.records import Record, RecordStore
+from cowslipcourse.membership.serving import MembershipTimes, ServingRule
+
+__all__ = [
+    "AcceptanceRule",
+    "AcceptedList",
+    "Contact",
+    "Contacts",
+    "Heartbeat",
+    "HeartbeatAnswer",
+    "Member",
+    "MembershipNode",
+    "MembershipTimes",
+    "Record",
+    "RecordStore",
+    "Revision",
+    "Role",
+    "ServingRule",
+]
--- /dev/null
+++ b/cowslipcourse/membership/node.py
@@ -0,0 +1,210 @@
+"""One daemon's part in the membership, without sockets, tasks or clock.
+
+:class:`~cowslipcourse.daemon.Agent` runs it over the network; tests run many of
+them over an emulated one.
+"""
+
+from cowslipcourse.membership.acceptance import AcceptanceRule
+from cowslipcourse.membership.contacts import Contact, Contacts
+from cowslipcourse.membership.messages import Heartbeat, HeartbeatAnswer
+from cowslipcourse.membership.records import RecordStore
+from cowslipcourse.membership.serving import ServingRule
+
+__all__ = ["MembershipNode"]
+
+
+class MembershipNode:
+    """State and rules of one run of one daemon.
+
+    :param member: this run, :class:`~cowslipcourse.membership.Member`.
+    :param times: :class:`~cowslipcourse.membership.MembershipTimes`
+    :param record_keep_s: seconds after which a record that is not renewed is dropped.
+    """
+
+    def __init__(self, member, times, record_keep_s=30.0):
+        self._member = member
+        self._times = times
+        self._contacts = Contacts()
+        self._rule = ServingRule(member, times, self._contacts)
+        self._acceptance = AcceptanceRule(member, times, self._contacts)
+        self._records = RecordStore(record_keep_s)
+        self._positions = {}
+        self._running_since = 0.0
+
+    @property
+    def member(self):
+        """This run of this daemon."""
+        return self._member
+
+    @property
+    def times(self):
+        """:class:`~cowslipcourse.membership.MembershipTimes`"""
+        return self._times
+
+    @property
+    def contacts(self):
+        """:class:`~cowslipcourse.membership.Contacts`"""
+        return self._contacts
+
+    @property
+    def records(self):
+        """:class:`~cowslipcourse.membership.RecordStore`"""
+        return self._records
+
+    @property
+    def revision(self):
+        """The revision that runs here, or ``None``."""
+        return self._rule.revision
+
+    @property
+    def number(self):
+        """Number of the revision that runs here; 0 for none."""
+        return self.revision.number if self.revision else 0
+
+    @property
+    def peers(self):
+        """The other members."""
+        members = self.revision.members.values() if self.revision else ()
+        return [member for member in members if member.name != self._member.name]
+
+    @property
+    def listed(self):
+        """Whether the revision that runs here lists this run."""
+        return self.revision is not None and self.revision.lists(self._member)
+
+    def may_serve(self, now):
+        """Return whether this daemon may take new work."""
+        return self._rule.judge(now)
+
+    def silent(self, now):
+        """Return the names of members that do not answer this daemon."""
+        return self._contacts.silent(self.peers, now, self._times.eviction_s)
+
+    def silent_to_most(self, now):
+        """Return the members that most of those who answer cannot reach either."""
+        own = self.silent(now)
+        answering = [
+            contact.silent
+            for name in (self.revision.members if self.revision else ())
+            if name not in own
+            and (contact := self._contacts.get(name)) is not None
+            and now - contact.sent_at <= self._times.isolation_s
+        ]
+        witnesses = len(answering) + 1
+        return frozenset(
+            name
+            for name in own
+            if 2 * (1 + sum(name in silent for silent in answering)) > witnesses
+        )
+
+    def missing(self):
+        """Return the names of members not known to run the newest revision."""
+        return self._acceptance.missing(self.revision) if self.revision else []
+
+    def accepts(self, last, now):
+        """Return whether the revision that runs here is in force everywhere.
+
+        :param last: :class:`~cowslipcourse.membership.AcceptedList`
+        """
+        if not self.may_serve(now):
+            return False
+        return self._acceptance.accepted(self.revision, last, self._running_since, now)
+
+    def heartbeat_to(self, member, now):
+        """Return the :class:`Heartbeat` to be sent to a member."""
+        incarnation, position = self._positions.get(member.name, ("", 0))
+        revision = self.revision
+        return Heartbeat(
+            name=self._member.name,
+            incarnation=self._member.incarnation,
+            revision=self.number,
+            configuration_number=revision.configuration_number if revision else 0,
+            position_incarnation=incarnation,
+            position=position,
+            silent=self.silent(now),
+        )
+
+    def answer(self, heartbeat, now):
+        """Return the :class:`HeartbeatAnswer` to a heartbeat, also of a stranger."""
+        serving = self.may_serve(now)
+        revision = self.revision
+        newer = None
+        if revision is not None and heartbeat.revision < revision.number:
+            newer = revision
+            if heartbeat.configuration_number == revision.configuration_number:
+                newer = revision._replace(configuration=None)
+        same_run = heartbeat.position_incarnation == self._member.incarnation
+        position = heartbeat.position if same_run else 0
+        origins = {self._member.name, *heartbeat.silent}
+        records = tuple(
+            record._replace(observed_at=now - record.observed_at)
+            for record in self._records.since(position)
+            if record.origin in origins
+        )
+        return HeartbeatAnswer(
+            incarnation=self._member.incarnation,
+            revision=self.number,
+            stopped=not serving,
+            position=self._records.position,
+            silent=self.silent(now),
+            newer=newer,
+            records=records,
+        )
+
+    def take_answer(self, member, answer, sent_at, now):
+        """Take in the answer to a heartbeat.
+
+        :param member: who was asked.
+        :param answer: :class:`HeartbeatAnswer`
+        :param sent_at: loop time just before the heartbeat was sent.
+        :returns: records that were new here; ``None`` if another run answered.
+        """
+        # A process that was paused judges its old contacts before this new one.
+        self.may_serve(now)
+        if answer.incarnation != member.incarnation:
+            return None
+        if answer.newer is not None:
+            self.apply(self._completed(answer.newer), now)
+        contact = Contact(
+            sent_at, answer.incarnation, answer.revision, answer.stopped, answer.silent
+        )
+        self._contacts.heard(member.name, contact, now)
+        if not answer.stopped:
+            self._rule.confirmed_by_peer(answer.revision, now)
+        self._positions[member.name] = (answer.incarnation, answer.position)
+        new = []
+        for record in answer.records:
+            # The age at the peer counts from before the heartbeat was sent.
+            aged = record._replace(observed_at=sent_at - record.observed_at)
+            if self._records.apply(aged):
+                new.append(aged)
+        return new
+
+    def take_head(self, revision, sent_at, now):
+        """Take in the newest revision as read from the table.
+
+        :param revision: :class:`~cowslipcourse.membership.Revision`
+        :param sent_at: loop time just before the read was sent.
+        """
+        self.may_serve(now)
+        self.apply(revision, now)
+        self._rule.confirmed_by_table(revision.number, sent_at, now)
+
+    def apply(self, revision, now):
+        """Run a revision if it is newer; returns whether it was.
+
+        :param revision: :class:`~cowslipcourse.membership.Revision` or ``None``.
+        """
+        if revision is None or not self._rule.apply(revision, now):
+            return False
+        self._running_since = now
+        return True
+
+    def _completed(self, revision):
+        """Return a peer's revision with its configuration, if that is known here."""
+        if revision.configuration is not None:
+            return revision
+        known = self.revision
+        if known is None or known.configuration_number != revision.configuration_number:
+            return None
+        return revision._replace(configuration=known.configuration)
--- /dev/null
+++ b/cowslipcourse/membership/serving.py
@@ -0,0 +1,126 @@
+"""Whether a daemon may take new work.
+
+A daemon that is cut off must stop before anybody can be told that a revision it
+has not seen is in force everywhere. It may serve while the table service, or at
+least half of the members it knows, vouch for its revision.
+"""
+
+from typing import NamedTuple
+
+__all__ = ["MembershipTimes", "ServingRule"]
+
+
+class MembershipTimes(NamedTuple):
+    """Times of the membership rules.
+
+    :param heartbeat_s: seconds between heartbeats to a peer.
+    :param isolation_s: seconds without contact after which a daemon stops.
+    :param eviction_s: seconds of silence after which a member is evicted; longer
+        than ``isolation_s`` plus margins.
+    :param table_poll_s: seconds between reads of the newest revision.
+    """
+
+    heartbeat_s: float = 0.5
+    isolation_s: float = 4.0
+    eviction_s: float = 6.0
+    table_poll_s: float = 1.0
+
+
+class ServingRule:
+    """Decides whether this daemon may serve; owns the stopped state.
+
+    :param member: this daemon, :class:`~cowslipcourse.membership.Member`.
+    :param times: :class:`MembershipTimes`
+    :param contacts: :class:`~cowslipcourse.membership.Contacts`
+    """
+
+    def __init__(self, member, times, contacts):
+        self._member = member
+        self._times = times
+        self._contacts = contacts
+        self._revision = None
+        self._table_contact_at = None
+        self._stopped = True
+
+    @property
+    def stopped(self):
+        """Whether the daemon takes no new work, as of the last judgement."""
+        return self._stopped
+
+    @property
+    def revision(self):
+        """The revision that this daemon runs, or ``None``."""
+        return self._revision
+
+    def judge(self, now):
+        """Stop if contact was lost; call it before taking in anything new.
+
+        :param now: loop time.
+        :returns: whether the daemon may serve.
+        """
+        if not self._stopped and not self._in_contact(now):
+            self._stopped = True
+        return not self._stopped
+
+    def apply(self, revision, now):
+        """Run a revision if it is newer than the present one.
+
+        :param revision: :class:`~cowslipcourse.membership.Revision`
+        :param now: loop time.
+        :returns: whether it was newer.
+        """
+        if self._revision is not None and revision.number <= self._revision.number:
+            return False
+        self._revision = revision
+        self._contacts.expect(revision.members.values(), now)
+        if not revision.lists(self._member):
+            self._stopped = True
+        return True
+
+    def confirmed_by_table(self, number, sent_at, now):
+        """Take in an answered read of the newest revision's number.
+
+        :param number: newest revision in the table.
+        :param sent_at: loop time just before the read was sent.
+        :param now: loop time.
+        """
+        self.judge(now)
+        if not self._runs(number):
+            return
+        self._table_contact_at = sent_at
+        if now - sent_at <= self._times.isolation_s:
+            self._stopped = False
+
+    def confirmed_by_peer(self, number, now):
+        """Take in a running peer's word that a revision is the newest it knows.
+
+        Contact with one peer does not restart a stopped daemon unless, with it, the
+        daemon counts half of the members again.
+        """
+        self.judge(now)
+        if self._stopped and self._runs(number) and self._counts_half(now):
+            self._stopped = not self._in_contact(now)
+
+    def _runs(self, number):
+        current = self._revision
+        if current is None or current.number < number:
+            return False
+        return current.lists(self._member)
+
+    def _in_contact(self, now):
+        at = self._table_contact_at
+        if at is not None and now - at <= self._times.isolation_s:
+            return True
+        return self._counts_half(now)
+
+    def _counts_half(self, now):
+        if self._revision is None or not self._revision.lists(self._member):
+            return False
+        members = self._revision.members.values()
+        within_s = self._times.isolation_s
+        counted = 1 + sum(
+            self._contacts.counted(member, self._revision.number, now, within_s)
+            for member in members
+            if member.name != self._member.name
+        )
+        return 2 * counted >= len(members)
--- /dev/null
+++ b/cowslipcourse/placement/__init__.py
@@ -0,0 +1,35 @@
+"""Which VMs form a group, and what to do when one is missing."""
+
+from cowslipcourse.placement.absence import AbsenceKind, AbsenceModel
+from cowslipcourse.placement.allocation import Demand, allocate
+from cowslipcourse.placement.policies import (
+    CostPolicy,
+    RepairPolicy,
+    ReplaceAlways,
+    WaitAlways,
+)
+from cowslipcourse.placement.views import (
+    BrokenGroup,
+    Dissolve,
+    RepairView,
+    Replace,
+    Wait,
+    Weights,
+)
+
+__all__ = [
+    "AbsenceKind",
+    "AbsenceModel",
+    "BrokenGroup",
+    "CostPolicy",
+    "Demand",
+    "Dissolve",
+    "RepairPolicy",
+    "RepairView",
+    "Replace",
+    "ReplaceAlways",
+    "Wait",
+    "WaitAlways",
+    "Weights",
+    "allocate",
+]
--- /dev/null
+++ b/cowslipcourse/placement/policies.py
@@ -0,0 +1,164 @@
+"""Policies for broken groups.
+
+:class:`CostPolicy` is the one in use. The others are baselines that
+measurements compare it with.
+"""
+
+from typing import Protocol
+
+from cowslipcourse.placement.absence import TODAY
+from cowslipcourse.placement.views import Replace, Wait
+
+__all__ = ["CostPolicy", "RepairPolicy", "ReplaceAlways", "WaitAlways"]
+
+
+class RepairPolicy(Protocol):
+    """Decides what to do with broken groups."""
+
+    def repair(self, view):
+        """Return one decision for each broken group.
+
+        :param view: :class:`~cowslipcourse.placement.RepairView`
+        """
+
+
+class WaitAlways:
+    """Baseline: wait until every member has come back."""
+
+    def repair(self, view):
+        """Wait, unless a member can never come back and a spare is free."""
+        return _first_fit(view, only_doomed=True)
+
+
+class ReplaceAlways:
+    """Baseline: take the first free VM at once."""
+
+    def repair(self, view):
+        """Replace as long as there are spares."""
+        return _first_fit(view, only_doomed=False)
+
+
+def _first_fit(view, only_doomed):
+    spares = list(view.spares)
+    decisions = []
+    for group in view.broken:
+        wanted = [n for n in group.absent if n in group.doomed or not only_doomed]
+        if not wanted or len(spares) < len(wanted):
+            decisions.append(Wait(group.group))
+            continue
+        decisions.append(Replace(group.group, {n: spares.pop(0) for n in wanted}))
+    return decisions
+
+
+class CostPolicy:
+    """Takes the way of least expected cost under the site's two weights.
+
+    A group that waits costs its downtime and strands its healthy members until the
+    absent ones are back and loaded. A group that takes spares costs the same while
+    they load. A spare out of a remnant, too few VMs to form a group, costs nothing
+    more. A spare out of a whole free block strands the rest of that block until an
+    absent VM is back. Two broken groups can be made into one whole group.
+
+    :param absences: :class:`~cowslipcourse.placement.AbsenceModel`
+    :param least_gain: fraction of the cost of waiting that a change must save.
+    """
+
+    def __init__(self, absences=TODAY, least_gain=0.1):
+        self._absences = absences
+        self._least_gain = least_gain
+
+    def repair(self, view):
+        """Decide for each broken group, most gain first."""
+        spares = list(view.spares)
+        decisions = {}
+        for group in self._by_gain(view):
+            if group.group in decisions:
+                continue
+            decision = self._decide(view, group, spares, decisions)
+            if isinstance(decision, Replace):
+                used = set(decision.replacements.values())
+                spares = [name for name in spares if name not in used]
+                if decision.donor:
+                    decisions[decision.donor] = None
+            decisions[group.group] = decision
+        return [decision for decision in decisions.values() if decision is not None]
+
+    def _by_gain(self, view):
+        def wait_cost(group):
+            return self._wait_s(view, group) / len(group.absent)
+
+        return sorted(view.broken, key=lambda group: (-wait_cost(group), group.group))
+
+    def _wait_s(self, view, group):
+        longest = 0.0
+        for name, absent_s in group.absent.items():
+            if name in group.doomed:
+                return float("inf")
+            back_s = self._absences.expected_return_s(absent_s, view.load_s)
+            longest = max(longest, back_s)
+        return longest
+
+    def _decide(self, view, group, spares, decisions):
+        down_rate = self._down_rate(view, group)
+        wait_cost = self._wait_s(view, group) * down_rate
+        load_cost = view.load_s * down_rate
+        best, best_cost = Wait(group.group), wait_cost * (1 - self._least_gain)
+        if len(spares) >= len(group.absent):
+            cost = load_cost + self._block_cost(view, group, len(spares))
+            if cost < best_cost and not self._soon_back(view, group, cost / down_rate):
+                pairs = zip(group.absent, spares, strict=False)
+                best, best_cost = Replace(group.group, dict(pairs)), cost
+        if isinstance(best, Wait):
+            best = self._merge(view, group, spares, decisions) or best
+        return best
+
+    def _down_rate(self, view, group):
+        accelerators = len(group.healthy) * view.accelerators_per_vm
+        return view.weights.downtime + view.weights.stranded * accelerators
+
+    def _soon_back(self, view, group, replace_s):
+        """Whether a short wait is worth its while before a change is made.
+
+        Waiting a moment costs that moment; it saves the change if the members come
+        back with their weights just then.
+        """
+        if group.doomed:
+            return False
+        rate = min(self._absences.return_rate(s) for s in group.absent.values())
+        return rate * replace_s > 1.0
+
+    def _block_cost(self, view, group, free):
+        """Cost of the free VMs that can no longer form a group of their own."""
+        size = view.vms_per_group
+        stranded = (free - len(group.absent)) % size - free % size
+        stranded += len(group.absent)
+        if stranded <= len(group.absent):
+            return 0.0
+        longest = max(
+            self._absences.expected_absence_s(absent_s)
+            for absent_s in group.absent.values()
+        )
+        accelerators = (stranded - len(group.absent)) * view.accelerators_per_vm
+        return view.weights.stranded * accelerators * longest
+
+    def _merge(self, view, group, spares, decisions):
+        """Complete this group with the healthy members of one that must wait longer."""
+        wanted = list(group.absent)
+        own_wait_s = self._wait_s(view, group)
+        for donor in view.broken:
+            if donor.group == group.group or donor.group in decisions:
+                continue
+            given = [*spares, *donor.healthy][: len(wanted)]
+            if len(given) < len(wanted) or len(donor.absent) < len(wanted):
+                continue
+            saved_s = own_wait_s - view.load_s
+            if saved_s <= self._least_gain * view.load_s:
+                continue
+            if self._soon_back(view, group, view.load_s):
+                continue
+            if self._soon_back(view, donor, view.load_s):
+                continue
+            return Replace(
+                group.group, dict(zip(wanted, given, strict=True)), donor.group
+            )
+        return None
--- /dev/null
+++ b/cowslipcourse/ports/targets.py
@@ -0,0 +1,164 @@
+"""What engines and plain services offer."""
+
+from collections.abc import AsyncIterator
+from enum import StrEnum
+from typing import NamedTuple, Protocol
+
+__all__ = [
+    "EngineLoad",
+    "EngineStatus",
+    "GenerateRequest",
+    "Order",
+    "OrderKind",
+    "ServiceAnswer",
+    "TargetClient",
+]
+
+
+class EngineLoad(NamedTuple):
+    """An engine's own report of its load, which lags.
+
+    :param running: sequences in the batch.
+    :param waiting: sequences queued.
+    :param batch_limit: most sequences in the batch.
+    :param token_s: recent seconds per token of one sequence.
+    """
+
+    running: int = 0
+    waiting: int = 0
+    batch_limit: int = 1
+    token_s: float = 0.0
+
+
+class EngineStatus(NamedTuple):
+    """What a target says of itself.
+
+    :param vm: VM name.
+    :param incarnation: incarnation of the VM it runs on.
+    :param state: ``idle``, ``loading``, ``ready`` or ``leaving``.
+    :param group: group it was loaded for, or empty.
+    :param epoch: epoch of that group.
+    :param model: model loaded, or empty.
+    :param version: version of the model.
+    :param fence: newest fencing token seen, for targets that check it.
+    :param load: load report.
+    :param prefixes: hashes of recently cached prompt prefixes; may have gaps.
+    """
+
+    vm: str
+    incarnation: str
+    state: str
+    group: str = ""
+    epoch: int = 0
+    model: str = ""
+    version: str = ""
+    fence: int = 0
+    load: EngineLoad = EngineLoad()
+    prefixes: tuple[str, ...] = ()
+
+
+class OrderKind(StrEnum):
+    """What an order asks of an engine."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+class Order(NamedTuple):
+    """An order to an engine.
+
+    :param kind: what to do.
+    :param fence: fencing token of the lease under which it is given.
+    :param group: group the engine shall serve.
+    :param epoch: epoch of that group.
+    :param model: model to load.
+    :param version: version of the model.
+    :param adapters: adapters to load beside the model.
+    :param members: VM names of the group, the leader first.
+    :param load_bytes: bytes of weights that this member reads.
+    """
+
+    kind: OrderKind
+    fence: int
+    group: str = ""
+    epoch: int = 0
+    model: str = ""
+    version: str = ""
+    adapters: tuple[str, ...] = ()
+    members: tuple[str, ...] = ()
+    load_bytes: int = 0
+
+
+class GenerateRequest(NamedTuple):
+    """One attempt at a model request.
+
+    :param request_id: id of the caller's request.
+    :param attempt_id: id of this attempt, echoed with every event.
+    :param group: group that shall serve it.
+    :param epoch: epoch of that group.
+    :param priority: larger is more urgent.
+    :param resume_from: offset of the first token wanted.
+    :param body: caller's body as received.
+    """
+
+    request_id: str
+    attempt_id: str
+    group: str
+    epoch: int
+    priority: int
+    resume_from: int
+    body: bytes
+
+
+class ServiceAnswer(NamedTuple):
+    """A plain service's answer.
+
+    :param status: HTTP status.
+    :param content_type: media type of the body.
+    :param body: body.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class TargetClient(Protocol):
+    """Calls to engines and plain services, by base URL."""
+
+    async def probe(self, address: str) -> EngineStatus:
+        """Return what the target says of itself.
+
+        :raises TargetUnreachable: no answer in time.
+        :raises MalformedAnswer: the answer cannot be read.
+        """
+
+    async def order(self, address: str, order: Order) -> None:
+        """Give an order; it is taken, not finished, when this returns.
+
+        :raises TargetRefused: for example an old fencing token.
+        :raises TargetUnreachable: the order may have arrived.
+        """
+
+    def generate(
+        self, address: str, request: GenerateRequest
+    ) -> AsyncIterator[list[bytes]]:
+        """Yield batches of raw events of the answer, in order.
+
+        :raises TargetRefused: nothing was started.
+        :raises TargetUnreachable: no more events will come.
+        :raises MalformedAnswer: an event belongs to another request.
+        """
+
+    async def cancel(self, address: str, attempt_id: str) -> None:
+        """Ask the engine to stop an attempt; failures are ignored."""
+
+    async def call(
+        self, address: str, operation: str, attempt_id: str, body: bytes
+    ) -> ServiceAnswer:
+        """Run one operation of a plain service.
+
+        :raises TargetRefused: nothing was started.
+        :raises TargetUnreachable: ``sent`` says whether it may have run.
+        :raises MalformedAnswer: the answer belongs to another call.
+        """
--- /dev/null
+++ b/cowslipcourse/routing/stragglers.py
@@ -0,0 +1,88 @@
+"""Take slow targets out of the choice, carefully."""
+
+import statistics
+from typing import NamedTuple
+
+__all__ = ["StragglerFilter", "StragglerLimits"]
+
+
+class StragglerLimits(NamedTuple):
+    """When a target counts as a straggler.
+
+    :param factor: multiple of its peers' median token time that is too slow.
+    :param strikes: consecutive slow reports before it is taken out.
+    :param largest_fraction: most of the targets that may be out at once.
+    :param retry_s: seconds until it is tried again; doubles each time.
+    :param longest_retry_s: bound of the doubling.
+    """
+
+    factor: float = 1.8
+    strikes: int = 3
+    largest_fraction: float = 0.34
+    retry_s: float = 10.0
+    longest_retry_s: float = 160.0
+
+
+class _Suspect(NamedTuple):
+    strikes: int = 0
+    out_until: float = 0.0
+    retry_s: float = 0.0
+
+
+class StragglerFilter:
+    """Keeps strikes against targets and filters views.
+
+    :param limits: :class:`StragglerLimits`
+    """
+
+    def __init__(self, limits=None):
+        self._limits = limits or StragglerLimits()
+        self._suspects = {}
+
+    def observe(self, token_s_by_target, now):
+        """Compare targets with their peers.
+
+        :param token_s_by_target: recent seconds per token; zero means unknown.
+        :param now: loop time.
+        """
+        known = {name: s for name, s in token_s_by_target.items() if s > 0}
+        for name in set(self._suspects) - set(token_s_by_target):
+            del self._suspects[name]
+        if len(known) < 3:
+            return
+        for name, token_s in known.items():
+            others = [s for other, s in known.items() if other != name]
+            slow = token_s > self._limits.factor * statistics.median(others)
+            self._judge(name, slow, now)
+
+    def _judge(self, name, slow, now):
+        suspect = self._suspects.get(name, _Suspect())
+        if now < suspect.out_until:
+            return
+        if not slow:
+            if suspect.strikes or suspect.retry_s:
+                self._suspects.pop(name, None)
+            return
+        strikes = suspect.strikes + 1
+        if strikes < self._limits.strikes:
+            self._suspects[name] = suspect._replace(strikes=strikes)
+            return
+        retry_s = suspect.retry_s * 2 or self._limits.retry_s
+        retry_s = min(retry_s, self._limits.longest_retry_s)
+        self._suspects[name] = _Suspect(0, now + retry_s, retry_s)
+
+    def out(self, now):
+        """Return the names of targets that are out, longest out first."""
+        names = [n for n, suspect in self._suspects.items() if now < suspect.out_until]
+        return sorted(names, key=lambda name: -self._suspects[name].out_until)
+
+    def keep(self, views, now):
+        """Return the views without stragglers, never below the floor.
+
+        :param views: list of :class:`~cowslipcourse.routing.TargetView`
+        :param now: loop time.
+        """
+        most = int(len(views) * self._limits.largest_fraction)
+        names = {view.name for view in views}
+        excluded = set([name for name in self.out(now) if name in names][:most])
+        return [view for view in views if view.name not in excluded]
--- /dev/null
+++ b/cowslipcourse/settings.py
@@ -0,0 +1,254 @@
+"""Settings of the processes: one checked TOML file each."""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from cowslipcourse.config.documents import describe_errors
+from cowslipcourse.exceptions import Problem, SettingsError
+
+__all__ = [
+    "ControllerSettings",
+    "DaemonSettings",
+    "GatewaySettings",
+    "LimitSettings",
+    "LogSettings",
+    "PlatformSettings",
+    "StandinSettings",
+    "StatsdSettings",
+    "TargetSettings",
+    "TimeSettings",
+    "TlsSettings",
+    "load_settings",
+]
+
+Address = Annotated[str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+Url = Annotated[str, Field(pattern=r"^https?://(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+Seconds = Annotated[float, Field(gt=0, le=3600)]
+
+
+class Section(BaseModel):
+    """Base of all sections; unknown keys are refused."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class TlsSettings(Section):
+    """Files for mutual TLS between daemons; all three or none."""
+
+    certificate: Path
+    key: Path
+    authority: Path
+
+
+class DaemonSettings(Section):
+    """Who this daemon is and where it listens.
+
+    :param name: unique name of the daemon, stable over restarts.
+    :param data_centre: data centre it runs in.
+    :param peer_address: ``ip:port`` for other daemons.
+    :param public_address: ``ip:port`` for callers or operators.
+    """
+
+    name: str = Field(pattern=r"^[a-z0-9][a-z0-9\-]{0,62}$")
+    data_centre: str
+    peer_address: Address
+    public_address: Address
+
+
+class PlatformSettings(Section):
+    """Where the platform's services are."""
+
+    url: Url
+    timeout_s: Seconds = 2.0
+
+
+class LogSettings(Section):
+    """How much is logged."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class StatsdSettings(Section):
+    """Where metrics go; none are sent without a host."""
+
+    host: str = ""
+    port: int = Field(default=8125, gt=0, lt=65536)
+    prefix: str = "cowslipcourse"
+
+
+class TimeSettings(Section):
+    """Times of the rules between daemons; the same at every daemon of a site."""
+
+    heartbeat_s: Seconds = 0.5
+    isolation_s: Seconds = 4.0
+    eviction_s: Seconds = 6.0
+    table_poll_s: Seconds = 1.0
+    grant_s: Seconds = 3.0
+    lease_term_s: Seconds = 5.0
+    lease_margin_s: Seconds = 0.5
+    address_ttl_s: Seconds = 10.0
+    record_keep_s: Seconds = 30.0
+    drain_limit_s: Seconds = 300.0
+
+
+class TargetSettings(Section):
+    """How long to wait for targets."""
+
+    probe_timeout_s: Seconds = 0.8
+    order_timeout_s: Seconds = 2.0
+    connect_timeout_s: Seconds = 1.0
+    token_timeout_s: Seconds = 5.0
+    call_timeout_s: Seconds = 10.0
+
+
+class LimitSettings(Section):
+    """Bounds on what one gateway takes in."""
+
+    body_bytes: int = Field(default=1_048_576, ge=1024)
+    connections: int = Field(default=4096, ge=8)
+    keyed_outcomes: int = Field(default=100_000, ge=100)
+    keyed_body_bytes: int = Field(default=65_536, ge=1024)
+    key_window_s: Seconds = 120.0
+    key_windows: int = Field(default=3, ge=2, le=100)
+    attempts: int = Field(default=4, ge=1, le=10)
+    retry_ratio: float = Field(default=0.1, ge=0, le=1)
+    resume_ratio: float = Field(default=0.5, ge=0, le=1)
+
+
+class OperatorSettings(Section):
+    """File with one ``name token-sha256`` pair a line."""
+
+    tokens_file: Path
+
+
+class RepairSettings(Section):
+    """How groups are formed and repaired.
+
+    :param suspect_s: seconds without an answer after which a member is absent.
+    :param loads_at_once: loads that may run at the weight store together.
+    :param weights_bytes_per_s: rate of the weight store.
+    :param order_in_flight_s: longest time an order may be under way to a target
+        that does not check fencing tokens.
+    """
+
+    probe_s: Seconds = 1.0
+    suspect_s: Seconds = 1.0
+    loads_at_once: int = Field(default=16, ge=1)
+    weights_bytes_per_s: float = Field(default=1e9, gt=0)
+    order_in_flight_s: Seconds = 3.0
+
+
+class DaemonFile(Section):
+    """What the files of both daemons share."""
+
+    daemon: DaemonSettings
+    platform: PlatformSettings
+    time: TimeSettings = TimeSettings()
+    target: TargetSettings = TargetSettings()
+    log: LogSettings = LogSettings()
+    statsd: StatsdSettings = StatsdSettings()
+    tls: TlsSettings | None = None
+
+
+class GatewaySettings(DaemonFile):
+    """Settings file of a gateway."""
+
+    limits: LimitSettings = LimitSettings()
+
+
+class ControllerSettings(DaemonFile):
+    """Settings file of a controller."""
+
+    operators: OperatorSettings
+    repair: RepairSettings = RepairSettings()
+
+
+class VmGroupSettings(Section):
+    """VMs that a stand-in emulates: ``count`` of them in one domain."""
+
+    prefix: str
+    count: int = Field(ge=1, le=2000)
+    domain: str
+    data_centre: str
+    kind: Literal["engine", "service"] = "engine"
+    accelerators: int = Field(default=8, ge=0)
+    fenced: bool = True
+    labels: dict[str, str] = {}
+
+
+class EngineSettings(Section):
+    """How the emulated engines behave."""
+
+    token_s: float = Field(default=0.02, ge=0)
+    prefill_tokens_per_s: float = Field(default=8000.0, gt=0)
+    batch_limit: int = Field(default=32, ge=1)
+    cache_prefixes: int = Field(default=200, ge=0)
+    load_lag_s: float = Field(default=0.5, ge=0)
+    event_lag_s: float = Field(default=0.5, ge=0)
+    event_loss: float = Field(default=0.1, ge=0, le=1)
+
+
+class StandinSettings(Section):
+    """Settings file of the stand-in."""
+
+    address: Address
+    weights_bytes_per_s: float = Field(default=1e9, gt=0)
+    vm_list_lag_s: float = Field(default=0.5, ge=0)
+    writes_per_s: float = Field(default=500.0, gt=0)
+    reads_per_s: float = Field(default=2000.0, gt=0)
+    seed: int = 1
+    engine: EngineSettings = EngineSettings()
+    vms: list[VmGroupSettings] = []
+    log: LogSettings = LogSettings(level="warning")
+
+
+def _schema_keys(schema):
+    keys = set(schema.model_fields)
+    for field in schema.model_fields.values():
+        if isinstance(field.annotation, type) and issubclass(field.annotation, Section):
+            keys |= _schema_keys(field.annotation)
+    return keys
+
+
+def load_settings(path, schema):
+    """Read and check a settings file.
+
+    :param path: TOML file.
+    :param schema: for example :class:`GatewaySettings`.
+    :returns: instance of the schema.
+    :raises SettingsError: with every problem found.
+    """
+    try:
+        tables = tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        raise SettingsError([Problem(str(path), error.strerror)]) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError([Problem(str(path), str(error))]) from error
+    try:
+        settings = schema.model_validate(tables)
+    except ValidationError as error:
+        described = describe_errors(error, _schema_keys(schema))
+        problems = [Problem(f"{path} {key}", message) for key, message in described]
+        raise SettingsError(problems) from error
+    _check_times(path, getattr(settings, "time", None))
+    return settings
+
+
+def _check_times(path, times):
+    if times is None:
+        return
+    problems = []
+    if times.eviction_s <= times.isolation_s + 2 * times.heartbeat_s:
+        message = "must exceed isolation_s by more than two heartbeats"
+        problems.append(Problem(f"{path} time.eviction_s", message))
+    if times.lease_term_s <= 2 * times.lease_margin_s:
+        message = "must exceed twice lease_margin_s"
+        problems.append(Problem(f"{path} time.lease_term_s", message))
+    if times.heartbeat_s * 2 > times.grant_s:
+        message = "must be at least two heartbeats"
+        problems.append(Problem(f"{path} time.grant_s", message))
+    if problems:
+        raise SettingsError(problems)
--- /dev/null
+++ b/cowslipcourse/standin/world.py
@@ -0,0 +1,108 @@
+"""Everything that one stand-in process emulates."""
+
+import asyncio
+import copy
+import secrets
+
+from cowslipcourse.standin.engine import Engine
+from cowslipcourse.standin.service import PlainService
+from cowslipcourse.standin.table import Table
+from cowslipcourse.standin.weights import WeightStore
+
+__all__ = ["World"]
+
+
+class World:
+    """VMs, stores and their faults.
+
+    :param settings: :class:`~cowslipcourse.settings.StandinSettings`
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.seed = settings.seed
+        self.table = Table(settings)
+        self.objects = {}
+        self.object_faults = {"down": False}
+        self.list_faults = {"frozen": False, "down": False}
+        self.weights = WeightStore(settings.weights_bytes_per_s)
+        self.targets = {}
+        self._removed = {}
+        self._listed = []
+        for declared in settings.vms:
+            for index in range(1, declared.count + 1):
+                self._add(declared, f"{declared.prefix}{index}")
+
+    def _add(self, declared, name):
+        vm = {
+            "name": name,
+            "domain": declared.domain,
+            "data_centre": declared.data_centre,
+            "address": f"http://{self.settings.address}/vm/{name}",
+            "incarnation": secrets.token_hex(4),
+            "accelerators": declared.accelerators,
+            "kind": declared.kind,
+            "state": "live",
+            "labels": dict(declared.labels),
+        }
+        if declared.kind == "service":
+            self.targets[name] = PlainService(vm)
+        else:
+            engine_settings = self.settings.engine
+            self.targets[name] = Engine(vm, declared.fenced, engine_settings, self)
+
+    def all_present(self, members, assignment):
+        """Return whether every member of a group holds the same assignment."""
+        wanted = (assignment["group"], assignment["epoch"])
+        for name in members:
+            engine = self.targets.get(name)
+            if engine is None or engine.faults["dead"] or engine.faults["frozen"]:
+                return False
+            held = (engine.assignment["group"], engine.assignment["epoch"])
+            if engine.state != "ready" or held != wanted:
+                return False
+        return True
+
+    async def refresh_list(self):
+        """Copy the VMs into the lagging list for ever."""
+        while True:
+            if not self.list_faults["frozen"]:
+                self._listed = [copy.deepcopy(t.vm) for t in self.targets.values()]
+            await asyncio.sleep(self.settings.vm_list_lag_s or 0.05)
+
+    def listed(self):
+        """Return the VM list as the platform shows it."""
+        return self._listed
+
+    def change_vm(self, name, action):
+        """Do something to a VM.
+
+        :param action: ``leave``, ``stay``, ``restart`` or ``remove``.
+        """
+        target = self.targets[name]
+        if action == "leave":
+            target.vm["state"] = "leaving"
+        elif action == "stay":
+            target.vm["state"] = "live"
+        elif action == "restart":
+            target.faults["dead"] = target.faults["frozen"] = False
+            target.restart()
+        elif action == "remove":
+            # The old engine still answers for a while; see ``find``.
+            self._removed[name] = self.targets.pop(name)
+        else:
+            raise KeyError(action)
+
+    def find(self, name):
+        """Return the target of a VM, also of one removed from the list."""
+        return self.targets.get(name) or self._removed.get(name)
+
+    def faults_of(self, scope):
+        """Return the knobs of ``table``, ``objects``, ``list``, ``weights`` or a VM."""
+        fixed = {
+            "table": self.table.faults,
+            "objects": self.object_faults,
+            "list": self.list_faults,
+            "weights": self.weights.faults,
+        }
+        return fixed[scope] if scope in fixed else self.find(scope).faults
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: a whole site on loopback."""
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,18 @@
+"""Hooks of behave: every scenario ends what it started."""
+
+import contextlib
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+
+def before_scenario(context, scenario):
+    """Give each scenario a stack of things to clean up."""
+    context.resources = contextlib.ExitStack()
+    context.site = None
+
+
+def after_scenario(context, scenario):
+    """End processes and remove folders."""
+    context.resources.close()
--- /dev/null
+++ b/harness/run_tests.py
@@ -0,0 +1,82 @@
+"""Run every check and close with one line that counts them.
+
+Scenarios that ``KNOWN-RED.txt`` names may fail; they are printed, not counted as
+failures.
+"""
+
+import json
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+__all__ = ["main"]
+
+ROOT = Path(__file__).parent.parent
+BIN = Path(sys.executable).parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+MOST_KNOWN_RED = 3
+PASSED, FAILED = "passed", "failed"
+
+
+def _lint():
+    """Return ``(name, result)`` of the linter's and the formatter's check."""
+    results = []
+    for command in (["check", "."], ["format", "--check", "."]):
+        done = subprocess.run([BIN / "ruff", *command], cwd=ROOT, check=False)
+        name = f"ruff {command[0]}"
+        results.append((name, PASSED if done.returncode == 0 else FAILED))
+    return results
+
+
+def _behave(arguments):
+    """Run behave and return ``(scenario name, result)`` of each scenario."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        # Formatters without a file of their own write to standard output.
+        command = [BIN / "behave", "--no-capture", "--format", "json"]
+        command += ["--outfile", report, "--format", "progress3", *arguments]
+        done = subprocess.run(command, cwd=ROOT, check=False)
+        try:
+            features = json.loads(report.read_text() or "[]")
+        except (OSError, json.JSONDecodeError):
+            return [("behave itself", FAILED)]
+    results = []
+    for feature in features:
+        for scenario in feature.get("elements", ()):
+            if scenario["type"] == "background":
+                continue
+            name = f"{feature['name']}: {scenario['name']}"
+            passed = scenario.get("status") == "passed"
+            results.append((name, PASSED if passed else FAILED))
+    if done.returncode != 0 and all(result == PASSED for _, result in results):
+        results.append(("behave itself", FAILED))
+    return results
+
+
+def _known_red():
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text().splitlines()
+    names = {line.split(" | ")[0] for line in lines if line.strip()}
+    if len(names) > MOST_KNOWN_RED:
+        sys.exit(f"KNOWN-RED.txt names more than {MOST_KNOWN_RED} tests")
+    return names
+
+
+def main():
+    """Run the checks and return the exit code."""
+    arguments = sys.argv[1:]
+    results = [] if arguments else _lint()
+    results += _behave(arguments)
+    known = _known_red()
+    failed = [name for name, result in results if result == FAILED]
+    for name in failed:
+        print(f"{'KNOWN RED' if name in known else 'FAILED'}: {name}")
+    unknown = [name for name in failed if name not in known]
+    print(f"{len(results) - len(failed)} passed, {len(unknown)} failed")
+    return 1 if unknown or not results else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/harness/site.py
@@ -0,0 +1,340 @@
+"""A site of separate processes on loopback addresses."""
+
+import hashlib
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Mapping
+from pathlib import Path
+from types import MappingProxyType
+from typing import NamedTuple
+
+__all__ = ["LocalSite", "SiteShape", "VmShape"]
+
+BIN = Path(sys.executable).parent
+START_LIMIT_S = 40.0
+STOP_LIMIT_S = 20.0
+OPERATOR_TOKEN = "token-of-the-demo-operator"
+SECOND_TOKEN = "token-of-the-second-operator"
+
+
+class VmShape(NamedTuple):
+    """VMs of one kind in one domain."""
+
+    prefix: str
+    count: int
+    domain: str
+    data_centre: str = "dc1"
+    kind: str = "engine"
+    fenced: bool = True
+    labels: Mapping = MappingProxyType({})
+
+
+class SiteShape(NamedTuple):
+    """What a site consists of.
+
+    :param gateways: data centre of each gateway.
+    :param controllers: data centre of each controller.
+    :param vms: :class:`VmShape` list.
+    :param engine: settings of the emulated engines.
+    :param time: settings of the rules between daemons.
+    :param repair: settings of repair.
+    :param limits: settings of the gateways' limits.
+    :param target: settings of calls to targets.
+    """
+
+    gateways: tuple = ("dc1", "dc2")
+    controllers: tuple = ("dc1", "dc2")
+    vms: tuple = ()
+    engine: Mapping = MappingProxyType({})
+    time: Mapping = MappingProxyType({})
+    repair: Mapping = MappingProxyType({})
+    limits: Mapping = MappingProxyType({})
+    target: Mapping = MappingProxyType({})
+    standin: Mapping = MappingProxyType({})
+    log_level: str = "info"
+
+
+def free_ports(number):
+    """Return port numbers that are free now."""
+    sockets = [socket.socket() for _ in range(number)]
+    try:
+        for item in sockets:
+            item.bind(("127.0.0.1", 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+def _toml(value):
+    if isinstance(value, Mapping):
+        inner = ", ".join(f"{json.dumps(k)} = {_toml(v)}" for k, v in value.items())
+        return "{ " + inner + " }"
+    return json.dumps(str(value) if isinstance(value, Path) else value)
+
+
+def _write_toml(path, sections):
+    lines = []
+    for name, content in sections.items():
+        if isinstance(content, list):
+            for item in content:
+                lines.append(f"[[{name}]]")
+                lines += [f"{key} = {_toml(value)}" for key, value in item.items()]
+        elif isinstance(content, Mapping):
+            lines.append(f"[{name}]")
+            lines += [f"{key} = {_toml(value)}" for key, value in content.items()]
+        else:
+            lines.insert(0, f"{name} = {_toml(content)}")
+    path.write_text("\n".join(lines) + "\n")
+
+
+class LocalSite:
+    """Stand-in, gateways and controllers as separate processes.
+
+    :param shape: :class:`SiteShape`
+    """
+
+    def __init__(self, shape):
+        self.shape = shape
+        self.folder = Path(tempfile.mkdtemp(prefix="cowslip-site-"))
+        self.processes = {}
+        self.urls = {}
+        self._frozen = set()
+        self._plan_ports()
+
+    def _plan_ports(self):
+        self.gateway_names = [f"g{i + 1}" for i in range(len(self.shape.gateways))]
+        self.controller_names = [
+            f"c{i + 1}" for i in range(len(self.shape.controllers))
+        ]
+        names = [*self.gateway_names, *self.controller_names]
+        ports = iter(free_ports(1 + 2 * len(names)))
+        self.platform_address = f"127.0.0.1:{next(ports)}"
+        self.urls["platform"] = f"http://{self.platform_address}"
+        for name in names:
+            public, peer = next(ports), next(ports)
+            self.urls[name] = f"http://127.0.0.1:{public}"
+            self._write_daemon(name, public, peer)
+        self._write_standin()
+
+    def _write_daemon(self, name, public, peer):
+        centres = dict(zip(self.gateway_names, self.shape.gateways, strict=True))
+        centres |= dict(zip(self.controller_names, self.shape.controllers, strict=True))
+        sections = {
+            "daemon": {
+                "name": name,
+                "data_centre": centres[name],
+                "peer_address": f"127.0.0.1:{peer}",
+                "public_address": f"127.0.0.1:{public}",
+            },
+            "platform": {"url": self.urls["platform"]},
+            "time": self.shape.time,
+            "target": self.shape.target,
+            "log": {"level": self.shape.log_level},
+        }
+        if name in self.gateway_names:
+            sections["limits"] = self.shape.limits
+        else:
+            tokens = self.folder / "tokens"
+            pairs = {"demo-operator": OPERATOR_TOKEN, "second-operator": SECOND_TOKEN}
+            lines = [
+                f"{who} {hashlib.sha256(token.encode()).hexdigest()}"
+                for who, token in pairs.items()
+            ]
+            tokens.write_text("\n".join(lines) + "\n")
+            (self.folder / "token").write_text(OPERATOR_TOKEN)
+            (self.folder / "token-2").write_text(SECOND_TOKEN)
+            sections["operators"] = {"tokens_file": tokens}
+            sections["repair"] = self.shape.repair
+        _write_toml(self.folder / f"{name}.toml", sections)
+
+    def _write_standin(self):
+        sections = {"address": self.platform_address, **self.shape.standin}
+        sections["engine"] = self.shape.engine
+        sections["vms"] = [vm._asdict() for vm in self.shape.vms]
+        _write_toml(self.folder / "standin.toml", sections)
+
+    # Processes.
+
+    def start(self):
+        """Start every process; returns once all gateways and controllers serve."""
+        self.start_process("standin")
+        self.wait_for(lambda: self.get("platform", "/vms") is not None, "stand-in")
+        for name in [*self.gateway_names, *self.controller_names]:
+            self.start_process(name)
+        for name in self.gateway_names:
+            self.wait_serving(name)
+        self.wait_for(lambda: self.status()["serving"], "controllers")
+
+    def start_process(self, name):
+        """Start one process and return it."""
+        program = "cowslip-standin"
+        if name in self.gateway_names:
+            program = "cowslip-gateway"
+        elif name in self.controller_names:
+            program = "cowslip-controller"
+        with (self.folder / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [BIN / program, self.folder / f"{name}.toml"], stderr=log, stdout=log
+            )
+        self.processes[name] = process
+        return process
+
+    def kill(self, name):
+        """Kill a process as a crash would."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+        self._frozen.discard(name)
+
+    def freeze(self, name):
+        """Stop a process without its knowing."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+        self._frozen.add(name)
+
+    def wake(self, name):
+        """Let a frozen process go on."""
+        self.processes[name].send_signal(signal.SIGCONT)
+        self._frozen.discard(name)
+
+    def terminate(self, name):
+        """Ask a process to stop as planned."""
+        self.processes[name].terminate()
+
+    def stop(self):
+        """End every process of the site and remove its folder."""
+        for name in list(self._frozen):
+            self.wake(name)
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait(STOP_LIMIT_S)
+        if not os.environ.get("COWSLIP_KEEP_LOGS"):
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    def __enter__(self):
+        self.start()
+        return self
+
+    def __exit__(self, *failure):
+        self.stop()
+
+    # Conditions.
+
+    def wait_for(self, condition, what, limit_s=START_LIMIT_S):
+        """Wait until a condition holds and return its value.
+
+        :raises TimeoutError: it did not hold within the limit.
+        """
+        until = time.monotonic() + limit_s
+        while True:
+            value = condition()
+            if value:
+                return value
+            if time.monotonic() > until:
+                raise TimeoutError(f"{what}: not within {limit_s} s; see {self.folder}")
+            time.sleep(0.05)
+
+    def wait_serving(self, gateway):
+        """Wait until a gateway takes requests."""
+        self.wait_for(lambda: self.get(gateway, "/healthz", raw=True), gateway)
+
+    def wait_groups(self, number, limit_s=START_LIMIT_S):
+        """Wait until so many groups serve and return them."""
+
+        def serving():
+            groups = [g for g in self.status()["groups"] if g["serving"]]
+            return groups if len(groups) >= number else None
+
+        return self.wait_for(serving, f"{number} groups", limit_s)
+
+    # Requests.
+
+    def get(self, name, path, raw=False, token=None):
+        """GET a path of a process; returns ``None`` if there is no good answer."""
+        request = urllib.request.Request(self.urls[name] + path)
+        if token:
+            request.add_header("authorization", f"Bearer {token}")
+        try:
+            with urllib.request.urlopen(request, timeout=5) as response:
+                content = response.read()
+        except (urllib.error.URLError, OSError):
+            return None
+        return True if raw else json.loads(content)
+
+    def post(self, name, path, content, token=None):
+        """POST JSON to a process and return ``(status, decoded answer)``."""
+        data = json.dumps(content).encode()
+        request = urllib.request.Request(self.urls[name] + path, data, method="POST")
+        if token:
+            request.add_header("authorization", f"Bearer {token}")
+        try:
+            with urllib.request.urlopen(request, timeout=60) as response:
+                return response.status, json.loads(response.read())
+        except urllib.error.HTTPError as error:
+            return error.code, json.loads(error.read() or b"{}")
+
+    def status(self):
+        """Return the status as the first controller that answers sees it."""
+        for name in self.controller_names:
+            process = self.processes.get(name)
+            running = process is not None and process.poll() is None
+            if not running or name in self._frozen:
+                continue
+            found = self.get(name, "/v1/status", token=OPERATOR_TOKEN)
+            if found is not None:
+                return found
+        return {"serving": False, "groups": [], "daemons": [], "accepted": 0}
+
+    def fault(self, scope, **knobs):
+        """Turn fault knobs of the stand-in."""
+        status, answer = self.post(
+            "platform", "/control/faults", {"scope": scope, "set": knobs}
+        )
+        assert status == 200, answer
+
+    def vm(self, name, action):
+        """Do something to a VM: leave, stay, restart or remove."""
+        status, answer = self.post(
+            "platform", "/control/vm", {"vm": name, "action": action}
+        )
+        assert status == 200, answer
+
+    def history(self):
+        """Return what the targets did."""
+        return self.get("platform", "/control/history")
+
+    def executions(self):
+        """Return every execution of plain services."""
+        histories = self.history()["vms"].values()
+        return [e for events in histories for e in events if e["event"] == "run"]
+
+    def cli(self, *arguments, check=True, second=False):
+        """Run the command line and return the finished process."""
+        environment = {
+            **os.environ,
+            "COWSLIP_CONTROLLERS": ",".join(
+                self.urls[n] for n in self.controller_names
+            ),
+            "COWSLIP_TOKEN_FILE": str(self.folder / ("token-2" if second else "token")),
+        }
+        done = subprocess.run(
+            [BIN / "cowslip", *arguments],
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=120,
+            check=False,
+        )
+        if check and done.returncode != 0:
+            raise AssertionError(f"cowslip {arguments}: {done.stdout}{done.stderr}")
+        return done
