Fuzz groups in fake time; mend what it found

Ruled out: the oracle itself (a VM removed from a list that stands still cannot be known to be gone; its engine still answers).

Change: 1. errors of the second and later attempts become failed or unknown once a token was passed on. 2. every controller spreads the departures it sees; gateways keep new work away. 3. the first event of an answer is used only if the request was sent under a grant.

--- a/cowslipcourse/controller/changes.py
+++ b/cowslipcourse/controller/changes.py
@@ -7,7 +7,7 @@
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.controller.health import member_fault
 from cowslipcourse.daemon import now
-from cowslipcourse.daemon.reports import GROUP_PREFIX, decode_report
+from cowslipcourse.daemon.reports import CHANGING, GROUP_PREFIX, decode_report
 
 __all__ = ["GroupChanges"]
 
@@ -35,7 +35,7 @@
 
     def withheld(self, spec):
         """Return why a group gets no new requests, or an empty string."""
-        return "changing" if spec.group in self._quiescing else ""
+        return CHANGING if spec.group in self._quiescing else ""
 
     def is_quiet(self, spec):
         """Return whether no request can be running in a group."""
--- a/cowslipcourse/controller/fleet_watch.py
+++ b/cowslipcourse/controller/fleet_watch.py
@@ -5,10 +5,19 @@
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.config import Configuration, resolve
 from cowslipcourse.daemon import now
+from cowslipcourse.daemon.reports import (
+    DEPARTURE_PREFIX,
+    GROUP_PREFIX,
+    DepartureReport,
+    decode_report,
+)
 from cowslipcourse.exceptions import ConfigurationError, StoreError
+from cowslipcourse.fleet import VmState
 
 __all__ = ["FleetWatch"]
 
+REPEAT_DEPARTURES_S = 5.0
+
 log = get_logger(__name__)
 
 
@@ -63,10 +72,30 @@
                 self._vms = await self._vm_list.list_vms()
                 self._listed_at = now()
                 self._resolve()
+                self._publish_departures()
             except StoreError as error:
                 log.warning("vm-list-failed", code=error.code)
             await asyncio.sleep(self._poll_s)
 
+    def _publish_departures(self):
+        """Spread which VMs shall get no new work.
+
+        Whoever sees it first says it, also while another controller, which holds the
+        shard, cannot see the list.
+        """
+        names = set(self._resolved.draining)
+        names.update(vm.name for vm in self._vms if vm.state == VmState.LEAVING)
+        listed = {vm.name for vm in self._vms}
+        for record in self._agent.records.with_prefix(GROUP_PREFIX):
+            names.update(set(decode_report(record).spec.vm_names) - listed)
+        member = self._agent.member
+        key = f"{DEPARTURE_PREFIX}{member.name}/{member.incarnation}"
+        report = DepartureReport(member.name, tuple(sorted(names)))
+        known = self._agent.records.get(key)
+        changed = known is None or decode_report(known) != report
+        if changed or now() - known.observed_at > REPEAT_DEPARTURES_S:
+            self._agent.publish(key, report)
+
     def _take_revision(self, revision):
         try:
             self._configuration = Configuration.model_validate(revision.configuration)
--- a/cowslipcourse/controller/reports.py
+++ b/cowslipcourse/controller/reports.py
@@ -52,7 +52,7 @@
         :param fence: fencing token of the shard.
         """
         resolved = self._watch.resolved
-        fault = withheld or group_fault(spec, self._prober, probed_at, resolved)
+        fault = group_fault(spec, self._prober, probed_at, resolved) or withheld
         leader = self._prober.fresh(spec.leader.vm, probed_at)
         report = GroupReport(
             spec=spec,
--- a/cowslipcourse/daemon/reports.py
+++ b/cowslipcourse/daemon/reports.py
@@ -8,9 +8,12 @@
 from cowslipcourse.ports import EngineLoad
 
 __all__ = [
+    "CHANGING",
+    "DEPARTURE_PREFIX",
     "GATEWAY_PREFIX",
     "GROUP_PREFIX",
     "SERVICE_PREFIX",
+    "DepartureReport",
     "GatewayReport",
     "GroupReport",
     "ServiceReport",
@@ -20,6 +23,9 @@
 GROUP_PREFIX = "group/"
 SERVICE_PREFIX = "service/"
 GATEWAY_PREFIX = "gateway/"
+DEPARTURE_PREFIX = "departure/"
+CHANGING = "changing"
+"""Reason of a group that is whole, but shall finish what runs before it changes."""
 
 
 class GroupReport(NamedTuple):
@@ -58,6 +64,17 @@
     reason: str
 
 
+class DepartureReport(NamedTuple):
+    """VMs that shall get no new work, as one controller sees it.
+
+    :param controller: daemon name.
+    :param vms: names of VMs that are leaving, drained, or no longer listed.
+    """
+
+    controller: str
+    vms: tuple[str, ...]
+
+
 class GatewayReport(NamedTuple):
     """What a gateway tells the others.
 
@@ -77,6 +94,7 @@
     GROUP_PREFIX: GroupReport,
     SERVICE_PREFIX: ServiceReport,
     GATEWAY_PREFIX: GatewayReport,
+    DEPARTURE_PREFIX: DepartureReport,
 }
 
 
--- a/cowslipcourse/gateway/app.py
+++ b/cowslipcourse/gateway/app.py
@@ -82,7 +82,7 @@
     def _problem(self, error, request):
         headers = {}
         request_id = request.headers.get("x-request-id", "")
-        if request_id.isprintable() and request_id.isascii():
+        if request_id and request_id.isprintable() and request_id.isascii():
             headers["x-request-id"] = request_id[:100]
         return problem_response(error, headers)
 
--- a/cowslipcourse/gateway/fleet_view.py
+++ b/cowslipcourse/gateway/fleet_view.py
@@ -6,6 +6,8 @@
 from cowslipcourse.config import Configuration, resolve
 from cowslipcourse.daemon import now
 from cowslipcourse.daemon.reports import (
+    CHANGING,
+    DEPARTURE_PREFIX,
     GATEWAY_PREFIX,
     GROUP_PREFIX,
     SERVICE_PREFIX,
@@ -16,6 +18,7 @@
 __all__ = ["FleetView", "Grant"]
 
 REFUSED_FOR_S = 2.0
+DEPARTURES_KEEP_S = 15.0
 
 log = get_logger(__name__)
 
@@ -48,6 +51,8 @@
         self._by_declaration = {}
         self._services = {}
         self._gateways = {}
+        self._departures = {}
+        self._departing = frozenset()
         self._refused_until = {}
         self._configuration = Configuration()
         self._resolved = resolve(self._configuration, ())
@@ -86,6 +91,7 @@
             for declaration in declarations
             for group in self._by_declaration.get(declaration, ())
             if self._is_good(group, grant := self._groups[group], at)
+            and self._departing.isdisjoint(grant.report.spec.vm_names)
         ]
 
     def is_granted(self, spec):
@@ -96,15 +102,42 @@
         grant = self._groups.get(spec.group)
         if grant is None or grant.report.spec.epoch != spec.epoch:
             return False
+        if not self._departing.isdisjoint(spec.vm_names):
+            return False
         return self._is_good(spec.group, grant, now())
 
+    def was_granted(self, spec, granted_at, checked_at):
+        """Return whether a request was sent under a grant, seen from its answer.
+
+        The process may have been paused between the check and the send. The request
+        was sent in time if the grant is good even now, or if a newer probe found the
+        group as it was.
+
+        :param spec: :class:`~cowslipcourse.fleet.GroupSpec` that was chosen.
+        :param granted_at: loop time from which the grant counted.
+        :param checked_at: loop time of the check.
+        """
+        if now() - granted_at < self._grant_s:
+            return True
+        grant = self._groups.get(spec.group)
+        if grant is None or grant.report.spec.epoch != spec.epoch:
+            return False
+        whole = grant.report.serving or grant.report.reason == CHANGING
+        return whole and grant.observed_at >= checked_at
+
+    def granted_at(self, spec):
+        """Return the loop time from which a group's grant counts."""
+        return self._groups[spec.group].observed_at
+
     def services(self, service):
         """Return the targets of a plain service that may be called now."""
         at = now()
         return [
             grant
             for vm, grant in self._services.items()
-            if grant.report.service == service and self._is_good(vm, grant, at)
+            if grant.report.service == service
+            and self._is_good(vm, grant, at)
+            and vm not in self._departing
         ]
 
     def refused(self, name):
@@ -144,10 +177,22 @@
             self._take_group(report, grant)
         elif record.key.startswith(SERVICE_PREFIX):
             self._services[report.vm] = grant
+        elif record.key.startswith(DEPARTURE_PREFIX):
+            self._departures[report.controller] = grant
+            self._join_departures()
         elif record.key.startswith(GATEWAY_PREFIX):
             if record.origin != self._agent.member.name:
                 self._gateways[report.gateway] = grant
 
+    def _join_departures(self):
+        at = now()
+        fresh = [
+            grant.report.vms
+            for grant in self._departures.values()
+            if at - grant.observed_at <= DEPARTURES_KEEP_S
+        ]
+        self._departing = frozenset().union(*fresh)
+
     def _take_group(self, report, grant):
         spec = report.spec
         of_declaration = self._by_declaration.setdefault(spec.declaration, set())
--- a/cowslipcourse/gateway/generation.py
+++ b/cowslipcourse/gateway/generation.py
@@ -7,6 +7,7 @@
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.daemon import now
 from cowslipcourse.exceptions import (
+    AdmissionError,
     MalformedAnswer,
     NoTargetAvailable,
     OutcomeUnknown,
@@ -37,6 +38,8 @@
     :param body: caller's body.
     :param declarations: names of the group declarations that may serve it.
     :param tools: :class:`~cowslipcourse.gateway.tools.GatewayTools`
+    :ivar groups: groups that were sent the request, in order.
+    :ivar attempts: ids of the attempts whose events were used.
     """
 
     def __init__(self, call, body, declarations, tools):
@@ -48,7 +51,9 @@
         self._relay = AnswerRelay()
         self._tried = set()
         self._started = False
+        self._group = ""
         self.groups = []
+        self.attempts = []
 
     @property
     def complete(self):
@@ -66,11 +71,13 @@
         for number in range(attempts):
             if number:
                 await self._before_retry(number)
-            self._call.remaining_s()
             try:
+                self._call.remaining_s()
                 async with aclosing(self._attempt()) as pieces:
                     async for piece in pieces:
                         yield piece
+            except AdmissionError as error:
+                raise self._final(error) from error
             except TargetError as error:
                 self._note_failure(error)
                 if not self._may_repeat(error) or number == attempts - 1:
@@ -105,11 +112,16 @@
             # Nothing is awaited between these checks and the send.
             if not tools.view.is_granted(spec) or not tools.agent.may_serve():
                 raise TargetRefused("grant-lapsed")
+            checked_at, granted_at = now(), tools.view.granted_at(spec)
             self.groups.append(spec.group)
             batches = tools.targets.generate(spec.leader.address, request)
             async with aclosing(batches):
                 async for events in batches:
                     self._started = True
+                    if attempt_id not in self.attempts:
+                        if not tools.view.was_granted(spec, granted_at, checked_at):
+                            raise TargetUnreachable("sent after the grant's end")
+                        self.attempts.append(attempt_id)
                     piece = self._relay.take(attempt_id, events)
                     if piece:
                         yield piece
--- a/cowslipcourse/standin/app.py
+++ b/cowslipcourse/standin/app.py
@@ -235,7 +235,7 @@
 
     async def history(self, request):
         """Return what the targets did, by VM."""
-        names = [*self._world.targets, *self._world._removed]
+        names = [*self._world.targets, *self._world.removed]
         return json_response(
             {
                 "vms": {name: self._world.find(name).history for name in names},
--- a/cowslipcourse/standin/engine.py
+++ b/cowslipcourse/standin/engine.py
@@ -96,7 +96,8 @@
 
     Fault knobs: ``dead``, ``frozen`` (accepts connections, never answers),
     ``slow_factor``, ``wrong_attempt``, ``skip_token``, ``repeat_token``,
-    ``no_end`` (each the number of coming answers to spoil), ``keep_stale_load``.
+    ``no_end`` (each the number of coming answers to spoil), ``refuse`` (reason),
+    ``ignore_leaving`` (takes work although its VM leaves), ``order_delay_s``.
 
     :param vm: dict with the VM's entry in the list.
     :param fenced: whether orders with an old fencing token are refused.
@@ -119,7 +120,8 @@
             "repeat_token": 0,
             "no_end": 0,
             "refuse": "",
-            "drop_before_answer": 0,
+            "ignore_leaving": False,
+            "order_delay_s": 0.0,
         }
         self.history = []
         self._reset()
@@ -234,7 +236,7 @@
             raise Refused("not-ready")
         if wanted != (self.assignment["group"], self.assignment["epoch"]):
             raise Refused("another-group-or-epoch")
-        if self.vm["state"] == "leaving":
+        if self.vm["state"] == "leaving" and not self.faults["ignore_leaving"]:
             raise Refused("leaving")
         if len(self._waiting) >= 4 * self._settings.batch_limit:
             raise Refused("busy")
@@ -306,7 +308,9 @@
             fill = len(self._running) / self._settings.batch_limit
             factor = self.faults["slow_factor"] * (1 + 0.5 * fill)
             await asyncio.sleep(self._settings.token_s * factor)
-            if not self._world.all_present(self.members, self.assignment):
+            if self._world.leaders_notice and not self._world.all_present(
+                self.members, self.assignment
+            ):
                 self.drop_all()
                 return
             for sequence in list(self._running):
--- a/cowslipcourse/standin/world.py
+++ b/cowslipcourse/standin/world.py
@@ -15,6 +15,8 @@
 class World:
     """VMs, stores and their faults.
 
+    :ivar leaders_notice: whether a leader breaks its streams when a member is lost;
+        otherwise it goes on alone, and only the system can keep requests away.
     :param settings: :class:`~cowslipcourse.settings.StandinSettings`
     """
 
@@ -26,6 +28,7 @@
         self.object_faults = {"down": False}
         self.list_faults = {"frozen": False, "down": False}
         self.weights = WeightStore(settings.weights_bytes_per_s)
+        self.leaders_notice = True
         self.targets = {}
         self._removed = {}
         self._listed = []
@@ -52,10 +55,13 @@
             self.targets[name] = Engine(vm, declared.fenced, engine_settings, self)
 
     def all_present(self, members, assignment):
-        """Return whether every member of a group holds the same assignment."""
+        """Return whether every member of a group holds the same assignment.
+
+        The engine of a VM that was removed from the list counts while it answers.
+        """
         wanted = (assignment["group"], assignment["epoch"])
         for name in members:
-            engine = self.targets.get(name)
+            engine = self.find(name)
             if engine is None or engine.faults["dead"] or engine.faults["frozen"]:
                 return False
             held = (engine.assignment["group"], engine.assignment["epoch"])
@@ -93,6 +99,11 @@
         else:
             raise KeyError(action)
 
+    @property
+    def removed(self):
+        """Targets whose VM is no longer listed, by name; they still answer."""
+        return self._removed
+
     def find(self, name):
         """Return the target of a VM, also of one removed from the list."""
         return self.targets.get(name) or self._removed.get(name)
--- a/features/steps/site_steps.py
+++ b/features/steps/site_steps.py
@@ -60,12 +60,16 @@
 @given("the demo configuration with {number:d} groups serving")
 def step_demo_serving(context, number):
     step_apply_demo(context)
-    context.groups = context.site.wait_groups(number)
+    step_groups_serve(context, number)
 
 
 @then("{number:d} groups serve")
 def step_groups_serve(context, number):
-    context.groups = context.site.wait_groups(number)
+    site = context.site
+    context.groups = site.wait_groups(number)
+    for gateway in site.gateway_names:
+        site.wait_model(gateway, CREW_KEY, "draft-large")
+        site.wait_model(gateway, RAMP_KEY, "pushback-large")
 
 
 @then("every VM belongs to one group at most")
--- /dev/null
+++ b/features/support/small_site.py
@@ -0,0 +1,273 @@
+"""Controllers and gateways in one process, in fake time, over the fakes."""
+
+import asyncio
+import itertools
+import random
+
+from cowslipcourse.admission import RetryBudget
+from cowslipcourse.config import Change, Edit, ObjectRef
+from cowslipcourse.config.objects import KINDS
+from cowslipcourse.controller.acceptor import Acceptor
+from cowslipcourse.controller.edits import EditService
+from cowslipcourse.controller.fleet_watch import FleetWatch
+from cowslipcourse.controller.services import Services
+from cowslipcourse.controller.shards import ShardKeeper
+from cowslipcourse.daemon import Agent, now
+from cowslipcourse.daemon.reports import GATEWAY_PREFIX, GatewayReport
+from cowslipcourse.gateway.chooser import Chooser
+from cowslipcourse.gateway.claims import ClaimDesk
+from cowslipcourse.gateway.fleet_view import FleetView
+from cowslipcourse.gateway.services import ServiceRequests
+from cowslipcourse.gateway.tools import GatewayTools, Spawner
+from cowslipcourse.membership import Role
+from cowslipcourse.requests import Outcomes
+from cowslipcourse.settings import ControllerSettings, GatewaySettings, StandinSettings
+from cowslipcourse.standin.world import World
+from features.support.fakes import (
+    FakeNetwork,
+    FakePeers,
+    FakePlatform,
+    FakeTargets,
+    Gate,
+)
+
+__all__ = ["SmallSite", "base_changes", "change"]
+
+TIMES = {"address_ttl_s": 1.0, "drain_limit_s": 60.0}
+KEY_SHA256 = "0" * 64
+
+
+def change(kind, name, **value):
+    """Return a change that sets an object, or removes it without values."""
+    return Change(ObjectRef(kind, name), KINDS[kind](**value) if value else None)
+
+
+class Daemon:
+    """One run of a controller or gateway."""
+
+    def __init__(self, site, name, role):
+        self.name = name
+        self.gate = Gate()
+        self.platform = FakePlatform(site.world, self.gate)
+        self.targets = FakeTargets(site.world, self.gate)
+        index = site.addresses.setdefault(name, len(site.addresses) + 1)
+        address = f"127.0.0.1:{9000 + index}"
+        sections = {
+            "daemon": {
+                "name": name,
+                "data_centre": "dc1",
+                "peer_address": address,
+                "public_address": address,
+            },
+            "platform": {"url": "http://127.0.0.1:1"},
+            "time": TIMES,
+        }
+        if role == Role.CONTROLLER:
+            sections["operators"] = {"tokens_file": "none"}
+            sections["repair"] = site.repair
+            self.settings = ControllerSettings.model_validate(sections)
+        else:
+            self.settings = GatewaySettings.model_validate(sections)
+        peers = FakePeers(site.network, address, self.gate)
+        self.agent = Agent(self.settings, role, self.platform, peers)
+        self.tasks = []
+
+    async def stop(self):
+        """Crash: nothing is given up or said."""
+        self.gate.open()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.agent.stop()
+
+
+class ControllerRun(Daemon):
+    """A controller as its main module builds it, without its HTTP server."""
+
+    def __init__(self, site, name):
+        super().__init__(site, name, Role.CONTROLLER)
+        watch = FleetWatch(self.platform, self.agent, 1.0)
+        self.services = Services(
+            self.settings, self.agent, watch, self.platform, self.targets
+        )
+        self.acceptor = Acceptor(self.agent, self.platform)
+        self.keeper = ShardKeeper(self.services)
+        self.edits = EditService(self.platform, self.platform, self.agent.revisions)
+
+    async def start(self):
+        """Start its tasks."""
+        await self.agent.start()
+        parts = (self.services.watch, self.acceptor, self.keeper)
+        self.tasks = [asyncio.create_task(part.run()) for part in parts]
+
+    async def stop(self):
+        """Crash."""
+        for worker in self.keeper._tasks.values():
+            worker.cancel()
+        await super().stop()
+
+
+class GatewayRun(Daemon):
+    """A gateway as its main module builds it, without its HTTP server."""
+
+    def __init__(self, site, name):
+        super().__init__(site, name, Role.GATEWAY)
+        rng = random.Random(f"{site.seed}/{name}")
+        self.view = FleetView(self.agent, self.settings.time.grant_s)
+        self.chooser = Chooser(self.view, self.agent, rng)
+        limits = self.settings.limits
+        self.tools = GatewayTools(
+            settings=self.settings,
+            agent=self.agent,
+            view=self.view,
+            chooser=self.chooser,
+            targets=self.targets,
+            table=self.platform,
+            objects=self.platform,
+            retries=RetryBudget(limits.retry_ratio),
+            resumes=RetryBudget(limits.resume_ratio, 256.0),
+            outcomes=Outcomes(limits, now()),
+            metrics=site.metrics,
+            rng=rng,
+            spawn=Spawner(),
+        )
+        self.claims = ClaimDesk(self.platform)
+        self.requests = ServiceRequests(self.tools, self.claims)
+
+    async def start(self):
+        """Start its tasks."""
+        await self.agent.start()
+        self.tasks = [
+            asyncio.create_task(self.claims.run()),
+            asyncio.create_task(self._report()),
+        ]
+
+    async def _report(self):
+        key = f"{GATEWAY_PREFIX}{self.name}/{self.agent.member.incarnation}"
+        while True:
+            flights = self.chooser.in_flight.snapshot()
+            report = GatewayReport(self.name, False, flights, {})
+            self.agent.publish(key, report)
+            await asyncio.sleep(self.agent.times.heartbeat_s)
+
+
+class SmallSite:
+    """Daemons, a world, and faults.
+
+    :param seed: seed of everything random.
+    :param vms: tables of VMs as in the stand-in's settings.
+    """
+
+    def __init__(self, seed, vms, controllers=("c1", "c2"), gateways=("g1",)):
+        self.seed = seed
+        self.rng = random.Random(seed)
+        engine = {"token_s": 0.05, "load_lag_s": 0.5}
+        self.world = World(
+            StandinSettings.model_validate(
+                {
+                    "address": "127.0.0.1:1",
+                    "vms": vms,
+                    "engine": engine,
+                    "seed": seed,
+                    "weights_bytes_per_s": 1e8,
+                }
+            )
+        )
+        self.repair = {"weights_bytes_per_s": 1e8, "order_in_flight_s": 3.0}
+        self.metrics = _NoMetrics()
+        self.network = FakeNetwork()
+        self.addresses = {}
+        self._names = (controllers, gateways)
+        self.controllers, self.gateways = {}, {}
+        self._edit_ids = itertools.count(1)
+
+    async def start(self):
+        """Start everything and wait until it serves."""
+        self._refresh = asyncio.create_task(self.world.refresh_list())
+        for name in self._names[0]:
+            await self.start_daemon(name)
+        for name in self._names[1]:
+            await self.start_daemon(name)
+        await self.until(lambda: all(d.agent.may_serve() for d in self.daemons()))
+
+    def daemons(self):
+        """Return all running daemons."""
+        return [*self.controllers.values(), *self.gateways.values()]
+
+    def daemon(self, name):
+        """Return the present run of a daemon."""
+        return self.controllers.get(name) or self.gateways[name]
+
+    async def start_daemon(self, name):
+        """Start a daemon by name."""
+        if name in self._names[0]:
+            run = self.controllers[name] = ControllerRun(self, name)
+        else:
+            run = self.gateways[name] = GatewayRun(self, name)
+        await run.start()
+
+    async def restart(self, name):
+        """Crash a daemon and start it anew."""
+        await self.daemon(name).stop()
+        await self.start_daemon(name)
+
+    async def stop(self):
+        """End everything."""
+        for daemon in self.daemons():
+            await daemon.stop()
+        self._refresh.cancel()
+
+    async def until(self, condition, limit_s=120.0):
+        """Let time pass until a condition holds.
+
+        :raises TimeoutError: it did not hold in time.
+        """
+        limit = now() + limit_s
+        while not condition():
+            if now() > limit:
+                raise TimeoutError(condition)
+            await asyncio.sleep(0.1)
+
+    async def edit(self, name, *changes, confirm=True):
+        """Make an edit through a controller, confirming whatever it does."""
+        edits = self.controllers[name].edits
+        number, _ = await edits.revision()
+        edit_id = f"edit-{next(self._edit_ids)}"
+        edit = Edit(edit_id, "test", "test", number, changes)
+        if confirm:
+            planned = await edits.plan(edit)
+            edit = edit._replace(confirm=planned.plan.digest)
+        return await edits.commit(edit)
+
+    def rows(self, prefix):
+        """Return the values of table rows by key."""
+        return {row["key"]: row["value"] for row in self.world.table.scan(prefix)}
+
+
+class _NoMetrics:
+    def count(self, name, value=1):
+        """Drop it."""
+
+    def gauge(self, name, value):
+        """Drop it."""
+
+    def timing(self, name, seconds):
+        """Drop it."""
+
+
+def base_changes(vms_per_group, count, weights_bytes=100_000_000):
+    """Return changes that declare one model, its groups and one service."""
+    return (
+        change("workspace", "crew", key_sha256=KEY_SHA256, labels={"site": "s"}),
+        change("model", "m", version="1", weights_bytes=weights_bytes),
+        change(
+            "group",
+            "grp",
+            model="m",
+            vms="pool=large",
+            vms_per_group=vms_per_group,
+            count=count,
+        ),
+        change("placement", "p", model="m", workspaces="site=s", groups="name=grp"),
+        change("service", "svc", targets="pool=small", workspaces="site=s"),
+    )
--- a/harness/site.py
+++ b/harness/site.py
@@ -257,6 +257,20 @@
 
         return self.wait_for(serving, f"{number} groups", limit_s)
 
+    def wait_model(self, gateway, key, model):
+        """Wait until a gateway has heard of a group that serves a model."""
+        body = {
+            "model": model,
+            "messages": [{"role": "user", "content": "ready?"}],
+            "max_tokens": 1,
+        }
+
+        def answered():
+            status, _ = self.post(gateway, "/v1/chat/completions", body, token=key)
+            return status == 200
+
+        self.wait_for(answered, f"{model} at {gateway}")
+
     # Requests.
 
     def get(self, name, path, raw=False, token=None):
