Tell not_run only if no attempt can have begun

Cause: found by reading generation.py as a newcomer: whether a request may have begun was taken from the last attempt's error alone. An attempt that broke off before its first event, followed by a refusal, a spent budget, a passed deadline or no group, was told not_run. The same in service calls: a gateway that stops between two attempts of a repeatable call.

Ruled out: the first attempt's own error (told right already).

Change: an attempt that may have begun is remembered; what follows it is unknown or failed. The fuzz now lets answers break before their first event, lets engines refuse, and compares what callers were told with the requests that engines started.

--- a/cowslipcourse/gateway/generation.py
+++ b/cowslipcourse/gateway/generation.py
@@ -8,6 +8,7 @@
 from cowslipcourse.daemon import now
 from cowslipcourse.exceptions import (
     AdmissionError,
+    DeadlinePassed,
     MalformedAnswer,
     NoTargetAvailable,
     OutcomeUnknown,
@@ -76,7 +77,9 @@
                 async with aclosing(self._attempt()) as pieces:
                     async for piece in pieces:
                         yield piece
-            except AdmissionError as error:
+            except (AdmissionError, DeadlinePassed) as error:
+                if not self._started:
+                    raise
                 raise self._final(error) from error
             except TargetError as error:
                 self._note_failure(error)
@@ -88,7 +91,7 @@
     async def _before_retry(self, number):
         budget = self._tools.resumes if self._relay.offset else self._tools.retries
         if not budget.take():
-            raise self._final(NoTargetAvailable("retry budget spent"))
+            raise self._final(NoTargetAvailable("the retry budget is spent"))
         self._tools.metrics.count("retries")
         await asyncio.sleep(BACKOFF_S * number * self._tools.rng.random())
 
@@ -136,6 +139,7 @@
 
     def _note_failure(self, error):
         self._tried.add(self._group)
+        self._started = self._started or _may_have_started(error)
         if isinstance(error, TargetRefused):
             if error.reason != "grant-lapsed":
                 self._tools.view.refused(self._group)
@@ -159,12 +163,15 @@
 
     def _final(self, error):
         """Return the error that the caller is told."""
-        if isinstance(error, TargetUnreachable) and error.sent:
-            self._started = True
-        if isinstance(error, MalformedAnswer):
-            self._started = True
         if not self._started:
             return NoTargetAvailable(error.detail, RETRY_S)
         if self._relay.offset:
             return RequestFailed(f"the answer broke off: {error.detail}", RETRY_S)
         return OutcomeUnknown(error.detail, RETRY_S)
+
+
+def _may_have_started(error):
+    """Whether an engine may have begun an attempt that failed."""
+    if isinstance(error, TargetUnreachable):
+        return error.sent
+    return isinstance(error, MalformedAnswer)
--- a/cowslipcourse/gateway/service_calls.py
+++ b/cowslipcourse/gateway/service_calls.py
@@ -6,6 +6,7 @@
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.daemon import now
 from cowslipcourse.exceptions import (
+    AdmissionError,
     DeadlinePassed,
     DeadlineWhileRunning,
     NoTargetAvailable,
@@ -58,6 +59,10 @@
         try:
             async with asyncio.timeout_at(self._deadline):
                 return await self._attempts()
+        except AdmissionError as error:
+            if not self._may_have_run:
+                raise
+            raise OutcomeUnknown(error.detail, NO_TARGET_RETRY_S) from error
         except TimeoutError:
             if self._may_have_run:
                 raise DeadlineWhileRunning("the deadline passed", 1.0) from None
@@ -77,9 +82,7 @@
                 )
                 if self._ran(error) and not self._repeatable:
                     raise OutcomeUnknown(error.detail) from error
-        if self._may_have_run:
-            raise OutcomeUnknown("no attempt was answered", NO_TARGET_RETRY_S)
-        raise NoTargetAvailable("no target took the call", NO_TARGET_RETRY_S)
+        raise NoTargetAvailable("no attempt was answered", NO_TARGET_RETRY_S)
 
     def _ran(self, error):
         """Note whether a failed attempt may have run, and return it."""
@@ -117,8 +120,6 @@
         reports = [grant.report for grant in grants]
         fresh = [report for report in reports if report.vm not in self._tried]
         if not reports or not (fresh or self._repeatable):
-            if self._may_have_run:
-                raise OutcomeUnknown("no target is left to try", NO_TARGET_RETRY_S)
             raise NoTargetAvailable("no target serves this now", NO_TARGET_RETRY_S)
         in_flight = self._tools.chooser.in_flight
         fewest = min(in_flight.count(report.vm) for report in fresh or reports)
--- a/cowslipcourse/standin/app.py
+++ b/cowslipcourse/standin/app.py
@@ -141,6 +141,8 @@
             sequence = target.generate(request.headers, body)
         except Refused as error:
             return json_response({"reason": str(error)}, 409)
+        if target.breaks_early():
+            raise _Broken
         headers = {
             "x-attempt": sequence.attempt,
             "x-group": target.assignment["group"],
--- a/cowslipcourse/standin/engine.py
+++ b/cowslipcourse/standin/engine.py
@@ -97,7 +97,8 @@
 
     Fault knobs: ``dead``, ``frozen`` (accepts connections, never answers),
     ``slow_factor``, ``wrong_attempt``, ``skip_token``, ``repeat_token``,
-    ``no_end`` (each the number of coming answers to spoil), ``refuse`` (reason),
+    ``no_end``, ``break_early`` (each the number of coming answers to spoil; the last
+    breaks the connection after the start, before any event), ``refuse`` (reason),
     ``ignore_leaving`` (takes work although its VM leaves), ``order_delay_s``.
 
     :param vm: dict with the VM's entry in the list.
@@ -120,6 +121,7 @@
             "skip_token": 0,
             "repeat_token": 0,
             "no_end": 0,
+            "break_early": 0,
             "refuse": "",
             "ignore_leaving": False,
             "order_delay_s": 0.0,
@@ -339,6 +341,10 @@
             sequence.attempt = "another-attempt"
             sequence.words = list(reversed(sequence.words))
 
+    def breaks_early(self):
+        """Return whether the answer just started is to break off at once."""
+        return self._take("break_early")
+
     def _take(self, knob):
         if not self.faults[knob]:
             return False
--- a/features/at_most_once/bookings.feature
+++ b/features/at_most_once/bookings.feature
@@ -22,3 +22,8 @@
       | outcomes forgotten with their window |
       | claims without a condition           |
       | not run told without proof           |
+
+  Scenario: A gateway stops between two attempts of a repeatable call
+    Given a small site in fake time with 4 groups granted
+    When the first attempt breaks off after it ran and the gateway then stops
+    Then the caller is told "unknown"
--- a/features/steps/booking_steps.py
+++ b/features/steps/booking_steps.py
@@ -1,7 +1,12 @@
 """Steps over bookings in fake time."""
 
+from unittest import mock
+
 from behave import then, when
 
+from cowslipcourse.admission import Priority
+from cowslipcourse.exceptions import DaemonStopped, RequestError
+from cowslipcourse.gateway.callers import Call
 from features.steps.group_steps import found
 from features.support.booking_runs import BookingRun
 from features.support.booking_variants import VARIANTS
@@ -55,3 +60,32 @@
             context.runs.append(one_run(seed))
         if context.runs[-1].violations:
             break
+
+
+@when("the first attempt breaks off after it ran and the gateway then stops")
+def step_stops_between(context):
+    async def scenario():
+        gateway = context.small.gateways["g1"]
+        await context.small.until(lambda: gateway.view.services("svc"))
+        for name in ("s1", "s2"):
+            context.small.world.targets[name].faults["drop_before_answer"] = 1
+        checks = iter((True, False))
+
+        def require_serving():
+            if not next(checks):
+                raise DaemonStopped("cut off")
+
+        with mock.patch.object(gateway.agent, "require_serving", require_serving):
+            call = Call("r", "crew", Priority.NORMAL, None, "", True)
+            try:
+                await gateway.requests.run(call, "svc", "look", b'{"n": 0}')
+            except RequestError as error:
+                return error.outcome
+        return "completed"
+
+    context.outcome = context.runner.run(scenario())
+
+
+@then('the caller is told "{outcome}"')
+def step_told(context, outcome):
+    assert context.outcome == outcome, context.outcome
--- a/features/support/booking_runs.py
+++ b/features/support/booking_runs.py
@@ -28,9 +28,10 @@
     :ivar told: ``(outcome, answer or code)`` of each time that it was sent.
     """
 
-    def __init__(self, number, key):
+    def __init__(self, number, key, repeatable):
         self.number = number
         self.key = key
+        self.repeatable = repeatable
         self.kind = "none" if not key else "minted" if key[:3] == "cw1" else "own"
         self.told = []
 
@@ -87,7 +88,8 @@
 
     def _book(self):
         number = len(self._bookings)
-        booking = Booking(number, self._key(number))
+        key = self._key(number)
+        booking = Booking(number, key, not key and self._rng.random() < 0.5)
         self._bookings.append(booking)
         times = self._rng.choice((1, 1, 2, 3)) if booking.key else 1
         for index in range(times):
@@ -110,7 +112,8 @@
     async def _send(self, booking, name, delay_s):
         await asyncio.sleep(delay_s)
         gateway = self._site.gateways[name]
-        call = Call("r", "crew", Priority.NORMAL, None, booking.key, None)
+        repeatable = True if booking.repeatable else None
+        call = Call("r", "crew", Priority.NORMAL, None, booking.key, repeatable)
         body = json.dumps({"n": booking.number}).encode()
         work = asyncio.create_task(self._answer(gateway, call, body))
         gone = asyncio.create_task(gateway.crashed.wait())
@@ -217,9 +220,9 @@
             answers = {
                 answer for outcome, answer in booking.told if outcome == "completed"
             }
-            if ran > 1:
+            if ran > 1 and not booking.repeatable:
                 violations.append((booking.number, "ran twice", booking.key))
-            if "completed" in outcomes and ran != 1:
+            if "completed" in outcomes and ran != 1 and not booking.repeatable:
                 violations.append((booking.number, "completed but ran", ran))
             if outcomes == {"not_run"} and ran:
                 violations.append(
--- a/features/support/fakes.py
+++ b/features/support/fakes.py
@@ -175,6 +175,8 @@
             sequence = target.generate(headers, request.body)
         except Refused as error:
             raise TargetRefused(str(error)) from error
+        if target.breaks_early():
+            raise TargetUnreachable("broken")
         try:
             async with aclosing(self._events(target, sequence)) as batches:
                 async for events in batches:
--- a/features/support/group_runs.py
+++ b/features/support/group_runs.py
@@ -41,6 +41,7 @@
         self._leaving_since = {}
         self.violations = []
         self.partial = {}
+        self.started_requests = set()
         self.started = 0
         self.last_new_work_s = 0.0
 
@@ -111,6 +112,7 @@
 
     def _check_start(self, name, event):
         self.started += 1
+        self.started_requests.add(event["request"])
         if not event["all_present"]:
             held = (event["group"], event["epoch"])
             last = self._present_at.get(held)
@@ -138,6 +140,7 @@
         self.outcomes = {}
         self.violations = []
         self.attempts = set()
+        self.told_not_run = set()
 
     async def run(self):
         """Send requests for ever."""
@@ -177,8 +180,8 @@
             self.violations.append((request_id, "not the whole answer", found))
         if found != wanted[: len(found)]:
             self.violations.append((request_id, "another answer", found))
-        if outcome == "not_run" and found:
-            self.violations.append((request_id, "told not run, but ran"))
+        if outcome == "not_run":
+            self.told_not_run.add(request_id)
 
 
 def _word(event):
@@ -334,7 +337,7 @@
         for name, target in list(world.targets.items()):
             if target.faults["dead"]:
                 world.change_vm(name, "restart")
-            target.faults.update(frozen=False, order_delay_s=0.0)
+            target.faults.update(frozen=False, refuse="", order_delay_s=0.0)
             if target.vm["state"] == "leaving":
                 world.change_vm(name, "stay")
 
@@ -344,14 +347,24 @@
 
     def kinds(self):
         """See :class:`Faults`."""
-        return {self.spoil: 12, self.kill: 1, self.crash_controller: 1, self.mend: 2}
+        return {
+            self.spoil: 12,
+            self.refuse: 4,
+            self.kill: 1,
+            self.crash_controller: 1,
+            self.mend: 2,
+        }
 
     async def spoil(self):
-        knobs = ("wrong_attempt", "skip_token", "repeat_token", "no_end")
+        knobs = ("wrong_attempt", "skip_token", "repeat_token", "no_end", "break_early")
         knob = self._rng.choice(knobs)
         faults = self._site.world.targets[self.engine()].faults
         faults[knob] = self._rng.randint(1, 6)
 
+    async def refuse(self):
+        for target in self._site.world.targets.values():
+            target.faults["refuse"] = self._rng.choice(("", "busy"))
+
 
 async def group_run(seed, events=40, fenced=None, faults_type=Faults):
     """Run faults over a site and return ``(site, oracle, load, log of faults)``.
@@ -395,7 +408,11 @@
     def __init__(self, seed, oracle, load, happened, settled):
         self.seed = seed
         used = [v for attempt, v in oracle.partial.items() if attempt in load.attempts]
-        self.violations = [*oracle.violations, *load.violations, *used]
+        untrue = [
+            (request_id, "told not run, but ran")
+            for request_id in load.told_not_run & oracle.started_requests
+        ]
+        self.violations = [*oracle.violations, *load.violations, *used, *untrue]
         self.late_starts = len(oracle.partial)
         self.started = oracle.started
         self.outcomes = load.outcomes
