Scenarios: a caller that leaves, and a kill in place of a planned stop

Cause: the planned stop had no run that shows that its check can fail, and cancelling at the engine had no scenario.

Ruled out: nothing found.

--- a/features/processes/processes.feature
+++ b/features/processes/processes.feature
@@ -52,3 +52,11 @@
     And no group has a member in d1
     When the drain is undone
     Then 4 groups serve
+
+  Scenario: Without a planned stop, streams are cut
+    When g1 is killed under 20 streams
+    Then some stream was cut, and none of them was taken for whole
+
+  Scenario: A caller that leaves frees its place at the engine
+    When a caller leaves a stream of 5000 tokens after the first
+    Then no engine runs anything within 10 seconds
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -311,11 +311,46 @@
     context.site.cli("undrain", "works")
 
 
-def single_stream(site, gateway):
-    """Stream one answer and return it."""
+@when("{gateway} is killed under {number:d} streams")
+def step_killed(context, gateway, number):
+    site = context.site
+    context.answers = asyncio.run(
+        _meanwhile(
+            stream_many(site, number, 200, [gateway]), lambda: site.kill(gateway)
+        )
+    )
+
+
+@then("some stream was cut, and none of them was taken for whole")
+def step_cut(context):
+    cut = [pair for pair in context.answers if not pair[1].complete]
+    assert cut
+    for body, answer in context.answers:
+        assert answer.complete == (answer.text == "".join(answer_words(body)))
+
 
-    async def stream():
+@when("a caller leaves a stream of {tokens:d} tokens after the first")
+def step_leaves(context, tokens):
+    async def leave():
+        body = chat_body("long", max_tokens=tokens)
         async with Caller(CREW_KEY) as caller:
-            return await caller.chat(site.urls[gateway], chat_body("one"))
+            task = asyncio.create_task(caller.chat(context.site.urls["g1"], body))
+            await asyncio.to_thread(
+                context.site.wait_for,
+                lambda: _running(context.site),
+                "a running answer",
+            )
+            task.cancel()
+
+    asyncio.run(leave())
+
+
+def _running(site):
+    """Return the number of answers that engines report as running."""
+    engines = site.get("platform", "/control/engines").values()
+    return sum(engine["load"]["running"] for engine in engines)
+
 
-    return asyncio.run(stream())
+@then("no engine runs anything within {limit_s:d} seconds")
+def step_free(context, limit_s):
+    context.site.wait_for(lambda: not _running(context.site), "free engines", limit_s)
