--- a/cowslipcourse/cli/edit_commands.py
+++ b/cowslipcourse/cli/edit_commands.py
@@ -78,16 +78,16 @@
         if not changes:
             self.line("nothing to change")
             return ExitCode.DONE
-        chosen_base = self.option("base-revision")
+        base_revision = int(self._number("base-revision", base_revision))
         edit_id = self.option("edit-id") or secrets.token_hex(EDIT_ID_BYTES)
         body = {
             "edit_id": edit_id,
-            "base_revision": int(chosen_base) if chosen_base else base_revision,
+            "base_revision": base_revision,
             "changes": changes,
             "source": _source(source),
             "confirm": self.option("confirm") or "",
             "trial": self.trial,
-            "wait_s": float(self.option("wait")),
+            "wait_s": self._number("wait", 0),
         }
         answer = self.client.post("/v1/edits", body)
         if self.wants_json:
@@ -97,6 +97,19 @@
         in_force = self.trial or answer["accepted"]
         return ExitCode.DONE if in_force else ExitCode.NOT_YET_IN_FORCE
 
+    def _number(self, name, default):
+        """Return an option's number, or the default if it was not given.
+
+        :raises ConfigurationError: it is not a number.
+        """
+        text = self.option(name)
+        try:
+            return default if text is None else float(text)
+        except ValueError as error:
+            raise ConfigurationError(
+                [Problem(f"--{name}", "write a number")]
+            ) from error
+
     def _report(self, answer, changes):
         for change in changes:
             verb = "remove" if change["value"] is None else "set"
--- a/cowslipcourse/cli/read_commands.py
+++ b/cowslipcourse/cli/read_commands.py
@@ -14,6 +14,7 @@
 
 __all__ = ["AuditCommand", "CheckSettingsCommand", "GetCommand", "StatusCommand"]
 
+MOST_NAMES = 3
 SCHEMAS = {
     "gateway": GatewaySettings,
     "controller": ControllerSettings,
@@ -179,7 +180,7 @@
                 record["at"],
                 record["operator"],
                 record["plan"]["digest"] if record["destructive"] else None,
-                ", ".join(record["changed"]),
+                _shortened(record["changed"]),
                 record["source"],
             )
             for record in records
@@ -188,6 +189,13 @@
         self.print_table(headers, rows)
 
 
+def _shortened(names):
+    """Return the first names, and how many more there are."""
+    shown = ", ".join(names[:MOST_NAMES])
+    more = len(names) - MOST_NAMES
+    return f"{shown} and {more} more" if more > 0 else shown
+
+
 class CheckSettingsCommand(Command):
     """Check a settings file."""
 
