--- a/cowslipcourse/cli/edit_commands.py
+++ b/cowslipcourse/cli/edit_commands.py
@@ -106,9 +106,8 @@
         try:
             return default if text is None else float(text)
         except ValueError as error:
-            raise ConfigurationError(
-                [Problem(f"--{name}", "write a number")]
-            ) from error
+            problem = Problem(f"--{name}", "write a number")
+            raise ConfigurationError([problem]) from error
 
     def _report(self, answer, changes):
         for change in changes:
