--- a/features/steps/door_steps.py
+++ b/features/steps/door_steps.py
@@ -158,9 +158,7 @@
         return error.code, json.loads(error.read())
 
 
-@then(
-    "a wrong, missing or operator's key is refused to a caller with status {status:d}"
-)
+@then("a wrong, missing or operator's key is refused to a caller with {status:d}")
 def step_caller_keys(context, status):
     url = context.site.urls["g1"] + "/v1/chat/completions"
     for key in ("wrong", None, OPERATOR_TOKEN):
@@ -169,9 +167,7 @@
         assert problem["outcome"] == "not_run", problem
 
 
-@then(
-    "a wrong, missing or caller's key is refused to an operator with status {status:d}"
-)
+@then("a wrong, missing or caller's key is refused to an operator with {status:d}")
 def step_operator_keys(context, status):
     for path in ("/v1/status", "/v1/edits", "/v1/audit", "/v1/configuration"):
         body = b"{}" if path == "/v1/edits" else None
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -1,9 +1,16 @@
 """Steps over groups in fake time."""
 
+import asyncio
+
 from behave import then, when
 
+from cowslipcourse.admission import Priority
+from cowslipcourse.exceptions import RequestError
+from cowslipcourse.gateway.callers import Call
+from cowslipcourse.gateway.generation import Generation
 from features.support.group_runs import fixed_secrets, group_run
 from features.support.group_variants import VARIANTS
+from harness.callers import chat_body
 from harness.paused_loop import run_paused
 
 LEAST_REQUESTS = 100
@@ -75,3 +82,45 @@
 @then("a violation was found")
 def step_violation(context):
     assert any(run.violations for run in context.runs)
+
+
+@when("the gateway is paused there while a member dies, {check}")
+def step_paused_send(context, check):
+    async def scenario():
+        site, gateway = context.small, context.small.gateways["g1"]
+        site.world.leaders_notice = False
+        gateway.gate.shut()
+        call = Call("r", "crew", Priority.NORMAL, None, "", False)
+        generation = Generation(call, chat_body("x", "m", 4), ["grp"], gateway.tools)
+        running = asyncio.create_task(_collect(generation))
+        await asyncio.sleep(0.1)
+        spec = gateway.view.groups[generation.groups[0]].report.spec
+        # Without a spare the group stays as it is, and its leader goes on alone.
+        members = {vm for g in gateway.view.groups.values() for vm in g.report.spec[8]}
+        taken = {member.vm for member in members}
+        for name in {*site.world.targets} - taken | {spec.vm_names[1]}:
+            site.world.targets[name].faults["dead"] = True
+        await asyncio.sleep(10.0)
+        gateway.gate.open()
+        return await running
+
+    if check == "with the check":
+        context.pieces = context.runner.run(scenario())
+    else:
+        with VARIANTS["no check between the send and the answer"]():
+            context.pieces = context.runner.run(scenario())
+
+
+async def _collect(generation):
+    pieces = []
+    try:
+        async for piece in generation.pieces():
+            pieces.append(piece)
+    except RequestError:
+        return pieces
+    return pieces
+
+
+@then("the group's answer is {result}")
+def step_answer_used(context, result):
+    assert bool(context.pieces) == (result == "used"), context.pieces
--- a/features/whole_groups/groups.feature
+++ b/features/whole_groups/groups.feature
@@ -18,7 +18,16 @@
 
     Examples:
       | variant                                  | seeds    |
-      | unconditional writes                     | 9, 10    |
+      | unconditional writes                     | 49, 82   |
       | grants that never end                    | 0, 1     |
-      | no check between the send and the answer | 5, 104   |
       | departures from the holder only          | 110, 141 |
+
+  Scenario Outline: A gateway is paused between the grant check and the send
+    Given a small site in fake time with 4 groups granted
+    When the gateway is paused there while a member dies, <check>
+    Then the group's answer is <result>
+
+    Examples:
+      | check             | result   |
+      | with the check    | not used |
+      | without the check | used     |
