Evidence about engines is as old as it is: a leave counts, reports lag

Cause: an engine answers a leave with 200 and counts it, and its reports lag by some 200 ms. The coordinator took 200 for "held already, not counted" and trusted reports as of their request, so the next orders carried a stale count and were refused (409) and asked again; `away` was counted from an order's answer instead of from reports. Change: DONE forgets the count; a refusal waits for reports to catch up; an engine counts as away from the first report that says so, with an unchanged count. The fuzz world lags reports by 200 ms and answers leaves with 200, which is stricter.

--- a/cowslipcourse/entry/engine_calls.py
+++ b/cowslipcourse/entry/engine_calls.py
@@ -101,10 +101,14 @@
         if answer is OrderAnswer.BEGUN:
             engine.order_count = order.expected_count + 1
             _note_begun(engine, order, models, sent_at)
-        elif answer is OrderAnswer.DONE_ALREADY and order.name is OrderName.LEAVE:
-            engine.see_left(loop.time())
+        elif answer is OrderAnswer.DONE:
+            # It may have counted up or not.
+            _note_not_begun(engine, order)
+            if order.name is OrderName.LEAVE:
+                engine.membership = None
         else:
             _note_not_begun(engine, order)
+            engine.see_refusal(loop.time())
 
 
 def _note_not_begun(engine, order):
@@ -128,4 +132,4 @@
     elif order.name is OrderName.OPEN:
         engine.opened_at[order.epoch] = sent_at
     elif order.name is OrderName.LEAVE:
-        engine.see_left(asyncio.get_running_loop().time())
+        engine.membership = None
--- a/cowslipcourse/groups/knowledge.py
+++ b/cowslipcourse/groups/knowledge.py
@@ -4,6 +4,8 @@
 
 __all__ = ["DomainKnowledge", "EngineKnowledge"]
 
+REPORT_LAG_S = 0.3
+"""Reports are as of some hundred ms ago; the platform declares 200."""
 _WAS_READY = (GroupState.READY, GroupState.OPEN, GroupState.CLOSING)
 
 
@@ -27,8 +29,9 @@
         self.join_s = {}
         self.opened_at = {}
         self.staging = None
-        self._left_at = None
-        self._left_count = None
+        self.ask_from = 0.0
+        self._away_from = None
+        self._away_count = None
         self._was_ready = set()
         self._note(entry.membership)
 
@@ -69,7 +72,9 @@
         self.reported_at = asked_at
         self.silent_since = None
         self.pace = report.pace
-        self.membership = report.membership
+        if not self._is_older(report.membership):
+            self.membership = report.membership
+        self._note_away(report, asked_at)
         self._see_staged(report.staged)
         self._note(report.membership)
 
@@ -79,21 +84,24 @@
         if self.silent_since is None:
             self.silent_since = since
 
-    def see_left(self, now):
-        """Note that it left its group, at or before a time."""
-        self.membership = None
-        self._left_at = now
-        self._left_count = self.order_count
+    def see_refusal(self, now):
+        """Note that an order was refused as the order count differed.
 
-    def left_before_report_s(self):
-        """Return how long before its last report it left its group.
+        What was known of it is out of date, and so are its reports for a moment.
+        """
+        self.order_count = None
+        self.ask_from = now + REPORT_LAG_S
 
-        It is 0 if it may have joined another one meanwhile: a late order counts up.
+    @property
+    def away_s(self):
+        """Seconds for which reports say that it is in no group and took no order.
+
+        Orders count up when they begin, so the same count proves that no late order
+        has brought it into a group between two reports.
         """
-        stayed_away = self.membership is None and self.order_count == self._left_count
-        if self._left_at is None or not stayed_away:
+        if self._away_from is None:
             return 0.0
-        return (self.reported_at or 0.0) - self._left_at
+        return self.reported_at - self._away_from
 
     def was_ready(self, group):
         """Whether it was seen ready in a planned group with its present members."""
@@ -127,8 +135,15 @@
         if self.staging in staged:
             self.staging = None
 
+    def _note_away(self, report, asked_at):
+        if report.membership is not None:
+            self._away_from = None
+        elif self._away_from is None or report.order_count != self._away_count:
+            self._away_from = asked_at
+            self._away_count = report.order_count
+
     def _is_older(self, membership):
-        """Whether the list lags behind what the engine itself has said."""
+        """Whether the list or a report lags behind what is known already."""
         known = self.membership
         if known is None or membership is None or known.group != membership.group:
             return False
--- a/cowslipcourse/groups/orders.py
+++ b/cowslipcourse/groups/orders.py
@@ -11,7 +11,7 @@
 """Time after which a join that shows no effect is looked into; a list lags less."""
 OPEN_AGAIN_S = 1.5
 """The same for an open order, which takes effect after the opening time."""
-ASK_AGAIN_S = 1.0
+ASK_AGAIN_S = 0.5
 """Interval at which engines of a group that is given up are asked."""
 REJOIN_S = 0.2
 """Time of a join if the engine served that model last."""
@@ -52,7 +52,7 @@
         elif all(m in engines and engines[m].is_live for m in group.members):
             steps += _form(group, engines, models, now)
     steps += _free_strays(plan, engines)
-    return steps
+    return [step for step in steps if now >= engines[step.engine].ask_from]
 
 
 def _form(group, engines, models, now):
@@ -132,11 +132,11 @@
 
 def _leave(group, engine, now):
     """Make an engine leave a group, and ask it now and then whether it stays away."""
+    if engine.state_in(group) is not None:
+        return [_order(engine, OrderName.LEAVE, group)]
     if (engine.reported_at or 0.0) <= now - ASK_AGAIN_S:
         return [Step(StepKind.ASK, engine.id)]
-    if engine.order_count is None or engine.state_in(group) is None:
-        return []
-    return [_order(engine, OrderName.LEAVE, group)]
+    return []
 
 
 def _free_strays(plan, engines):
--- a/cowslipcourse/groups/situation.py
+++ b/cowslipcourse/groups/situation.py
@@ -1,5 +1,6 @@
 """What follows from the knowledge of a domain for the revision of its plan."""
 
+from cowslipcourse.groups.knowledge import REPORT_LAG_S
 from cowslipcourse.groups.revision import EngineView, Wish
 from cowslipcourse.ports import GroupState
 
@@ -54,9 +55,9 @@
         return False
     head = knowledge.engines.get(group.head)
     if head is not None and head.silent_since is None:
-        return head.order_count is not None and head.membership is None
+        return head.away_s > REPORT_LAG_S
     # A silent head may serve on. It breaks once a member has left for long enough.
-    return engine.left_before_report_s() > stall_s + STALL_MARGIN_S
+    return engine.away_s > stall_s + STALL_MARGIN_S
 
 
 def broken_groups(plan, knowledge):
--- a/cowslipcourse/platform/engines.py
+++ b/cowslipcourse/platform/engines.py
@@ -14,7 +14,7 @@
 _NETWORK = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 _ANSWERS = {
     202: OrderAnswer.BEGUN,
-    200: OrderAnswer.DONE_ALREADY,
+    200: OrderAnswer.DONE,
     409: OrderAnswer.STATE_DIFFERS,
     412: OrderAnswer.EPOCH_TOO_OLD,
     421: OrderAnswer.OTHER_ENGINE,
--- a/cowslipcourse/ports/engines.py
+++ b/cowslipcourse/ports/engines.py
@@ -118,11 +118,12 @@
 class OrderAnswer(StrEnum):
     """How an engine answered an order.
 
-    ``BEGUN`` counts up the engine's order count, ``DONE_ALREADY`` does not.
+    ``BEGUN`` counts up the engine's order count. ``DONE`` says that what was asked
+    for holds now, whether it held before or the order did it and counted up.
     """
 
     BEGUN = "begun"
-    DONE_ALREADY = "done-already"
+    DONE = "done"
     STATE_DIFFERS = "state-differs"
     EPOCH_TOO_OLD = "epoch-too-old"
     OTHER_ENGINE = "other-engine"
--- a/features/group_plans/duels.feature
+++ b/features/group_plans/duels.feature
@@ -16,6 +16,6 @@
     Examples:
       | variant                                         | seeds   |
       | heads opened before all members were seen ready | 37,38   |
-      | engines taken out of groups they have not left  | 12,34   |
-      | epochs used twice                               | 51,91   |
-      | members freed by the silence of their head      | 17,19   |
+      | engines taken out of groups they have not left  | 3,21,48 |
+      | epochs used twice                               | 4,51,89 |
+      | members freed by the silence of their head      | 5,25,27 |
--- /dev/null
+++ b/features/group_plans/evidence.feature
@@ -0,0 +1,28 @@
+Feature: Evidence about engines is as old as it is
+  Reports lag by some tenths of a second, and an order to leave that is answered as done
+  counts like any other.
+
+  Scenario: An engine that left counts as away from the first report that says so
+    Given an engine whose reports say from 10.0 s that it is in no group, with 5 orders
+    When a report asked for at 14.8 s says the same
+    Then it has been away for 4.8 s
+
+  Scenario: An engine that took an order meanwhile has not stayed away
+    Given an engine whose reports say from 10.0 s that it is in no group, with 5 orders
+    When a report asked for at 14.8 s says that it is in no group, with 7 orders
+    Then it has been away for 0.0 s
+
+  Scenario: The list alone does not tell that an engine has left
+    Given an engine in group g1 at epoch 3
+    When the list says that it is in no group
+    Then it has been away for 0.0 s
+
+  Scenario: A lagging report does not bring back an older epoch
+    Given an engine in group g1 at epoch 4
+    When a report says that it is in group g1 at epoch 3
+    Then it is known in epoch 4
+
+  Scenario: After a refused order the next question waits until reports have caught up
+    Given a domain whose engine refused an order at 10.0 s as its count differed
+    Then nothing is asked at 10.1 s
+    And it is asked at 10.4 s
--- /dev/null
+++ b/features/steps/evidence_steps.py
@@ -0,0 +1,93 @@
+"""Steps over what is known of an engine, and how old that is."""
+
+from behave import given, then, when
+
+from cowslipcourse.groups import (
+    DomainPlan,
+    EngineKnowledge,
+    PlannedGroup,
+    StepKind,
+    next_steps,
+)
+from cowslipcourse.ports import EngineReport, GroupState, Membership, TargetEntry
+from cowslipcourse.routes import EngineModel
+
+LARGE = EngineModel("large", 1, 1.0, 1.0, 16.0, 1.6)
+
+
+def _entry(membership=None):
+    return TargetEntry(
+        "e1", "llm", "a:1", "dc", 13, domain="north", membership=membership
+    )
+
+
+def _membership(epoch):
+    return Membership("g1", epoch, 0, GroupState.READY, "large")
+
+
+@given(
+    "an engine whose reports say from {at:f} s that it is in no group, with 5 orders"
+)
+def step_reports_none(context, at):
+    context.engine = EngineKnowledge(_entry(_membership(3)))
+    context.engine.see_report(EngineReport(5, None, ()), at)
+
+
+@when("a report asked for at {at:f} s says the same")
+def step_same(context, at):
+    context.engine.see_report(EngineReport(5, None, ()), at)
+
+
+@when(
+    "a report asked for at {at:f} s says that it is in no group, with {orders:d} orders"
+)
+def step_other_count(context, at, orders):
+    context.engine.see_report(EngineReport(orders, None, ()), at)
+
+
+@then("it has been away for {seconds:f} s")
+def step_away(context, seconds):
+    assert abs(context.engine.away_s - seconds) < 1e-6, context.engine.away_s
+
+
+@given("an engine in group g1 at epoch {epoch:d}")
+def step_in_group(context, epoch):
+    context.engine = EngineKnowledge(_entry(_membership(epoch)))
+
+
+@when("the list says that it is in no group")
+def step_list(context):
+    context.engine.see_entry(_entry())
+
+
+@when("a report says that it is in group g1 at epoch {epoch:d}")
+def step_report_group(context, epoch):
+    context.engine.see_report(EngineReport(5, _membership(epoch), ()), 11.0)
+
+
+@then("it is known in epoch {epoch:d}")
+def step_known_epoch(context, epoch):
+    assert context.engine.membership.epoch == epoch
+
+
+@given("a domain whose engine refused an order at {at:f} s as its count differed")
+def step_refused(context, at):
+    context.engine = EngineKnowledge(_entry())
+    context.engine.see_refusal(at)
+    group = PlannedGroup("g1", "large", 4, ("e1",))
+    context.plan = DomainPlan("north", 3, (group,))
+
+
+def _kinds(context, now):
+    steps = next_steps(context.plan, {"e1": context.engine}, {"large": LARGE}, now)
+    return [step.kind for step in steps]
+
+
+@then("nothing is asked at {now:f} s")
+def step_not_asked(context, now):
+    assert _kinds(context, now) == []
+
+
+@then("it is asked at {now:f} s")
+def step_asked(context, now):
+    assert _kinds(context, now) == [StepKind.ASK]
--- a/features/support/engine_world.py
+++ b/features/support/engine_world.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import deque
 from typing import NamedTuple
 
 from cowslipcourse.exceptions import (
@@ -29,6 +30,8 @@
 __all__ = ["LARGE", "SERVICE", "SMALL", "STALL_S", "Faults", "World", "route_table"]
 
 STALL_S = 4.0
+REPORT_LAG_S = 0.2
+"""Reports are as old as that; answers to orders and the list are not."""
 OPEN_S = 0.3
 REJOIN_S = 0.2
 SERVICE = "llm"
@@ -79,6 +82,7 @@
         self._highest_epoch = 0
         self._served = set()
         self._turn = 0
+        self._reports = deque(maxlen=50)
 
     def entry(self):
         """Return its entry in the platform's list."""
@@ -93,6 +97,21 @@
             membership=self.membership,
         )
 
+    def report(self):
+        """Return what it would report if reports did not lag."""
+        return EngineReport(self.order_count, self.membership, self.staged)
+
+    def lagging_report(self):
+        """Return the report of a moment ago."""
+        since = asyncio.get_running_loop().time() - REPORT_LAG_S
+        known = [report for at, report in self._reports if at <= since]
+        return known[-1] if known else self.report()
+
+    def note_report(self, now):
+        """Keep what it would report now."""
+        if not self._reports or self._reports[-1][1] != self.report():
+            self._reports.append((now, self.report()))
+
     def take(self, order):
         """Carry out an order and return the answer."""
         if self._world.faults.checks_count and order.expected_count != self.order_count:
@@ -103,10 +122,11 @@
             self.staged = (order.model,)
             return self._begun()
         if not self._is_in(order.group, order.epoch):
-            return OrderAnswer.DONE_ALREADY
+            return OrderAnswer.DONE
         if order.name is OrderName.LEAVE:
             self.membership = None
-            return self._begun()
+            self._begun()
+            return OrderAnswer.DONE
         if self.membership.state is not GroupState.READY:
             return OrderAnswer.STATE_DIFFERS
         self._later(OPEN_S, lambda: self._set_state(GroupState.OPEN))
@@ -220,9 +240,10 @@
         """Let requests come to every open group, for ever."""
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(0.02)
             for engine in list(self.engines.values()):
                 engine.look(loop.time())
+                engine.note_report(loop.time())
 
     # The oracle.
 
@@ -308,7 +329,7 @@
         if engine is None or engine.is_dark:
             await asyncio.sleep(0.15)
             raise TargetUnreachable("dark")
-        report = EngineReport(engine.order_count, engine.membership, engine.staged)
+        report = engine.lagging_report()
         await self._pause()
         return report
 
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -38,7 +38,7 @@
 )
 STATUS = {
     OrderAnswer.BEGUN: 202,
-    OrderAnswer.DONE_ALREADY: 200,
+    OrderAnswer.DONE: 200,
     OrderAnswer.STATE_DIFFERS: 409,
     OrderAnswer.EPOCH_TOO_OLD: 412,
 }
