Domains are divided among the models; groups whose head is lost set their members free

Ruled out: slow orders (joins of warm engines took 0.3 to 2 s), detection (0.3 s), the limit on loads. Change: groups/shape.py gives each domain one model by share where each model gets two domains or more, spread over data centres; in such a domain a group that cannot be completed is given up at once, its survivors are warm spares, and engines that must load join once they hold the model. Smaller sites keep mixed domains with two spares. A member that does not answer no longer holds up the end of its group. The duel fuzz has a site with six domains.

--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -16,6 +16,7 @@
     LoadLimit,
     StepKind,
     broken_groups,
+    choose_shape,
     choose_staging,
     decode_plan,
     encode_plan,
@@ -40,8 +41,6 @@
 """Time without a new engine before the first groups of a domain are formed."""
 SILENT_AGAIN_S = 1.0
 """Interval at which silent engines that are still listed are asked again."""
-SPARES = 2
-"""Engines of a domain kept for repairs: about two are lost in a day."""
 MOST_SILENT = 0.4
 """Share of the engines that may be lost at once, say a few domains; beyond that it is
 more likely this daemon that is cut off."""
@@ -172,7 +171,8 @@
         spec = self._spec(knowledge)
         if spec is None:
             return
-        await self._revise(domain, knowledge, spec, now)
+        shape = self._shape(domain, spec)
+        await self._revise(domain, knowledge, spec, shape, now)
         plan = self._plan(domain)
         knowledge.forget(lambda engine: plan.group_of(engine) is not None)
         models = {model.name: model for model in spec.models}
@@ -181,7 +181,7 @@
                 self._spawn_ask(domain, step.engine)
             else:
                 self._spawn_order(domain, step.engine, step.order, models)
-        self._stage(plan, knowledge, spec, now)
+        self._stage(plan, knowledge, spec, shape, now)
         self._ask_silent(domain, knowledge, now)
 
     def _spec(self, knowledge):
@@ -191,16 +191,20 @@
                 return spec
         return None
 
+    def _shape(self, domain, spec):
+        places = {name: known.data_centre for name, known in self._domains.items()}
+        return choose_shape(domain, self._plans, places, spec.models)
+
     def _plan(self, domain):
         return self._plans.get(domain) or DomainPlan(domain)
 
-    async def _revise(self, domain, knowledge, spec, now):
+    async def _revise(self, domain, knowledge, spec, shape, now):
         plan = self._plan(domain)
         views = engine_views(plan, knowledge, self.settings.stall_s, now)
         sizes = {model.name: model.size for model in spec.models}
         wanted = wishes(spec.models, self._plans.values())
         broken = broken_groups(plan, knowledge)
-        groups = revise(plan, views, sizes, wanted, SPARES, broken)
+        groups = revise(plan, views, sizes, wanted, shape, broken)
         if groups == plan.groups:
             return
         write = RowWrite(GROUPS_TABLE, domain, encode_plan(groups), plan.version)
@@ -247,10 +251,11 @@
             return False
         return True
 
-    def _stage(self, plan, knowledge, spec, now):
+    def _stage(self, plan, knowledge, spec, shape, now):
         free = spares_of(plan, knowledge)
         waiting = models_waiting(plan, knowledge)
-        chosen = choose_staging(plan, free, spec.models, waiting)
+        models = [m for m in spec.models if shape.model in (None, m.name)]
+        chosen = choose_staging(plan, free, models, waiting)
         for engine_id, model in chosen.items():
             engine = knowledge.engines[engine_id]
             if engine.order_count is None:
--- a/cowslipcourse/groups/__init__.py
+++ b/cowslipcourse/groups/__init__.py
@@ -5,6 +5,7 @@
 from cowslipcourse.groups.orders import Step, StepKind, next_steps
 from cowslipcourse.groups.plan import DomainPlan, PlannedGroup, decode_plan, encode_plan
 from cowslipcourse.groups.revision import EngineView, Wish, revise
+from cowslipcourse.groups.shape import MIXED, DomainShape, choose_shape
 from cowslipcourse.groups.situation import (
     broken_groups,
     engine_views,
@@ -15,8 +16,10 @@
 from cowslipcourse.groups.staging import choose_staging
 
 __all__ = [
+    "MIXED",
     "DomainKnowledge",
     "DomainPlan",
+    "DomainShape",
     "EngineKnowledge",
     "EngineView",
     "LoadLimit",
@@ -25,6 +28,7 @@
     "StepKind",
     "Wish",
     "broken_groups",
+    "choose_shape",
     "choose_staging",
     "decode_plan",
     "encode_plan",
--- a/cowslipcourse/groups/knowledge.py
+++ b/cowslipcourse/groups/knowledge.py
@@ -159,9 +159,11 @@
 
     def __init__(self):
         self.engines = {}
+        self.data_centre = None
 
     def see_entry(self, entry):
         """Take in an entry of the list."""
+        self.data_centre = entry.data_centre
         known = self.engines.get(entry.id)
         if known is None:
             self.engines[entry.id] = EngineKnowledge(entry)
--- a/cowslipcourse/groups/revision.py
+++ b/cowslipcourse/groups/revision.py
@@ -54,25 +54,27 @@
     urgency: float
 
 
-def revise(plan, engines, sizes, wishes, spares, broken=frozenset()):
+def revise(plan, engines, sizes, wishes, shape, broken=frozenset()):
     """Return the groups that a domain shall have, as a tuple.
 
     Repairs come first: what a group has formed already is kept. Groups that cannot
-    be completed give their members to one that can. New groups are formed from
-    engines beyond the spares.
+    be completed give their members to one that can; in a domain of one model they do
+    so at once, as any other group can use them. New groups are formed from engines
+    beyond the spares.
 
     :param plan: present :class:`~cowslipcourse.groups.DomainPlan`
     :param engines: iterable of :class:`EngineView` of the domain.
     :param sizes: group size by model.
     :param wishes: iterable of :class:`Wish`.
-    :param spares: engines to be kept free for repairs.
+    :param shape: :class:`~cowslipcourse.groups.DomainShape` of the domain.
     :param broken: names of groups that are whole but must be formed anew.
     """
-    return _Revision(plan, engines, sizes, broken).make(wishes, spares)
+    return _Revision(plan, engines, sizes, shape, broken).make(wishes)
 
 
 class _Revision:
-    def __init__(self, plan, engines, sizes, broken):
+    def __init__(self, plan, engines, sizes, shape, broken):
+        self._shape = shape
         self._domain = plan.domain
         self._epoch = plan.version + 1
         self._broken = broken
@@ -85,14 +87,18 @@
             if view.is_live and view.is_free and plan.group_of(view.id) is None
         ]
 
-    def make(self, wishes, spares):
+    def make(self, wishes):
         self._drop_released()
         self._drop_dead()
+        self._leave_cold_engines()
         for group in self._incomplete():
             self._repair(group)
         self._swap_loading()
-        self._give_up_one()
-        self._form(wishes, spares)
+        if self._shape.model is None:
+            self._give_up_one()
+        else:
+            self._give_up_all()
+        self._form(wishes)
         return tuple(self._groups.values())
 
     def _drop_released(self):
@@ -116,6 +122,16 @@
             if not self._is_still_serving(group):
                 del self._groups[group.name]
 
+    def _leave_cold_engines(self):
+        """Use engines of a domain of one model only once they hold it.
+
+        While one of its members loads, the others of a group could serve elsewhere.
+        At the start no engine holds the model, and loads are short.
+        """
+        model = self._shape.model
+        if any(model in view.staged for view in self._views.values()):
+            self._free = [view for view in self._free if model in view.staged]
+
     def _incomplete(self):
         """Return active groups that lack members, the largest first."""
         found = [g for g in self._groups.values() if not g.is_retired]
@@ -190,9 +206,21 @@
         members = (*kept, warm[0].id)
         self._groups[group.name] = group._replace(members=members, epoch=self._epoch)
 
+    def _beyond_repair(self):
+        """Return the groups that lack members and do not serve."""
+        return [g for g in self._incomplete() if not self._is_still_serving(g)]
+
+    def _give_up_all(self):
+        """Retire all groups that cannot be completed.
+
+        It takes a while until their members are free, and the next loss is soon.
+        """
+        for group in self._beyond_repair():
+            self._groups[group.name] = group._replace(is_retired=True)
+
     def _give_up_one(self):
         """Retire an incomplete group if its members would complete another one."""
-        broken = [g for g in self._incomplete() if not self._is_still_serving(g)]
+        broken = self._beyond_repair()
         if len(broken) < 2:
             return
         # The fewest survivors are given up; the rest may then be repaired.
@@ -203,10 +231,11 @@
                 self._groups[given.name] = given._replace(is_retired=True)
                 return
 
-    def _form(self, wishes, spares):
+    def _form(self, wishes):
         """Form a new group of what is free beyond the spares."""
         pending = sum(self._lacking(group) for group in self._incomplete())
-        kept = max(spares, pending)
+        kept = max(self._shape.spares, pending)
+        wishes = [w for w in wishes if self._shape.model in (None, w.model)]
         for wish in sorted(wishes, key=lambda w: -w.urgency):
             if len(self._free) - kept >= wish.size:
                 members = self._take(wish.model, wish.size)
--- /dev/null
+++ b/cowslipcourse/groups/shape.py
@@ -0,0 +1,80 @@
+"""Which models a fabric domain serves; pure decisions.
+
+A group is repaired at once only by an engine that holds its model; loading weights
+takes ten times as long. If all engines of a domain hold one model, the survivors of a
+group that cannot be completed are such spares for the other groups, and no engine has
+to stand by from the start. So domains are divided among the models where there are
+enough.
+"""
+
+from typing import NamedTuple
+
+__all__ = ["MIXED", "DomainShape", "choose_shape"]
+
+LEAST_DOMAINS = 2
+"""Domains that each model must have: one may go dark as a whole."""
+MIXED_SPARES = 2
+"""Engines kept free in a domain of several models, one that holds each model: about two
+are lost there in a day."""
+HALF_DOMAIN = 0.5
+"""Added to the number of domains in the divisor of Sainte-Lague's method."""
+SAME_PLACE = 0.7
+"""Factor on the claim of a model that has a domain in the same data centre already. It
+moves a domain only if claims are close: numbers by share come first."""
+
+
+class DomainShape(NamedTuple):
+    """What a domain shall be used for.
+
+    :param model: the only model that it serves; ``None`` for any.
+    :param spares: engines to be kept free for repairs.
+    """
+
+    model: str | None
+    spares: int
+
+
+MIXED = DomainShape(None, MIXED_SPARES)
+
+
+def choose_shape(domain, plans, places, models):
+    """Return the :class:`DomainShape` of a domain.
+
+    :param domain: name of the domain.
+    :param plans: :class:`~cowslipcourse.groups.DomainPlan` by domain.
+    :param places: data centre by domain, of all domains that are known.
+    :param models: iterable of :class:`~cowslipcourse.routes.EngineModel`.
+    """
+    total = sum(model.share for model in models)
+    if total <= 0 or len(models) < 2:
+        return MIXED
+    number = len(places)
+    if any(round(number * m.share / total) < LEAST_DOMAINS for m in models):
+        return MIXED
+    served = _served(plans.get(domain))
+    if len(served) > 1:
+        return MIXED
+    model = served.pop() if served else _most_entitled(domain, plans, places, models)
+    return DomainShape(model, 0)
+
+
+def _served(plan):
+    """Return the models of a plan's active groups."""
+    if plan is None:
+        return set()
+    return {group.model for group in plan.groups if not group.is_retired}
+
+
+def _most_entitled(domain, plans, places, models):
+    taken = {model.name: [] for model in models}
+    for other, plan in plans.items():
+        for model in _served(plan):
+            if other != domain and model in taken:
+                taken[model].append(places.get(other))
+
+    def claim(model):
+        divisor = len(taken[model.name]) + HALF_DOMAIN
+        factor = SAME_PLACE if places[domain] in taken[model.name] else 1.0
+        return model.share / divisor * factor, model.name
+
+    return max(models, key=claim).name
--- a/cowslipcourse/groups/situation.py
+++ b/cowslipcourse/groups/situation.py
@@ -47,7 +47,11 @@
 
 
 def is_free(plan, knowledge, engine, stall_s):
-    """Whether an engine is in no group, or in one whose head cannot be serving."""
+    """Whether an engine is in no group, or in one whose head cannot be serving.
+
+    An engine that does not answer counts as free of a group that has ended: if it comes
+    back it leaves the group before it is used.
+    """
     group = plan.group_of(engine.id)
     if group is None:
         return engine.membership is None
@@ -56,8 +60,15 @@
     head = knowledge.engines.get(group.head)
     if head is not None and head.silent_since is None:
         return head.away_s > REPORT_LAG_S
-    # A silent head may serve on. It breaks once a member has left for long enough.
-    return engine.away_s > stall_s + STALL_MARGIN_S
+    is_away = engine.away_s > REPORT_LAG_S or not engine.is_live
+    return is_away and _has_broken(group, knowledge, stall_s)
+
+
+def _has_broken(group, knowledge, stall_s):
+    """Whether a silent head must have broken, as a member left for long enough."""
+    engines = [knowledge.engines.get(member) for member in group.members]
+    longest_s = max(engine.away_s for engine in engines if engine is not None)
+    return longest_s > stall_s + STALL_MARGIN_S
 
 
 def broken_groups(plan, knowledge):
--- a/cowslipcourse/groups/staging.py
+++ b/cowslipcourse/groups/staging.py
@@ -28,7 +28,7 @@
         if engine.staging is not None or (own in covering and covering[own] < 2):
             continue
         model = _most_wanted(at_risk, covering, waiting)
-        if model is None or model == own or (own and covering[model]):
+        if model is None or model == own or (own in covering and covering[model]):
             continue
         if own in covering:
             covering[own] -= 1
--- a/features/group_plans/revision.feature
+++ b/features/group_plans/revision.feature
@@ -84,3 +84,34 @@
       | e5=large e6           | e6=small            |
       | e5=large e6=large     | e5=small            |
       | e5=large e6=small     | nothing             |
+
+  Scenario: Where a domain serves one model, a group that cannot be completed is given up at once
+    Given a domain with a group of large on a b c d
+    And a group of large on e f g h
+    And the domain serves large alone
+    When b is lost
+    Then the group of large is given up
+
+  Scenario: What is left of a group is a spare for another one of its model
+    Given a domain with a group of large on a b c d
+    And the spares e that holds large and f that holds large
+    And the domain serves large alone
+    When b is lost
+    Then the group keeps its name, gets a higher epoch and has the members a c d e
+
+  Scenario: Where a domain serves one model, a spare that must load first is left to load
+    Given a domain with a group of large on a b c d
+    And the spares e that holds small and f that holds small
+    And the domain serves large alone
+    When b is lost
+    Then the group of large is given up
+
+  Scenario: Members of a given-up group are free although its lost head stays lost
+    Given a retired group on a b c d whose head a is lost
+    When b, c and d have been away for 4.6 s by reports
+    Then b, c and d are free, and a does not hold up the group's end
+
+  Scenario: Members of a given-up group that have not left it themselves are not free
+    Given a retired group on a b c d whose head a is lost
+    When b and c have been away for 4.6 s by reports, and d has not left
+    Then b and c are free and d is not
--- /dev/null
+++ b/features/group_plans/shape.feature
@@ -0,0 +1,23 @@
+Feature: Domains are divided among the models
+  An engine that holds a group's model repairs it ten times as fast as one that must load.
+
+  Scenario: Domains follow the models' shares of the work, in several data centres
+    Given 2 domains in each of 3 data centres
+    And the models large with 0.67 of the work and small with 0.33
+    When each domain in turn is given its models
+    Then 4 domains serve large alone and 2 serve small alone
+    And the domains of small are in 2 data centres
+
+  Scenario: A model for which two domains are not to be had shares all domains
+    Given 1 domain in each of 3 data centres
+    And the models large with 0.67 of the work and small with 0.33
+    When each domain in turn is given its models
+    Then every domain serves any model and keeps 2 spares
+
+  Scenario: A domain keeps the model that its groups serve
+    Given 2 domains in each of 3 data centres
+    And the models large with 0.67 of the work and small with 0.33
+    And a group of small in the domain north-0
+    When each domain in turn is given its models
+    Then north-0 serves small alone
+    And 4 domains serve large alone and 2 serve small alone
--- a/features/steps/duel_steps.py
+++ b/features/steps/duel_steps.py
@@ -2,23 +2,25 @@
 
 from behave import then, when
 
-from features.support.coordinator_runs import VARIANTS, coordinator_run
+from features.support.coordinator_runs import SITES, VARIANTS, coordinator_run
 from harness.paused_loop import run_paused
 
 
-@when("{number:d} duels are run from seed {first:d}")
-def step_duels(context, number, first):
+@when("{number:d} duels are run from seed {first:d} on a {site} site")
+def step_duels(context, number, first, site):
     context.worlds = [
-        run_paused(coordinator_run(seed)) for seed in range(first, first + number)
+        run_paused(coordinator_run(seed, SITES[site]))
+        for seed in range(first, first + number)
     ]
 
 
-@when("duels are run with {variant} at seeds {seeds}")
-def step_variant_duels(context, variant, seeds):
+@when("duels are run with {variant} at seeds {seeds} on a {site} site")
+def step_variant_duels(context, variant, seeds, site):
     context.worlds = []
     for seed in seeds.split(","):
         with VARIANTS[variant]():
-            context.worlds.append(run_paused(coordinator_run(int(seed))))
+            run = coordinator_run(int(seed), SITES[site])
+            context.worlds.append(run_paused(run))
 
 
 @then("the oracle saw no partial group and no engine in two groups")
--- a/features/steps/revision_steps.py
+++ b/features/steps/revision_steps.py
@@ -3,7 +3,9 @@
 from behave import given, then, when
 
 from cowslipcourse.groups import (
+    MIXED,
     DomainPlan,
+    DomainShape,
     EngineKnowledge,
     EngineView,
     PlannedGroup,
@@ -20,6 +22,7 @@
     EngineModel("small", 2, 0.33, 0.6, 12.0, 1.1),
 )
 NO_WISHES = ()
+NO_SPARES = DomainShape(None, 0)
 
 
 def _view(engine_id, staged=(), is_free=False):
@@ -28,7 +31,7 @@
 
 def _revise(context, wishes=NO_WISHES, broken=frozenset()):
     views = context.views.values()
-    context.revised = revise(context.plan, views, SIZES, wishes, 2, broken)
+    context.revised = revise(context.plan, views, SIZES, wishes, context.shape, broken)
 
 
 def _add_group(context, model, members):
@@ -43,6 +46,7 @@
 def step_models(context):
     context.plan = DomainPlan("north", 7)
     context.views = {}
+    context.shape = MIXED
 
 
 @given("a domain with a group of {model} on {members}")
@@ -61,11 +65,16 @@
         context.views[engine] = _view(engine, (model,), is_free=True)
 
 
+@given("the domain serves {model} alone")
+def step_one_model(context, model):
+    context.shape = DomainShape(model, 0)
+
+
 @when("the domains north and south form their first group each")
 def step_form(context):
     views = [_view(f"e{number}", is_free=True) for number in range(4)]
     context.groups = [
-        revise(DomainPlan(domain), views, SIZES, [Wish("large", 4, 1.0)], 0)
+        revise(DomainPlan(domain), views, SIZES, [Wish("large", 4, 1.0)], NO_SPARES)
         for domain in ("north", "south")
     ]
 
--- a/features/support/coordinator_runs.py
+++ b/features/support/coordinator_runs.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from typing import NamedTuple
 from unittest import mock
 
 from cowslipcourse.entry.coordinator import Coordinator
@@ -12,14 +13,29 @@
 from cowslipcourse.groups import situation
 from features.support.engine_world import STALL_S, Faults, World, route_table
 
-__all__ = ["VARIANTS", "coordinator_run"]
+__all__ = ["DIVIDED_SITE", "SITES", "VARIANTS", "coordinator_run"]
 
 RUN_S = 40.0
-DOMAINS = ("d1", "d2")
-ENGINES = 8
 LIST_S = 0.25
 
 
+class DuelSite(NamedTuple):
+    """What a run begins with.
+
+    :param domains: names of fabric domains; each model gets domains of its own if there
+        are enough.
+    :param engines: engines in each.
+    """
+
+    domains: tuple[str, ...]
+    engines: int
+
+
+MIXED_SITE = DuelSite(("d1", "d2"), 8)
+DIVIDED_SITE = DuelSite(("d1", "d2", "d3", "d4", "d5", "d6"), 6)
+SITES = {"mixed": MIXED_SITE, "divided": DIVIDED_SITE}
+
+
 class _Tools:
     def __init__(self, table):
         self.table = table
@@ -49,13 +65,17 @@
         coordinator.see_all(entries)
 
 
-async def _disturb(world, rng):
-    """Engines go dark and come back, are lost for good, or are added."""
+async def _disturb(world, site, rng):
+    """Engines go dark and come back, are lost for good, or are added.
+
+    The larger the site, the more often.
+    """
+    share = len(MIXED_SITE.domains) / len(site.domains)
     while True:
-        await asyncio.sleep(rng.uniform(0.8, 3.0))
+        await asyncio.sleep(share * rng.uniform(0.8, 3.0))
         live = [e for e in world.engines.values() if not e.is_dark]
-        if len(live) <= ENGINES:
-            world.add_engine(rng.choice(DOMAINS))
+        if len(live) <= len(site.domains) * site.engines / 2:
+            world.add_engine(rng.choice(site.domains))
             continue
         engine = rng.choice(live)
         engine.is_dark = True
@@ -73,16 +93,20 @@
             del world.engines[engine.id]
 
 
-async def coordinator_run(seed, faults=None):
-    """Make one run and return its :class:`~features.support.engine_world.World`."""
+async def coordinator_run(seed, site=MIXED_SITE):
+    """Make one run and return its :class:`~features.support.engine_world.World`.
+
+    :param seed: of all that is random.
+    :param site: :class:`DuelSite`
+    """
     rng = random.Random(seed)
-    world = World(rng, faults or Faults())
-    for domain in DOMAINS:
-        for _ in range(ENGINES):
+    world = World(rng, Faults())
+    for domain in site.domains:
+        for _ in range(site.engines):
             world.add_engine(domain)
     duel = _Duel(rng)
     settings = ControlSettings(stall_s=STALL_S)
-    running = [duel.run(), world.run(), _disturb(world, rng)]
+    running = [duel.run(), world.run(), _disturb(world, site, rng)]
     for number in range(2):
         coordinator = Coordinator(
             _Tools(route_table()),
@@ -139,9 +163,9 @@
     """Give a repaired group its old epoch again."""
     make = group_revision._Revision.make
 
-    def keep(self, wishes, spares):
+    def keep(self, wishes):
         old = {group.name: group.epoch for group in self._groups.values()}
-        groups = make(self, wishes, spares)
+        groups = make(self, wishes)
         return tuple(
             group._replace(epoch=old.get(group.name, group.epoch)) for group in groups
         )
--- a/features/support/fuzz.py
+++ b/features/support/fuzz.py
@@ -4,7 +4,7 @@
 import sys
 
 from features.support.booking_runs import BookingRun
-from features.support.coordinator_runs import coordinator_run
+from features.support.coordinator_runs import DIVIDED_SITE, coordinator_run
 from features.support.edit_runs import EditRun
 from features.support.group_runs import AnswerFaults, fixed_secrets, group_run
 from features.support.membership_runs import random_run, settle
@@ -43,8 +43,13 @@
     return run_paused(coordinator_run(seed)).violations
 
 
+def _divided_duels(seed):
+    return run_paused(coordinator_run(seed, DIVIDED_SITE)).violations
+
+
 KINDS = {
     "duels": _duels,
+    "divided-duels": _divided_duels,
     "membership": _membership,
     "groups": _groups,
     "answers": _answers,
