SIGHUP during the start of cowslip-entry no longer ends it

Cause: the handler was set after all imports, about half a second after the start; until then the signal's default ends the process. Ruled out: a crash (no traceback, return code -1 is SIGHUP). The program is started as `-m cowslipcourse.entry`. The small platform of the tests keeps its daemons' ports over restarts and notes each run of a plain target, which the soak needs.

--- a/cowslipcourse/entry/main.py
+++ b/cowslipcourse/entry/main.py
@@ -96,7 +96,3 @@
     application.add(RunCommand())
     application.add(CheckCommand())
     sys.exit(application.run())
-
-
-if __name__ == "__main__":
-    main()
--- a/features/platform_path/platform.feature
+++ b/features/platform_path/platform.feature
@@ -41,3 +41,7 @@
     Given a platform with three daemons, whose groups serve
     When 20 bookings are made and one plain target closes every connection
     Then no booking ran twice and none that was told not run has run
+
+  Scenario: A signal to reload that comes while the program starts does not end it
+    When the program has run no more than its first lines
+    Then SIGHUP is ignored
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 import signal
+import subprocess
+import sys
 
 import aiohttp
 from behave import given, then, when
@@ -258,7 +260,7 @@
 
 @then("no booking ran twice and none that was told not run has run")
 def step_booked_once(context):
-    ran = [attempt for attempt, path in context.platform.runs if "/book/" in path]
+    ran = [run.attempt for run in context.platform.runs if "/book/" in run.path]
     assert len(ran) == len(set(ran))
     for status, body, attempt in context.bookings:
         assert status in (200, 502, 503), (status, body)
@@ -267,3 +269,23 @@
         if status == 200:
             assert attempt in ran
     assert any(status == 200 for status, _, _ in context.bookings)
+
+
+_FIRST_LINES = """
+import runpy, signal, sys, types
+main = types.ModuleType("cowslipcourse.entry.main")
+main.main = lambda: print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
+sys.modules["cowslipcourse.entry.main"] = main
+runpy.run_module("cowslipcourse.entry", run_name="__main__")
+"""
+
+
+@when("the program has run no more than its first lines")
+def step_first_lines(context):
+    command = [sys.executable, "-c", _FIRST_LINES]
+    context.printed = subprocess.check_output(command, text=True)
+
+
+@then("SIGHUP is ignored")
+def step_ignored(context):
+    assert context.printed == "True\n", context.printed
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import NamedTuple
 
 from starlette.applications import Starlette
 from starlette.responses import JSONResponse, Response, StreamingResponse
@@ -31,6 +32,7 @@
 KEY = "key-1"
 PLAIN = "roster"
 EVENT_S = 0.02
+PLAIN_S = 0.01
 EVENTS = 25
 QUICK = (
     LARGE._replace(load_s=1.0, warm_s=0.3),
@@ -44,6 +46,21 @@
 }
 
 
+class PlainRun(NamedTuple):
+    """A request that a plain target ran.
+
+    :param attempt: the caller's attempt id.
+    :param path: path of the request.
+    :param target: name of the target.
+    :param at: loop time at which it came.
+    """
+
+    attempt: str
+    path: str
+    target: str
+    at: float
+
+
 def stream_events(name):
     """Return the events of the stream that a path leads to."""
     return [f"id: {n}\ndata: {name} {n}\n\n".encode() for n in range(1, EVENTS + 1)]
@@ -76,6 +93,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="cowslip-platform-"))
         self.processes = {}
         self.fronts = {}
+        self.directories = {}
         self.runs = []
         self.keys = [KEY]
         self.configuration = 1
@@ -161,7 +179,7 @@
         """Start an engine."""
         engine = self.world.add_engine(domain)
         address = f"127.0.0.1:{free_ports(1)[0]}"
-        self._addresses[engine.id] = address
+        self._addresses[engine.id] = await self.published_address(address)
         report, order, stream = (
             functools.partial(call, engine)
             for call in (self._report, self._order, self._stream)
@@ -177,18 +195,30 @@
         address = f"127.0.0.1:{free_ports(1)[0]}"
 
         async def run(request):
-            self.runs.append((request.headers["x-attempt-id"], request.url.path))
-            headers = {
-                "x-attempt-id": request.headers["x-attempt-id"],
-                "x-response-seal": name,
-            }
+            attempt = request.headers["x-attempt-id"]
+            now = asyncio.get_running_loop().time()
+            self.runs.append(PlainRun(attempt, request.url.path, name, now))
+            await asyncio.sleep(PLAIN_S)
+            headers = {"x-attempt-id": attempt, "x-response-seal": name}
             return Response(b"done", headers=headers)
 
         path = Route("/{kind}/{name}", run, methods=["GET", "POST"])
         await self._serve(Starlette(routes=[path]), address)
-        entry = {"service": PLAIN, "address": address, "zone": "n", "state": "ready"}
+        self.list_plain(name, await self.published_address(address))
+
+    def list_plain(self, name, address, state="ready"):
+        """Write the entry of a plain target."""
+        entry = {"service": PLAIN, "address": address, "zone": "n", "state": state}
         self.store.put("servers", name, json.dumps(entry | {"slots": 6}).encode())
 
+    async def published_address(self, address):
+        """Return the address under which a target is listed."""
+        return address
+
+    def store_address_of(self, name):
+        """Return the address at which a daemon reaches the store."""
+        return self.store_address
+
     def _fields(self, engine):
         found = engine.membership
         fields = {"domain": engine.domain, "staged": list(engine.staged), "models": []}
@@ -273,23 +303,28 @@
     # Daemons.
 
     def start_daemon(self, name):
-        """Start a daemon as a process."""
+        """Start a daemon as a process, with the same settings as before if it ran."""
+        path = self.folder / f"{name}.toml"
+        if name not in self.fronts:
+            self._write_settings(name, path)
+        log = (self.folder / f"{name}.log").open("a")
+        command = [sys.executable, "-m", "cowslipcourse.entry", "run", str(path)]
+        environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
+        self.processes[name] = subprocess.Popen(
+            command, stdout=log, stderr=subprocess.STDOUT, env=environment
+        )
+
+    def _write_settings(self, name, path):
         ports = free_ports(4)
         front, directory, ready, peer = (f"127.0.0.1:{port}" for port in ports)
-        path = self.folder / f"{name}.toml"
         path.write_text(
             f'name = "{name}"\ndata_centre = "n"\n'
             f'[listen]\nfront = "{front}"\ndirectory = "{directory}"\n'
             f'ready = "{ready}"\npeer = "{peer}"\n'
-            f'[store]\naddress = "{self.store_address}"\n'
-        )
-        log = (self.folder / f"{name}.log").open("a")
-        command = [sys.executable, "-m", "cowslipcourse.entry.main", "run", str(path)]
-        environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
-        self.processes[name] = subprocess.Popen(
-            command, stdout=log, stderr=subprocess.STDOUT, env=environment
+            f'[store]\naddress = "{self.store_address_of(name)}"\n'
         )
         self.fronts[name] = front
+        self.directories[name] = directory
 
     def logs(self):
         """Return what the daemons wrote, by name."""
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -9,6 +9,9 @@
 
 __all__ = ["Store"]
 
+LOST_S = 5.0
+"""Longer than any caller waits for an answer."""
+
 
 class Store:
     """Tables with versions and a feed."""
@@ -17,6 +20,8 @@
         self.rows = {}
         self.version = 0
         self.is_away = False
+        self.delay_s = 0.0
+        self.loses_answers = False
         self._changed = asyncio.Event()
 
     def put(self, table, key, value):
@@ -61,6 +66,7 @@
         return sorted(found, key=lambda row: row["ver"])
 
     async def _get(self, request):
+        await asyncio.sleep(self.delay_s)
         if self.is_away:
             return Response(status_code=503)
         found = self._found(request.query_params["table"], 0)
@@ -83,6 +89,7 @@
                 continue
 
     async def _write(self, request):
+        await asyncio.sleep(self.delay_s)
         if self.is_away:
             return Response(status_code=503)
         body = await request.json()
@@ -92,4 +99,7 @@
                 return JSONResponse({"rows": []}, status_code=412)
         for row in body["puts"]:
             self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        if self.loses_answers:
+            # The caller's time is over before this is.
+            await asyncio.sleep(LOST_S)
         return JSONResponse({"ver": self.version})
