A soak of the real processes under random faults

Change: soak/ draws faults from a seed, in series that overlap, and applies them from outside: signals (kill, pause, stop, reload, all at once), loopback proxies before callers, store and targets (delay, silence, one way, reset), the store (away, slow, answers lost), engines (dark, lost, added), targets that leave, keys that change. One first report was the soak's own: a proxy accepted for a daemon that was not there. Clocks: the daemon reads the time of day only for its incarnation; not disturbed here.

--- /dev/null
+++ b/features/soak/soak.feature
@@ -0,0 +1,34 @@
+Feature: A soak of the real programs under random faults
+  Daemons run as separate processes behind loopback proxies; faults come in series and
+  overlap. `scripts/soak FIRST LAST` runs more seeds.
+
+  Scenario: A short run with fixed seeds keeps every promise
+    When the soak runs seeds 1 to 2 with 6 s of faults each
+    Then no promise was broken
+
+  Scenario Outline: A broken promise is noticed
+    Given a soak's history in which <what happened>
+    Then the checks say "<finding>"
+
+    Examples:
+      | what happened                                          | finding                         |
+      | a stream lacks an event                                | wrong answer                    |
+      | a booking ran twice                                    | ran 2 times                     |
+      | a booking that was told not run had run                | told not run, but it ran        |
+      | a booking succeeded without a run                      | success without a run           |
+      | a planned stop cut a stream                            | cut off by planned work         |
+      | a key is served 4 s after it was taken away            | served by a key taken away      |
+      | a new key is refused 4 s after it came                 | refused a key in force          |
+      | a daemon takes an old key after a newer one            | went back to an older           |
+      | a target gets a request 4 s after it began to leave    | sent to a target that left      |
+      | a process ended by itself                              | process ended by itself         |
+
+  Scenario Outline: What faults explain is no finding
+    Given a soak's history in which <what happened>
+    Then the checks say nothing
+
+    Examples:
+      | what happened                                          |
+      | a killed daemon cut a stream                           |
+      | a key is served 4 s after it was taken away, without the store |
+      | a target gets a request 1 s after it began to leave    |
