Requests that can still be on time go first at engines

Change: entry/urgency.py sets the platform's request priority from the operator's rank and from whether the caller has waited longer than the objective, which its budget tells. Nothing is refused or held for it.

--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
+from cowslipcourse.entry.urgency import urgency
 from cowslipcourse.exceptions import TargetUnreachable
 from cowslipcourse.exchange import ConnectionPool, TargetRequest
 from cowslipcourse.platform.edge import attempt_header, target_headers
@@ -56,7 +57,8 @@
             left_s = call.deadline - loop.time()
             if left_s <= 0:
                 raise TargetUnreachable("no time is left", sent=False)
-            request = _target_request(call, entry, left_s, last_event)
+            waited_s = loop.time() - call.arrived_at
+            request = _target_request(call, entry, left_s, waited_s, last_event)
             connection.send(request)
             yield Attempt(entry, connection, loop.time())
         finally:
@@ -70,9 +72,10 @@
         self._pool.sweep({(entry.id, entry.address) for entry in entries})
 
 
-def _target_request(call, entry, left_s, last_event):
+def _target_request(call, entry, left_s, waited_s, last_event):
+    level = urgency(call.route, call.workspace, call.fields.budget_s, waited_s)
     headers = target_headers(
-        call.headers, entry, left_s, call.workspace_name, last_event
+        call.headers, entry, left_s, level, call.workspace_name, last_event
     )
     return TargetRequest(
         call.method, call.path, headers, call.body, attempt_header(call.fields)
--- a/cowslipcourse/platform/edge.py
+++ b/cowslipcourse/platform/edge.py
@@ -25,6 +25,7 @@
 _LAST_EVENT = b"last-event-id"
 _MODEL = b"x-model"
 _NOT_EXECUTED = b"x-not-executed"
+_URGENCY = b"x-request-priority"
 _WORKSPACE = b"x-tenant"
 
 _HOP_BY_HOP = frozenset(
@@ -42,9 +43,7 @@
     )
 )
 # Set by the system alone, whatever a caller sends.
-_OWN = frozenset(
-    (_KEY, _WORKSPACE, _EXPECTED_ID, _BUDGET, b"content-length", b"x-request-priority")
-)
+_OWN = frozenset((_KEY, _WORKSPACE, _EXPECTED_ID, _BUDGET, _URGENCY, b"content-length"))
 MISDIRECTED = 421
 """Status of a target that is not the one that was meant; it has run nothing."""
 
@@ -111,12 +110,13 @@
     return _ATTEMPT, fields.attempt_id
 
 
-def target_headers(headers, entry, left_s, workspace, last_event=None):
+def target_headers(headers, entry, left_s, urgency, workspace, last_event=None):
     """Return the headers of the request to a target.
 
     :param headers: the caller's ``(lower-case name, value)`` pairs.
     :param entry: :class:`~cowslipcourse.ports.TargetEntry` that is meant.
     :param left_s: seconds left for the answer.
+    :param urgency: from 0, the most urgent, to 9.
     :param workspace: name of the caller's workspace, or ``None``.
     :param last_event: id of the last event of a stream that is resumed; ``None`` to
         leave it as the caller sent it.
@@ -125,6 +125,7 @@
     kept = [(name, value) for name, value in headers if name not in dropped]
     kept.append((_BUDGET, b"%d" % max(1, int(left_s * MS))))
     kept.append((_EXPECTED_ID, entry.id.encode()))
+    kept.append((_URGENCY, b"%d" % urgency))
     if workspace is not None:
         kept.append((_WORKSPACE, workspace.encode()))
     if last_event is not None:
--- a/features/steps/route_steps.py
+++ b/features/steps/route_steps.py
@@ -84,11 +84,12 @@
     fields = read_caller_fields(context.headers)
     assert (fields.key, fields.budget_s) == ("k1", 9.0)
     entry = TargetEntry("i-1", "s", "a:1", "dc", 1)
-    sent = dict(target_headers(context.headers, entry, 2.5, "north"))
+    sent = dict(target_headers(context.headers, entry, 2.5, 3, "north"))
     assert sent == {
         b"host": b"h",
         b"x-attempt-id": b"a1",
         b"x-tenant": b"north",
         b"x-expect-instance": b"i-1",
         b"x-time-budget-ms": b"2500",
+        b"x-request-priority": b"3",
     }, sent
