Soak: a list that stops and a daemon that does not listen yet are told from faults of the product

The logs show no entry of an engine after 18 s: the small platform wrote its list of targets until an engine was added, whose address was not known yet, and its task died unseen. Ruled out: the coordinator (it had opened the group; the list never said so), suspicion (e10 answered 421). Change: the list leaves out engines without an address; a task of the site that ends is a finding; a daemon counts as disturbed until it listens.

--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -236,7 +236,11 @@
         """Keep the list of targets up to date."""
         while True:
             await asyncio.sleep(0.05)
-            live = {e.id: e for e in self.world.engines.values() if not e.is_dark}
+            live = {
+                engine.id: engine
+                for engine in self.world.engines.values()
+                if engine.id in self._addresses and not engine.is_dark
+            }
             for engine_id, engine in live.items():
                 entry = self._fields(engine) | {
                     "service": SERVICE,
--- a/soak/site.py
+++ b/soak/site.py
@@ -51,6 +51,8 @@
         for number in range(DAEMONS):
             await self._add_daemon(f"a{number + 1}")
         self._tasks.append(asyncio.create_task(self._restart_ended()))
+        for task in self._tasks:
+            task.add_done_callback(self._note_broken)
 
     async def _add_daemon(self, name):
         self._store_proxies[name] = await self._proxy(self.store_address)
@@ -91,6 +93,7 @@
                     await self._restart(name, process)
 
     async def _restart(self, name, ended):
+        """Start a daemon again; it counts as disturbed until it listens."""
         if ended.pid not in self._expected_ends:
             self.history.own_ends.append((name, ended.returncode))
         # It ended at some time since the last look.
@@ -98,6 +101,21 @@
         await asyncio.sleep(RESTART_S)
         self.start_daemon(name)
         self.history.started(name, ended_at)
+        self._begin(self._wait_until_ready(name))
+
+    async def _wait_until_ready(self, name):
+        process = self.processes[name]
+        host, port = self.fronts[name].rsplit(":", 1)
+        with self.history.disturbance(name):
+            while process.poll() is None:
+                try:
+                    _, writer = await asyncio.open_connection(host, int(port))
+                except OSError:
+                    # It does not listen yet.
+                    await asyncio.sleep(WATCH_S)
+                    continue
+                writer.close()
+                return
 
     # Faults.
 
@@ -106,14 +124,20 @@
 
         :param fault: :class:`~soak.schedule.Fault`
         """
-        deed = asyncio.create_task(self._apply(fault))
+        self._begin(self._apply(fault))
+
+    def _begin(self, coroutine):
+        deed = asyncio.create_task(coroutine)
         self._deeds.add(deed)
         deed.add_done_callback(self._done)
 
     def _done(self, deed):
         self._deeds.discard(deed)
-        if not deed.cancelled() and deed.exception() is not None:
-            self.history.broken_faults.append(repr(deed.exception()))
+        self._note_broken(deed)
+
+    def _note_broken(self, task):
+        if not task.cancelled() and task.exception() is not None:
+            self.history.broken_faults.append(repr(task.exception()))
 
     async def faults_over(self):
         """Wait until all faults have ended."""
