Engines that leave a given-up group are asked once they may be free

Cause: members of a group whose head is lost were asked twice a second for 4.5 s (27 reports), and retired groups were looked into again at every heartbeat that suspected their heads. Ruled out: questions to spares (once a suspicion). Change: the next question is due when an engine that was seen away may have been so for long enough; suspicions of retired groups are not looked into. Test: features/group_plans/evidence.feature.

--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -116,7 +116,9 @@
         recent[target, epoch] = now
         for plan in self._plans.values():
             group = plan.group_of(target)
-            if group is not None and group.head == target and group.epoch == epoch:
+            if group is None or group.is_retired:
+                continue
+            if group.head == target and group.epoch == epoch:
                 log.info("group-suspected", group=group.name, epoch=epoch)
                 for member in group.members:
                     self._spawn_ask(plan.domain, member, attempts=2)
@@ -176,7 +178,8 @@
         plan = self._plan(domain)
         knowledge.forget(lambda engine: plan.group_of(engine) is not None)
         models = {model.name: model for model in spec.models}
-        for step in next_steps(plan, knowledge.engines, models, now):
+        steps = next_steps(plan, knowledge.engines, models, self.settings.stall_s, now)
+        for step in steps:
             if step.kind is StepKind.ASK:
                 self._spawn_ask(domain, step.engine)
             else:
--- a/cowslipcourse/groups/knowledge.py
+++ b/cowslipcourse/groups/knowledge.py
@@ -30,7 +30,7 @@
         self.opened_at = {}
         self.staging = None
         self.ask_from = 0.0
-        self._away_from = None
+        self.away_from = None
         self._away_count = None
         self._was_ready = set()
         self._note(entry.membership)
@@ -99,9 +99,9 @@
         Orders count up when they begin, so the same count proves that no late order
         has brought it into a group between two reports.
         """
-        if self._away_from is None:
+        if self.away_from is None:
             return 0.0
-        return self.reported_at - self._away_from
+        return self.reported_at - self.away_from
 
     def was_ready(self, group):
         """Whether it was seen ready in a planned group with its present members."""
@@ -137,9 +137,9 @@
 
     def _note_away(self, report, asked_at):
         if report.membership is not None:
-            self._away_from = None
-        elif self._away_from is None or report.order_count != self._away_count:
-            self._away_from = asked_at
+            self.away_from = None
+        elif self.away_from is None or report.order_count != self._away_count:
+            self.away_from = asked_at
             self._away_count = report.order_count
 
     def _is_older(self, membership):
--- a/cowslipcourse/groups/orders.py
+++ b/cowslipcourse/groups/orders.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from cowslipcourse.groups.knowledge import REPORT_LAG_S
 from cowslipcourse.ports import EngineOrder, GroupState, OrderName
 
 __all__ = ["Step", "StepKind", "next_steps"]
@@ -12,7 +13,13 @@
 OPEN_AGAIN_S = 1.5
 """The same for an open order, which takes effect after the opening time."""
 ASK_AGAIN_S = 0.5
-"""Interval at which engines of a group that is given up are asked."""
+"""Interval at which engines are asked that still have to leave a group."""
+ASK_MARGIN_S = 0.02
+"""Asked that much after an engine may have been away for long enough."""
+HEAD_AWAY_S = REPORT_LAG_S
+"""Time for which a head's reports must say that it has left: they may be that old."""
+STALL_MARGIN_S = 0.5
+"""More than the stall limit before a head counts as broken: clocks and reports lag."""
 REJOIN_S = 0.2
 """Time of a join if the engine served that model last."""
 
@@ -37,18 +44,19 @@
     order: EngineOrder | None = None
 
 
-def next_steps(plan, engines, models, now):
+def next_steps(plan, engines, models, stall_s, now):
     """Return the steps that a domain needs now.
 
     :param plan: :class:`~cowslipcourse.groups.DomainPlan`
     :param engines: :class:`~cowslipcourse.groups.EngineKnowledge` by id.
     :param models: :class:`~cowslipcourse.routes.EngineModel` by name.
+    :param stall_s: time after which a head that lacks a member is broken.
     :param now: loop time.
     """
     steps = []
     for group in plan.groups:
         if group.is_retired:
-            steps += _retire(group, engines, now)
+            steps += _retire(group, engines, stall_s, now)
         elif all(m in engines and engines[m].is_live for m in group.members):
             steps += _form(group, engines, models, now)
     steps += _free_strays(plan, engines)
@@ -114,29 +122,32 @@
     return Step(StepKind.ORDER, engine.id, order)
 
 
-def _retire(group, engines, now):
+def _retire(group, engines, stall_s, now):
     """Make the head leave, which frees the members.
 
     If the head does not answer, the others leave: then it breaks by itself.
     """
     head = engines.get(group.head)
     if head is not None and head.silent_since is None:
-        return _leave(group, head, now)
+        return _leave(group, head, HEAD_AWAY_S, now)
+    away_s = stall_s + STALL_MARGIN_S
     steps = []
     for member in group.members:
         engine = engines.get(member)
         if engine is not None and engine is not head and engine.is_live:
-            steps += _leave(group, engine, now)
+            steps += _leave(group, engine, away_s, now)
     return steps
 
 
-def _leave(group, engine, now):
-    """Make an engine leave a group, and ask it now and then whether it stays away."""
+def _leave(group, engine, away_s, now):
+    """Make an engine leave a group, and ask it when it may have been away for long."""
     if engine.state_in(group) is not None:
         return [_order(engine, OrderName.LEAVE, group)]
-    if (engine.reported_at or 0.0) <= now - ASK_AGAIN_S:
-        return [Step(StepKind.ASK, engine.id)]
-    return []
+    if engine.away_from is not None and engine.away_s <= away_s:
+        due_at = engine.away_from + away_s + ASK_MARGIN_S
+    else:
+        due_at = (engine.reported_at or 0.0) + ASK_AGAIN_S
+    return [Step(StepKind.ASK, engine.id)] if now >= due_at else []
 
 
 def _free_strays(plan, engines):
--- a/cowslipcourse/groups/situation.py
+++ b/cowslipcourse/groups/situation.py
@@ -1,6 +1,6 @@
 """What follows from the knowledge of a domain for the revision of its plan."""
 
-from cowslipcourse.groups.knowledge import REPORT_LAG_S
+from cowslipcourse.groups.orders import HEAD_AWAY_S, STALL_MARGIN_S
 from cowslipcourse.groups.revision import EngineView, Wish
 from cowslipcourse.ports import GroupState
 
@@ -13,8 +13,6 @@
     "wishes",
 ]
 
-STALL_MARGIN_S = 0.5
-"""More than the stall limit before a head counts as broken: clocks and reports lag."""
 HALF_GROUP = 0.5
 """Added to the number of groups, so that the first group of a model has an urgency."""
 
@@ -59,8 +57,8 @@
         return False
     head = knowledge.engines.get(group.head)
     if head is not None and head.silent_since is None:
-        return head.away_s > REPORT_LAG_S
-    is_away = engine.away_s > REPORT_LAG_S or not engine.is_live
+        return head.away_s > HEAD_AWAY_S
+    is_away = engine.away_s > HEAD_AWAY_S or not engine.is_live
     return is_away and _has_broken(group, knowledge, stall_s)
 
 
--- a/features/group_plans/evidence.feature
+++ b/features/group_plans/evidence.feature
@@ -26,3 +26,9 @@
     Given a domain whose engine refused an order at 10.0 s as its count differed
     Then nothing is asked at 10.1 s
     And it is asked at 10.4 s
+
+  Scenario: A member of a group that is given up is asked once it may be free, not before
+    Given a retired group whose head is lost, with e1 that left at 10.0 s
+    Then nothing is asked at 12.0 s
+    And nothing is asked at 14.4 s
+    And it is asked at 14.6 s
--- a/features/steps/evidence_steps.py
+++ b/features/steps/evidence_steps.py
@@ -12,6 +12,7 @@
 from cowslipcourse.ports import EngineReport, GroupState, Membership, TargetEntry
 from cowslipcourse.routes import EngineModel
 
+STALL_S = 4.0
 LARGE = EngineModel("large", 1, 1.0, 1.0, 16.0, 1.6)
 
 
@@ -79,7 +80,8 @@
 
 
 def _kinds(context, now):
-    steps = next_steps(context.plan, {"e1": context.engine}, {"large": LARGE}, now)
+    engines, models = {"e1": context.engine}, {"large": LARGE}
+    steps = next_steps(context.plan, engines, models, STALL_S, now)
     return [step.kind for step in steps]
 
 
@@ -91,3 +93,11 @@
 @then("it is asked at {now:f} s")
 def step_asked(context, now):
     assert _kinds(context, now) == [StepKind.ASK]
+
+
+@given("a retired group whose head is lost, with {engine} that left at {at:f} s")
+def step_retired(context, engine, at):
+    context.engine = EngineKnowledge(_entry())
+    context.engine.see_report(EngineReport(5, None, ()), at)
+    group = PlannedGroup("g1", "large", 4, ("e0", "e1"), is_retired=True)
+    context.plan = DomainPlan("north", 3, (group,))
