The oldest reporter coordinates, whichever reporter of its data centre spoke last

A data centre of more than eight daemons has two reporters; of other data centres only the newest digest counted, so while the younger reporter had spoken last, the older one's registration was not seen and the next data centre's reporter took over. Ruled out: lost digests (the turns follow each digest by one tick), slow daemons (no own-pause lines). Change: PeerRegistry.coordinator looks at all digests that are fresh. It was safe (no rule broken, duels), but orders were paid twice and repairs waited.

--- a/cowslipcourse/peers/registry.py
+++ b/cowslipcourse/peers/registry.py
@@ -88,13 +88,21 @@
     def digests(self, now):
         """Return one fresh digest of each other data centre."""
         newest = {}
-        for (data_centre, _), heard in self._digests.items():
-            if now - heard.at < self._settings.alive_s:
-                known = newest.get(data_centre)
-                if known is None or heard.at > known.at:
-                    newest[data_centre] = heard
+        for heard in self._fresh_digests(now):
+            data_centre = heard.message.reporter.data_centre
+            known = newest.get(data_centre)
+            if known is None or heard.at > known.at:
+                newest[data_centre] = heard
         return [heard.message for heard in newest.values()]
 
+    def _fresh_digests(self, now):
+        """Return what was heard lately from every reporter of other data centres."""
+        return [
+            heard
+            for heard in self._digests.values()
+            if now - heard.at < self._settings.alive_s
+        ]
+
     def near_addresses(self, now):
         """Return the addresses of the daemons of the own data centre."""
         self._forget(now)
@@ -111,10 +119,9 @@
         """
         self._forget(now)
         heard = {}
-        for (data_centre, _), digest in self._digests.items():
-            if now - digest.at < self._settings.alive_s:
-                reporter = digest.message.reporter
-                heard.setdefault(data_centre, []).append(reporter.peer_address)
+        for digest in self._fresh_digests(now):
+            reporter = digest.message.reporter
+            heard.setdefault(reporter.data_centre, []).append(reporter.peer_address)
         found = [address for addresses in heard.values() for address in addresses]
         found += [
             address
@@ -151,7 +158,8 @@
         first = self.reporters(own, now)[:1]
         near = [own, *self.near(now)]
         able = [h.member for h in near if h.member.name in first]
-        able += [digest.reporter for digest in self.digests(now)]
+        # A large data centre has two reporters, and either may have spoken last.
+        able += [heard.message.reporter for heard in self._fresh_digests(now)]
         able = [member for member in able if member.registration]
         if not able:
             return None
--- a/features/knowledge/knowledge.feature
+++ b/features/knowledge/knowledge.feature
@@ -44,6 +44,14 @@
     When a2 does not reach the store
     Then a1 reports for north, and a1 coordinates
 
+  Scenario: The oldest reporter coordinates, whichever reporter of its data centre spoke last
+    Given a1 in north, and two reporters b1 and b2 in south, registered in the order b1 a1 b2
+    Then b1 coordinates in the view of a1
+    When b2 speaks again
+    Then b1 coordinates in the view of a1
+    When b1 has been silent for longer than a daemon that lives
+    Then a1 coordinates in the view of a1
+
   Scenario: Old heartbeats are not taken
     Given a heartbeat of incarnation 2 with sequence 5
     Then sequence 4 and incarnation 1 are ignored, and incarnation 3 is taken
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -54,6 +54,38 @@
     assert context.peers.coordinator(heartbeat("a1", 30), context.now) == "a2"
 
 
+@given("a1 in north, and two reporters b1 and b2 in south, registered in the order {_}")
+def step_two_reporters(context, _):
+    context.now = 100.0
+    context.peers = PeerRegistry(PeerSettings(), "north")
+    _digest(context, "b1", 10, 1)
+    _digest(context, "b2", 50, 1)
+
+
+def _digest(context, name, registration, sequence):
+    reporter = member(name, registration, "south")
+    digest = Digest(reporter, sequence, (reporter,), {}, {})
+    assert context.peers.note_digest(digest, context.now)
+
+
+@when("b2 speaks again")
+def step_b2(context):
+    context.now += 0.2
+    _digest(context, "b2", 50, 2)
+
+
+@when("b1 has been silent for longer than a daemon that lives")
+def step_b1_silent(context):
+    context.now += PeerSettings().alive_s
+    _digest(context, "b2", 50, 3)
+
+
+@then("{name} coordinates in the view of a1")
+def step_view(context, name):
+    found = context.peers.coordinator(heartbeat("a1", 30), context.now)
+    assert found == name, found
+
+
 @given("a heartbeat of incarnation 2 with sequence 5")
 def step_newest(context):
     context.peers = PeerRegistry(PeerSettings(), "north")
