Entries dropped soon after an outage are held for 1.5 s, and dropped by all daemons then

By reading: for 2.2 s after the store answers again a reporter ignores drops, as entries that lapsed come back; it learns of them by the read that follows, and daemons that rest never do if nothing else changes, as the push went without them. Ruled out: lost pushes (made good by a read), slow link (5 ms from sending to arrival). Change: each drop is held for 1.5 s; if the entry has not come back, the reporter drops it and pushes that, which daemons that rest take at the same version. Test that failed first: features/knowledge, "An entry that is dropped soon after an outage" (the resting daemon kept t2 for ever).

--- a/cowslipcourse/entry/knowledge.py
+++ b/cowslipcourse/entry/knowledge.py
@@ -27,6 +27,9 @@
 
 RETURN_S = 2.2
 """After an outage, entries that lapsed meanwhile are back within about two seconds."""
+HOLD_S = 1.5
+"""Time for which an entry that is dropped soon after an outage is kept: it may have
+lapsed and be back. A target must get nothing new 2 s after its entry is dropped."""
 LOOK_S = 0.1
 """Interval at which it is checked whether a peer must be read."""
 BEHIND_S = 0.3
@@ -57,6 +60,7 @@
         self._content = None
         self._entries = {}
         self._settled_at = 0.0
+        self._held = {}
         self._behind_since = None
         self._session = None
         self._follows = True
@@ -152,8 +156,10 @@
         loop = asyncio.get_running_loop()
         gone = tuple(row.key for row in changes.rows if row.deleted)
         if loop.time() < self._settled_at:
+            self._held |= dict.fromkeys(gone, loop.time() + HOLD_S)
             gone = ()
         changed = {row.key: row.value for row in changes.rows if not row.deleted}
+        self._held = {t: at for t, at in self._held.items() if t not in changed}
         message = TargetChanges(after, changes.version, changed, gone)
         self._apply(message)
         self._listener.push(message)
@@ -170,12 +176,24 @@
             log.info("target-gone", id=target)
         self._listener.take_targets(entries, message.gone)
 
+    def _drop_held(self, now):
+        """Drop the entries that were held and have not come back, for all daemons."""
+        due = tuple(target for target, at in self._held.items() if now >= at)
+        if not due:
+            return
+        self._held = {t: at for t, at in self._held.items() if t not in due}
+        version = self.targets_version
+        message = TargetChanges(version, version, {}, due)
+        self._apply(message)
+        self._listener.push(message)
+
     async def _settle(self):
         """Read all targets again once what lapsed in an outage had time to return."""
         loop = asyncio.get_running_loop()
         settled_at = 0.0
         while True:
             await asyncio.sleep(LOOK_S)
+            self._drop_held(loop.time())
             if self._settled_at > settled_at and loop.time() >= self._settled_at:
                 settled_at = self._settled_at
                 self._targets.read_again()
@@ -183,8 +201,14 @@
     # From peers.
 
     def take_push(self, message):
-        """Take in a reporter's :class:`~cowslipcourse.peers.TargetChanges`."""
-        if self._follows or message.version <= self.targets_version:
+        """Take in a reporter's :class:`~cowslipcourse.peers.TargetChanges`.
+
+        One that leads to no newer version tells of entries that were held.
+        """
+        if self._follows or message.version < self.targets_version:
+            return
+        was_held = message.after == message.version
+        if message.version == self.targets_version and not was_held:
             return
         if message.after <= self.targets_version:
             self._apply(message)
--- a/features/knowledge/knowledge.feature
+++ b/features/knowledge/knowledge.feature
@@ -20,6 +20,13 @@
     Then the daemon knows t1 and t2 1 s later
     And the daemon knows t1 4 s later
 
+  Scenario: An entry that is dropped soon after an outage is held for 1.5 s, then gone for all
+    Given a daemon that follows a store with the targets t1 and t2
+    When the store is away for 3 s, comes back, and drops t2 0.3 s later
+    Then the daemon knows t1 and t2 1 s later
+    And the daemon knows t1 2 s later
+    And a resting daemon that took all its pushes knows t1
+
   Scenario: A dropped history is read again as a whole
     Given a daemon that follows a store with the targets t1 and t2
     When the store drops its history and t3 is added
--- a/features/steps/knowledge_steps.py
+++ b/features/steps/knowledge_steps.py
@@ -27,6 +27,7 @@
 def _play(context, change, looks):
     async def run():
         knowledge, _, listener = make_knowledge(context.store)
+        context.pushes = listener.pushes
         tasks = [asyncio.create_task(c) for c in knowledge.coroutines()]
         await asyncio.sleep(4.0)
         await change(context.store)
@@ -53,6 +54,30 @@
     _play(context, change, (1, 4))
 
 
+@when("the store is away for 3 s, comes back, and drops t2 0.3 s later")
+def step_away_drops(context):
+    async def change(store):
+        store.is_away = True
+        await asyncio.sleep(3.0)
+        store.is_away = False
+        # The daemon tries again every half a second at the latest.
+        await asyncio.sleep(0.8)
+        store.deletes = "t2"
+
+    _play(context, change, (1, 2))
+
+
+@then("a resting daemon that took all its pushes knows {targets}")
+def step_pushed(context, targets):
+    rests, _, listener = make_knowledge(FlakyStore())
+    rests.configuration, rests.targets_version = 7, 1
+    listener.targets = {"t1", "t2"}
+    rests.follow(False)
+    for push in context.pushes:
+        rests.take_push(push)
+    assert listener.targets == set(targets.split()), context.pushes
+
+
 @when("the store drops its history and t3 is added")
 def step_dropped(context):
     async def change(store):
--- a/features/support/knowledge.py
+++ b/features/support/knowledge.py
@@ -22,6 +22,7 @@
         self.version = 1
         self.is_away = False
         self.drops_history = False
+        self.deletes = None
         self.configuration = 7
 
     def rows(self, table):
@@ -47,6 +48,11 @@
         if self.drops_history and table != CONFIGURATION_TABLE:
             self.drops_history = False
             raise HistoryDropped("dropped")
+        if self.deletes is not None and table != CONFIGURATION_TABLE:
+            key, self.deletes = self.deletes, None
+            self.targets.discard(key)
+            self.version += 1
+            return RowChanges((StoredRow(key, b"", 1, deleted=True),), self.version)
         return RowChanges((), self.version)
 
 
@@ -56,6 +62,7 @@
     def __init__(self):
         self.targets = set()
         self.table = None
+        self.pushes = []
 
     def take_configuration(self, table):
         self.table = table
@@ -68,7 +75,7 @@
         self.targets -= set(gone)
 
     def push(self, changes):
-        """Nobody to push to."""
+        self.pushes.append(changes)
 
 
 def _settings():
--- a/soak/site.py
+++ b/soak/site.py
@@ -41,6 +41,8 @@
         self._target_proxies = {}
         self._plain = {}
         self._expected_ends = set()
+        self._alive_at = {}
+        self._restarting = set()
         self._lost = 0
         self._turn = 0
         self._deeds = set()
@@ -89,19 +91,21 @@
         while True:
             await asyncio.sleep(WATCH_S)
             for name, process in list(self.processes.items()):
-                if process.poll() is not None:
-                    await self._restart(name, process)
+                if process.poll() is None:
+                    self._alive_at[name] = asyncio.get_running_loop().time()
+                elif name not in self._restarting:
+                    self._restarting.add(name)
+                    self._begin(self._restart(name, process))
 
     async def _restart(self, name, ended):
-        """Start a daemon again; it counts as disturbed until it listens."""
+        """Start a daemon again; it is disturbed from its end until it listens."""
         if ended.pid not in self._expected_ends:
             self.history.own_ends.append((name, ended.returncode))
-        # It ended at some time since the last look.
-        ended_at = asyncio.get_running_loop().time() - 2 * WATCH_S
         await asyncio.sleep(RESTART_S)
         self.start_daemon(name)
-        self.history.started(name, ended_at)
-        self._begin(self._wait_until_ready(name))
+        self.history.started(name, self._alive_at.get(name, 0.0))
+        self._restarting.discard(name)
+        await self._wait_until_ready(name)
 
     async def _wait_until_ready(self, name):
         process = self.processes[name]
@@ -140,9 +144,10 @@
             self.history.broken_faults.append(repr(task.exception()))
 
     async def faults_over(self):
-        """Wait until all faults have ended."""
+        """Wait until all faults have ended and what ended has been started again."""
         while self._deeds:
             await asyncio.wait(self._deeds)
+            await asyncio.sleep(2 * WATCH_S)
 
     async def _apply(self, fault):
         names = sorted(self.processes)
