A held entry that a whole read lists again stays

Cause: read as a newcomer: an entry held after an outage was forgotten only by a change in the feed. If it came back and only a whole read told so (history dropped, feed broken), it was dropped 1.5 s later although it was there, until its next change. Ruled out: the usual case, in which the feed brings the entry back (it is forgotten then). Change: a whole read forgets what it lists. Test that failed first: features/knowledge, "A held entry that a whole read lists again stays".

--- a/cowslipcourse/entry/knowledge.py
+++ b/cowslipcourse/entry/knowledge.py
@@ -142,6 +142,8 @@
 
     def _see_all_targets(self, everything):
         listed = {row.key: row.value for row in everything.rows}
+        # What the store lists has come back, or was never gone.
+        self._held = {t: at for t, at in self._held.items() if t not in listed}
         if self._targets.was_lost or not self._entries:
             loop = asyncio.get_running_loop()
             self._settled_at = loop.time() + RETURN_S
--- a/features/knowledge/knowledge.feature
+++ b/features/knowledge/knowledge.feature
@@ -27,6 +27,12 @@
     And the daemon knows t1 2 s later
     And a resting daemon that took all its pushes knows t1
 
+  Scenario: A held entry that a whole read lists again stays
+    Given a daemon that follows a store with the targets t1 and t2
+    When t2 is dropped 2.0 s after an outage and is back, which only a whole read tells
+    Then the daemon knows t1 and t2 1 s later
+    And the daemon knows t1 and t2 4 s later
+
   Scenario: A daemon that the store refuses leaves the reading to others for a while
     Given a daemon that follows a store with the targets t1 and t2
     When the store refuses it and it rests then
--- a/features/steps/knowledge_steps.py
+++ b/features/steps/knowledge_steps.py
@@ -78,6 +78,21 @@
     assert listener.targets == set(targets.split()), context.pushes
 
 
+@when("t2 is dropped 2.0 s after an outage and is back, which only a whole read tells")
+def step_back_by_read(context):
+    async def change(store):
+        store.is_away = True
+        await asyncio.sleep(3.0)
+        store.is_away = False
+        await asyncio.sleep(0.5 + 1.5)
+        store.deletes = "t2"
+        await asyncio.sleep(0.35)
+        store.targets.add("t2")
+        store.drops_history = True
+
+    _play(context, change, (1, 4))
+
+
 @when("the store refuses it and it rests then")
 def step_refused(context):
     context.fit = {}
