--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -49,7 +49,7 @@
         """
         loop = asyncio.get_running_loop()
         fresh = not call.route.may_repeat
-        key = (entry.id, entry.address)
+        key = _connection_key(entry)
         self._fleet.started(entry.id)
         connection = None
         try:
@@ -69,7 +69,12 @@
     def sweep(self):
         """Close connections that are too old or lead to targets that left."""
         entries = self._fleet.entries.values()
-        self._pool.sweep({(entry.id, entry.address) for entry in entries})
+        self._pool.sweep({_connection_key(entry) for entry in entries})
+
+
+def _connection_key(entry):
+    """Return what connections are kept by: a target's new start ends its old ones."""
+    return entry.id, entry.incarnation, entry.address
 
 
 def _target_request(call, entry, left_s, waited_s, last_event):
--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -62,11 +62,13 @@
     def __init__(self, tools, store, control, settings, is_coordinator):
         self._tools = tools
         self._store = store
-        self._calls = EngineCalls(control, self._doubt_own_links)
+        self._calls = EngineCalls(control, self._see_report, self._doubt_own_links)
         self.settings = settings
         self._is_coordinator = is_coordinator
         self._domains = {}
+        self._domain_of = {}
         self._plans = {}
+        self._unreadable = frozenset()
         self._confirmed_at = None
         self._grown_at = {}
         self._load_limit = LoadLimit()
@@ -80,25 +82,35 @@
         """Take in changed entries of engines."""
         now = asyncio.get_running_loop().time()
         for entry in entries:
-            if not entry.domain:
+            if not self._is_engine(entry):
+                self.see_gone((entry.id,))
                 continue
+            self._leave_other_domain(entry)
             domain = self._domains.setdefault(entry.domain, DomainKnowledge())
             if entry.id not in domain.engines:
                 self._grown_at[entry.domain] = now
             domain.see_entry(entry)
 
+    def _is_engine(self, entry):
+        """Whether an entry names an engine: its service is one that serves models."""
+        table = self._tools.table
+        spec = None if table is None else table.services.get(entry.service)
+        return bool(entry.domain) and spec is not None and bool(spec.models)
+
+    def _leave_other_domain(self, entry):
+        """An engine is in one domain: two rows could plan it for two groups."""
+        known = self._domain_of.get(entry.id)
+        if known not in (None, entry.domain):
+            log.warning("engine-moved", id=entry.id, known=known, listed=entry.domain)
+            self._domains[known].see_gone(entry.id)
+        self._domain_of[entry.id] = entry.domain
+
     def see_gone(self, ids):
         """Note ids that the list no longer holds."""
-        for domain in self._domains.values():
-            for engine_id in ids:
-                domain.see_gone(engine_id)
-
-    def see_all(self, entries):
-        """Take in a whole list."""
-        listed = {entry.id for entry in entries}
-        for domain in self._domains.values():
-            self.see_gone([e for e in domain.engines if e not in listed])
-        self.see_entries(entries)
+        for engine_id in ids:
+            known = self._domain_of.get(engine_id)
+            if known is not None:
+                self._domains[known].see_gone(engine_id)
 
     def look_into(self, target, epoch):
         """Ask the members of a group whose head was found silent."""
@@ -115,20 +127,27 @@
             return
         recent[target, epoch] = now
         for plan in self._plans.values():
-            group = plan.group_of(target)
-            if group is None or group.is_retired:
-                continue
-            if group.head == target and group.epoch == epoch:
-                log.info("group-suspected", group=group.name, epoch=epoch)
-                for member in group.members:
-                    self._spawn_ask(plan.domain, member)
-                self._ask_free(plan)
-
-    def _ask_free(self, plan):
-        """Ask the spares too: they are needed next, if they are there."""
+            for group in plan.groups:
+                is_meant = group.head == target and group.epoch == epoch
+                if is_meant and not group.is_retired:
+                    self._ask_group(plan, group)
+
+    def _ask_group(self, plan, group):
+        """Ask the members, and the spares: they are needed next, if they are there."""
+        log.info("group-suspected", group=group.name, epoch=group.epoch)
+        for member in group.members:
+            self._spawn_ask(plan.domain, member)
         for engine in spares_of(plan, self._domains[plan.domain]):
             self._spawn_ask(plan.domain, engine.id)
 
+    def engines(self, domain):
+        """Return the :class:`~cowslipcourse.groups.EngineKnowledge` of a domain by id.
+
+        :param domain: name of the domain.
+        """
+        known = self._domains.get(domain)
+        return {} if known is None else known.engines
+
     # The loop.
 
     async def run(self):
@@ -149,8 +168,9 @@
             if self._confirmed_at is None:
                 await self._read_plans()
             for domain in sorted(self._domains):
-                await self._tend(domain)
-        except (StoreError, MalformedAnswer) as error:
+                if domain not in self._unreadable:
+                    await self._tend(domain)
+        except StoreError as error:
             log.warning("groups-not-tended", error=error.code, why=error)
             self._confirmed_at = None
             await asyncio.sleep(TICK_S)
@@ -159,8 +179,15 @@
         asked_at = asyncio.get_running_loop().time()
         found = await self._store.read_table(GROUPS_TABLE)
         self._plans = {}
+        unreadable = set()
         for row in found.rows:
-            self._take_plan(decode_plan(row.key, row.value, row.version))
+            try:
+                self._take_plan(decode_plan(row.key, row.value, row.version))
+            except MalformedAnswer as error:
+                # Who is in its groups is not known, so nothing is done there.
+                log.warning("plan-unreadable", domain=row.key, why=error)
+                unreadable.add(row.key)
+        self._unreadable = frozenset(unreadable)
         self._confirmed_at = asked_at
         log.info("plans-read", domains=len(self._plans), version=found.version)
 
@@ -181,7 +208,8 @@
         shape = self._shape(domain, spec)
         await self._revise(domain, knowledge, spec, shape, now)
         plan = self._plan(domain)
-        knowledge.forget(lambda engine: plan.group_of(engine) is not None)
+        for engine_id in knowledge.forget(plan.names):
+            del self._domain_of[engine_id]
         models = {model.name: model for model in spec.models}
         steps = next_steps(plan, knowledge.engines, models, self.settings.stall_s, now)
         for step in steps:
@@ -234,6 +262,17 @@
         if engine is not None:
             self._calls.ask(engine)
 
+    def _see_report(self, engine, report, asked_at):
+        known = self._domains[engine.entry.domain]
+        if report.incarnation != engine.incarnation:
+            log.info(
+                "engine-other-life",
+                engine=engine.id,
+                known=engine.incarnation,
+                reported=report.incarnation,
+            )
+        known.see_report(engine.id, report, asked_at)
+
     def _doubt_own_links(self):
         """Stop to coordinate if too many engines seem silent at once."""
         engines = [e for d in self._domains.values() for e in d.engines.values()]
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -21,8 +21,15 @@
 from cowslipcourse.entry.side_apps import metrics_app, peer_app
 from cowslipcourse.entry.silence import SilenceWatch
 from cowslipcourse.entry.tools import EntryTools
-from cowslipcourse.exceptions import StoreError
-from cowslipcourse.peers import Heartbeat, Member, PeerRegistry
+from cowslipcourse.exceptions import MalformedAnswer, StoreError
+from cowslipcourse.peers import (
+    Heartbeat,
+    Member,
+    PeerRegistry,
+    Registration,
+    decode_registration,
+    encode_registration,
+)
 from cowslipcourse.platform import (
     HttpEngineControl,
     HttpRowStore,
@@ -43,6 +50,7 @@
 """Interval at which a daemon looks whether it is a reporter."""
 KEPT_ADDRESSES = 3
 """Some callers keep a list of addresses this many times longer than they are told."""
+STOP_LOOK_S = 0.1
 STOP_MARGIN_S = 0.8
 """Left of the grace when the last connections are closed."""
 
@@ -137,14 +145,19 @@
         until = now + self._settings.stop.grace_s - STOP_MARGIN_S
         log.info("stopping", in_flight=self._front.in_flight)
         self._is_ready = False
-        self._front.is_draining = True
+        self._front.drain(until)
         self._link.tell()
         while loop.time() < until:
-            await asyncio.sleep(0.1)
-            is_over = not self._front.in_flight and not servers[0].connections
-            if is_over and loop.time() > kept_until:
+            await asyncio.sleep(STOP_LOOK_S)
+            # Idle connections are no reason to stay: whoever still keeps one has a
+            # newer list of addresses by now.
+            if not self._front.in_flight and loop.time() > kept_until:
                 break
-        log.info("stopped", in_flight=self._front.in_flight)
+        log.info(
+            "stopped",
+            in_flight=self._front.in_flight,
+            connections=servers[0].connections,
+        )
 
     def _take_settings(self, settings):
         """Put changed settings in force."""
@@ -160,11 +173,8 @@
         self._tools.table = table
         self._is_ready = not self._front.is_draining
         log.info("configuration", version=table.version, routes=len(table))
-
-    def take_all_targets(self, entries):
-        """Replace the list of targets."""
-        self._fleet.replace(entries)
-        self._coordinator.see_all(entries)
+        # Which entries name engines follows from the services.
+        self._coordinator.see_entries(self._fleet.entries.values())
 
     def take_targets(self, entries, gone):
         """Apply changes to the list of targets."""
@@ -270,8 +280,9 @@
     async def _register(self):
         """Write this daemon's row, and read the others'."""
         listen = self._settings.listen
-        where = f"{listen.peer} {self._settings.data_centre}"
-        write = RowWrite(DAEMONS_TABLE, self._settings.name, where.encode())
+        where = Registration(listen.peer, self._settings.data_centre)
+        content = encode_registration(where)
+        write = RowWrite(DAEMONS_TABLE, self._settings.name, content)
         while True:
             try:
                 self._registration = await self._store.write(write)
@@ -293,8 +304,12 @@
             return False
         now = asyncio.get_running_loop().time()
         for row in found.rows:
-            address, _, data_centre = row.value.decode().partition(" ")
-            self._registry.add_address(address, data_centre, now)
+            try:
+                known = decode_registration(row.value)
+            except MalformedAnswer as error:
+                log.warning("registration-unreadable", daemon=row.key, why=error)
+                continue
+            self._registry.add_address(known.peer_address, known.data_centre, now)
         self._count_daemons(now)
         self._link.tell()
         return True
--- a/cowslipcourse/entry/engine_calls.py
+++ b/cowslipcourse/entry/engine_calls.py
@@ -18,21 +18,26 @@
 
 
 class EngineCalls:
-    """Calls engines, one call at a time for each, and notes what they answer.
+    """Calls engines, one call at a time for each life, and notes what they answer.
+
+    What an engine answers is noted for the life that was called. If it has started
+    again meanwhile, nobody looks at that any more.
 
     :param control: :class:`~cowslipcourse.ports.EngineControl`
+    :param on_report: called with an engine, its report and when it was asked for.
     :param on_silent: called after an engine was found silent.
     """
 
-    def __init__(self, control, on_silent):
+    def __init__(self, control, on_report, on_silent):
         self._control = control
+        self._on_report = on_report
         self._on_silent = on_silent
         self._busy = set()
         self._tasks = set()
 
     def is_busy(self, engine):
         """Whether a call to an engine is under way."""
-        return engine.id in self._busy
+        return _life(engine) in self._busy
 
     def ask(self, engine):
         """Ask for a report unless a call is under way.
@@ -53,13 +58,13 @@
             self._spawn(engine, self._order(engine, order, models))
 
     def _spawn(self, engine, coroutine):
-        self._busy.add(engine.id)
+        self._busy.add(_life(engine))
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(lambda done: self._done(engine, done))
 
     def _done(self, engine, task):
-        self._busy.discard(engine.id)
+        self._busy.discard(_life(engine))
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             log.warning("call-failed", engine=engine.id, why=repr(task.exception()))
@@ -78,7 +83,7 @@
                 log.info("engine-heard", engine=engine.id)
             if report.pace >= SLOW_PACE:
                 log.info("engine-slow", engine=engine.id, pace=report.pace)
-            engine.see_report(report, asked_at)
+            self._on_report(engine, report, asked_at)
             return
         if engine.silent_since is None:
             log.info("engine-silent", engine=engine.id, why=why)
@@ -116,6 +121,10 @@
             engine.see_refusal(loop.time())
 
 
+def _life(engine):
+    return engine.id, engine.incarnation
+
+
 def _note_not_begun(engine, order):
     """Forget the order count: it must be asked for before the next order."""
     engine.order_count = None
--- a/cowslipcourse/entry/fleet.py
+++ b/cowslipcourse/entry/fleet.py
@@ -14,7 +14,7 @@
 
 
 class _Suspicion(NamedTuple):
-    epoch: int
+    life: tuple[int, int]
     until: float
     length_s: float
 
@@ -57,11 +57,6 @@
         """This daemon's requests in flight by target id."""
         return self._in_flight
 
-    def replace(self, entries):
-        """Take a whole list of entries."""
-        self._entries = {entry.id: entry for entry in entries}
-        self._changed()
-
     def apply(self, entries, gone):
         """Take changed entries and ids that are gone."""
         for entry in entries:
@@ -99,30 +94,32 @@
         """Do not choose a target for a while; return whether that is new."""
         if target in self.suspects(now):
             return False
-        epoch = self._epoch(target)
+        life = self._life(target)
         known = self._suspects.get(target)
-        last_s = known.length_s if known and known.epoch == epoch else 0.0
+        last_s = known.length_s if known and known.life == life else 0.0
         length_s = min(max(FIRST_SUSPECT_S, 2 * last_s), LONGEST_SUSPECT_S)
-        self._suspects[target] = _Suspicion(epoch, now + length_s, length_s)
+        self._suspects[target] = _Suspicion(life, now + length_s, length_s)
         return True
 
     def suspects(self, now):
         """Return the epochs of suspected targets by id."""
         for target, suspicion in list(self._suspects.items()):
             is_old = now >= suspicion.until + FORGET_SUSPECT_S
-            if is_old or suspicion.epoch != self._epoch(target):
+            if is_old or suspicion.life != self._life(target):
                 del self._suspects[target]
         return {
-            target: suspicion.epoch
+            target: suspicion.life[1]
             for target, suspicion in self._suspects.items()
             if now < suspicion.until
         }
 
-    def _epoch(self, target):
+    def _life(self, target):
+        """Return incarnation and epoch, in either of which a target begins anew."""
         entry = self._entries.get(target)
-        if entry is None or entry.membership is None:
-            return 0
-        return entry.membership.epoch
+        if entry is None:
+            return 0, 0
+        epoch = 0 if entry.membership is None else entry.membership.epoch
+        return entry.incarnation, epoch
 
     def load(self, target):
         """Return the requests that all daemons have at a target."""
--- a/cowslipcourse/entry/following.py
+++ b/cowslipcourse/entry/following.py
@@ -108,12 +108,14 @@
             self._version = everything.version
             self._has_read = True
             return
+        after = self._version
         changes = await self._store.changes(
-            self._table, self._version, self._settings.feed_wait_s
+            self._table, after, self._settings.feed_wait_s
         )
         if changes.rows:
-            self._take_changes(self._version, changes)
+            self._take_changes(after, changes)
         if self._version is not None:
+            # Unless the whole table is to be read again by now.
             self._version = changes.version
 
     def _note_failure(self, error):
--- a/cowslipcourse/entry/knowledge.py
+++ b/cowslipcourse/entry/knowledge.py
@@ -10,13 +10,14 @@
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.entry.following import TableFollower
+from cowslipcourse.entry.target_list import TargetList
 from cowslipcourse.exceptions import (
     ConfigurationError,
     MalformedAnswer,
     PeerUnreachable,
 )
 from cowslipcourse.peers import PeerState, TargetChanges, decode_state, encode_state
-from cowslipcourse.platform import decode_configuration, decode_entry
+from cowslipcourse.platform import decode_configuration
 from cowslipcourse.platform.store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
@@ -49,8 +50,8 @@
     :param store: :class:`~cowslipcourse.ports.RowStore`
     :param registry: :class:`~cowslipcourse.peers.PeerRegistry`
     :param rng: :class:`random.Random` that spreads reads over peers.
-    :param listener: has ``take_configuration(table)``, ``take_targets(entries, gone)``,
-        ``take_all_targets(entries)`` and ``push(TargetChanges)``.
+    :param listener: has ``take_configuration(table)``, ``take_targets(entries, gone)``
+        and ``push(TargetChanges)``.
     """
 
     def __init__(self, settings, store, registry, rng, listener):
@@ -58,7 +59,8 @@
         self._registry = registry
         self._listener = listener
         self._content = None
-        self._entries = {}
+        self._list = TargetList()
+        self._refused = None
         self._settled_at = 0.0
         self._held = {}
         self._behind_since = None
@@ -122,7 +124,7 @@
         """
         is_newer = self.configuration > known_configuration
         configuration = self._content if is_newer else None
-        targets = self._entries if self.targets_version > known_targets else {}
+        targets = self._list.contents if self.targets_version > known_targets else {}
         return encode_state(PeerState(configuration, self.targets_version, targets))
 
     # From the store.
@@ -133,9 +135,19 @@
                 self._take_configuration(row.value)
 
     def _take_configuration(self, content):
-        table = decode_configuration(content)
+        """Put a newer configuration in force; an unreadable one changes nothing."""
+        if content in (self._content, self._refused):
+            return
+        try:
+            table, problems = decode_configuration(content)
+        except ConfigurationError as error:
+            self._refused = content
+            log.warning("configuration-refused", error=error.code, why=error)
+            return
         if table.version <= self.configuration:
             return
+        for problem in problems:
+            log.warning("configuration-part-refused", problem=problem)
         self.configuration = table.version
         self._content = content
         self._listener.take_configuration(table)
@@ -144,19 +156,25 @@
         listed = {row.key: row.value for row in everything.rows}
         # What the store lists has come back, or was never gone.
         self._held = {t: at for t, at in self._held.items() if t not in listed}
-        if self._targets.was_lost or not self._entries:
+        known = self._list.contents
+        if self._targets.was_lost or not known:
             loop = asyncio.get_running_loop()
             self._settled_at = loop.time() + RETURN_S
             # What is missing may be back in a moment.
-            listed = {**self._entries, **listed}
+            listed = {**known, **listed}
         self._take_all_targets(listed, everything.version)
 
     def _take_all_targets(self, listed, version):
-        self._entries = listed
         self.targets_version = version
-        entries = _decode_entries(listed)
-        log.info("targets-read", number=len(entries), version=version)
-        self._listener.take_all_targets(entries)
+        changes = self._list.replace(listed)
+        log.info(
+            "targets-read",
+            number=len(self._list.entries),
+            version=version,
+            changed=len(changes.entries),
+            gone=",".join(changes.gone),
+        )
+        self._listener.take_targets(*changes)
 
     def _see_targets(self, after, changes):
         loop = asyncio.get_running_loop()
@@ -171,16 +189,18 @@
         self._listener.push(message)
 
     def _apply(self, message):
-        self._entries |= message.changed
-        for target in message.gone:
-            self._entries.pop(target, None)
         self.targets_version = max(self.targets_version, message.version)
-        entries = _decode_entries(message.changed)
-        for entry in entries:
-            log.info("target", id=entry.id, leaving=entry.is_leaving)
-        for target in message.gone:
-            log.info("target-gone", id=target)
-        self._listener.take_targets(entries, message.gone)
+        changes = self._list.apply(message.changed, message.gone)
+        if any(changes):
+            leaving = [entry.id for entry in changes.entries if entry.is_leaving]
+            log.info(
+                "targets",
+                version=message.version,
+                changed=len(changes.entries),
+                leaving=",".join(leaving),
+                gone=",".join(changes.gone),
+            )
+        self._listener.take_targets(*changes)
 
     def _drop_held(self, now):
         """Drop the entries that were held and have not come back, for all daemons."""
@@ -226,7 +246,7 @@
             for member in self._sources(loop.time()):
                 try:
                     await self._read_peer(member.peer_address)
-                except (PeerUnreachable, MalformedAnswer, ConfigurationError) as error:
+                except (PeerUnreachable, MalformedAnswer) as error:
                     log.info("peer-not-read", peer=member.name, why=error)
                     continue
                 break
@@ -288,13 +308,3 @@
         if self._follows and self.is_current:
             return EVERY_VERSION
         return self.targets_version
-
-
-def _decode_entries(contents):
-    entries = []
-    for target, content in contents.items():
-        try:
-            entries.append(decode_entry(target, content))
-        except MalformedAnswer as error:
-            log.warning("entry-unreadable", id=target, why=error)
-    return entries
--- /dev/null
+++ b/cowslipcourse/entry/target_list.py
@@ -0,0 +1,107 @@
+"""The platform's list of targets as this daemon knows it: bytes, and what they say.
+
+The list may hold entries of other writers. One that cannot be read names no target. If
+its target was known by a good entry before, it takes nothing new until a good one
+comes, as if it were about to leave: what runs there may end, and its group is repaired
+by an engine that is ready for it, if there is one.
+"""
+
+from typing import NamedTuple
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.exceptions import MalformedAnswer
+from cowslipcourse.platform import decode_entry
+
+__all__ = ["EntryChanges", "TargetList"]
+
+MOST_REMEMBERED = 10_000
+"""Targets whose newest life is remembered after they are gone, about 2 MB: an entry of
+an earlier life that comes late must not bring them back."""
+
+log = get_logger(__name__)
+
+
+class EntryChanges(NamedTuple):
+    """What changed in the list.
+
+    :param entries: changed :class:`~cowslipcourse.ports.TargetEntry`.
+    :param gone: ids of targets that were dropped.
+    """
+
+    entries: tuple
+    gone: tuple[str, ...]
+
+
+class TargetList:
+    """Contents and entries by target id; each content is decoded once."""
+
+    def __init__(self):
+        self._contents = {}
+        self._entries = {}
+        self._incarnations = {}
+        self._refused = {}
+
+    @property
+    def contents(self):
+        """Bytes of the entries by target id, good or not."""
+        return self._contents
+
+    @property
+    def entries(self):
+        """Usable entries by target id."""
+        return self._entries
+
+    def replace(self, contents):
+        """Take a whole list and return the :class:`EntryChanges`."""
+        gone = tuple(target for target in self._contents if target not in contents)
+        return self.apply(contents, gone)
+
+    def apply(self, changed, gone):
+        """Take changes and return the :class:`EntryChanges`.
+
+        :param changed: bytes of entries by target id.
+        :param gone: ids of entries that were dropped.
+        """
+        entries = [self._take(target, content) for target, content in changed.items()]
+        for target in gone:
+            self._drop(target)
+        return EntryChanges(tuple(e for e in entries if e is not None), tuple(gone))
+
+    def _take(self, target, content):
+        """Take one entry; return what it changes, or ``None``."""
+        if self._contents.get(target) == content:
+            return None
+        try:
+            entry = decode_entry(target, content)
+        except MalformedAnswer as error:
+            self._contents[target] = content
+            return self._withhold(target, content, error)
+        if entry.incarnation < self._incarnations.get(target, 0):
+            log.info("entry-outdated", id=target, incarnation=entry.incarnation)
+            return None
+        self._contents[target] = content
+        self._refused.pop(target, None)
+        self._remember(entry)
+        self._entries[target] = entry
+        return entry
+
+    def _withhold(self, target, content, error):
+        if self._refused.get(target) != content:
+            self._refused[target] = content
+            log.warning("entry-unreadable", id=target, why=error)
+        known = self._entries.get(target)
+        if known is None or known.is_leaving:
+            return None
+        self._entries[target] = known._replace(is_leaving=True)
+        return self._entries[target]
+
+    def _remember(self, entry):
+        self._incarnations.pop(entry.id, None)
+        self._incarnations[entry.id] = entry.incarnation
+        if len(self._incarnations) > MOST_REMEMBERED:
+            del self._incarnations[next(iter(self._incarnations))]
+
+    def _drop(self, target):
+        self._refused.pop(target, None)
+        self._entries.pop(target, None)
+        self._contents.pop(target, None)
--- a/cowslipcourse/groups/knowledge.py
+++ b/cowslipcourse/groups/knowledge.py
@@ -41,6 +41,11 @@
         """Id of the engine."""
         return self.entry.id
 
+    @property
+    def incarnation(self):
+        """Life of the engine that is known."""
+        return self.entry.incarnation
+
     @property
     def is_live(self):
         """Whether it can be given work."""
@@ -52,7 +57,7 @@
         return self.listed and self.entry.is_leaving and self.silent_since is None
 
     def see_entry(self, entry):
-        """Take in a newer entry of the list."""
+        """Take in a newer entry of the same life."""
         if not self.listed:
             # It was gone and has come back.
             self.silent_since = None
@@ -65,7 +70,7 @@
         self._note(entry.membership)
 
     def see_report(self, report, asked_at):
-        """Take in a report.
+        """Take in a report of the same life.
 
         :param asked_at: when it was asked for; evidence is as old as its request.
         """
@@ -79,6 +84,16 @@
         self._see_staged(report.staged)
         self._note(report.membership)
 
+    def next_life(self, incarnation):
+        """Return what is known of a later life of the engine: nothing but its address.
+
+        What its list entry says of its state stays until a newer entry comes.
+        """
+        entry = self.entry._replace(incarnation=incarnation, membership=None)
+        later = EngineKnowledge(entry)
+        later.listed = self.listed
+        return later
+
     def see_silence(self, since):
         """Note that it did not answer a question asked at a time."""
         self.order_count = None
@@ -172,22 +187,41 @@
         self._retired = frozenset()
 
     def see_entry(self, entry):
-        """Take in an entry of the list."""
+        """Take in an entry of the list.
+
+        One of an earlier life than is known says nothing; one of a later life ends what
+        was known: order count, evidence, silence, pace, what the engine was told.
+        """
         self.data_centre = entry.data_centre
         known = self.engines.get(entry.id)
-        if known is None:
+        if known is None or known.incarnation < entry.incarnation:
             self.engines[entry.id] = EngineKnowledge(entry)
-        else:
+        elif known.incarnation == entry.incarnation:
             known.see_entry(entry)
 
+    def see_report(self, engine_id, report, asked_at):
+        """Take in a report, which may tell of another life than the list.
+
+        :param asked_at: when it was asked for.
+        """
+        known = self.engines.get(engine_id)
+        if known is None or report.incarnation < known.incarnation:
+            return
+        if report.incarnation > known.incarnation:
+            known = known.next_life(report.incarnation)
+            self.engines[engine_id] = known
+        known.see_report(report, asked_at)
+
     def see_plan(self, plan, now):
-        """Note which groups are given up.
+        """Note which groups are given up, and lives that the list has not told yet.
 
         What proves that such a group has ended must be newer than that.
 
         :param plan: :class:`~cowslipcourse.groups.DomainPlan` of the domain.
         :param now: loop time at which the plan was known.
         """
+        for group in plan.groups:
+            self._see_lives(group)
         retired = [group for group in plan.groups if group.is_retired]
         for group in retired:
             if (group.name, group.epoch) in self._retired:
@@ -197,6 +231,13 @@
                     self.engines[member].watch_from(now)
         self._retired = frozenset((group.name, group.epoch) for group in retired)
 
+    def _see_lives(self, group):
+        for member in group.members:
+            known = self.engines.get(member)
+            meant = group.incarnation_of(member)
+            if known is not None and meant is not None and known.incarnation < meant:
+                self.engines[member] = known.next_life(meant)
+
     def see_gone(self, engine_id):
         """Note that the list no longer holds an engine."""
         known = self.engines.get(engine_id)
@@ -204,7 +245,15 @@
             known.listed = False
 
     def forget(self, keep):
-        """Drop engines that are not listed, but for those of which ``keep`` is true."""
-        for engine_id, known in list(self.engines.items()):
-            if not known.listed and not keep(engine_id):
-                del self.engines[engine_id]
+        """Drop engines that are not listed, but for those of which ``keep`` is true.
+
+        :returns: ids of what was dropped.
+        """
+        dropped = [
+            engine_id
+            for engine_id, known in self.engines.items()
+            if not known.listed and not keep(engine_id)
+        ]
+        for engine_id in dropped:
+            del self.engines[engine_id]
+        return dropped
--- a/cowslipcourse/groups/orders.py
+++ b/cowslipcourse/groups/orders.py
@@ -6,7 +6,7 @@
 from cowslipcourse.groups.knowledge import REPORT_LAG_S
 from cowslipcourse.ports import EngineOrder, GroupState, OrderName
 
-__all__ = ["Step", "StepKind", "next_steps"]
+__all__ = ["Step", "StepKind", "is_present", "next_steps"]
 
 JOIN_AGAIN_S = 1.0
 """Time after which a join that shows no effect is looked into; a list lags less."""
@@ -57,12 +57,27 @@
     for group in plan.groups:
         if group.is_retired:
             steps += _retire(group, engines, stall_s, now)
-        elif all(m in engines and engines[m].is_live for m in group.members):
+        elif all(is_present(group, member, engines) for member in group.members):
             steps += _form(group, engines, models, now)
     steps += _free_strays(plan, engines)
     return [step for step in steps if now >= engines[step.engine].ask_from]
 
 
+def is_present(group, member, engines):
+    """Whether the life of a member that a group means can be given work.
+
+    :param group: :class:`~cowslipcourse.groups.PlannedGroup`
+    :param member: id of a member.
+    :param engines: :class:`~cowslipcourse.groups.EngineKnowledge` by id.
+    """
+    engine = engines.get(member)
+    return (
+        engine is not None
+        and engine.is_live
+        and group.holds(member, engine.incarnation)
+    )
+
+
 def _form(group, engines, models, now):
     members = [engines[member] for member in group.members]
     heads = _serving_elsewhere(group, members, engines)
@@ -182,7 +197,9 @@
     steps = []
     for engine in engines.values():
         found = engine.membership
-        if not engine.is_live or found is None or plan.group_of(engine.id) is not None:
+        if not engine.is_live or found is None:
+            continue
+        if plan.group_of(engine.id, engine.incarnation) is not None:
             continue
         steps.append(_order(engine, OrderName.LEAVE, _Stray.of(engine)))
     return steps
--- a/cowslipcourse/groups/plan.py
+++ b/cowslipcourse/groups/plan.py
@@ -4,7 +4,7 @@
 condition of its version is enough to keep an engine out of two groups.
 """
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
@@ -13,6 +13,10 @@
 __all__ = ["DomainPlan", "PlannedGroup", "decode_plan", "encode_plan"]
 
 
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Positive = Annotated[int, msgspec.Meta(ge=1)]
+
+
 class PlannedGroup(NamedTuple):
     """A group as planned.
 
@@ -23,19 +27,36 @@
     :param members: ids of the engines, the head first.
     :param is_retired: whether it is given up; its members are free once its head
         cannot be serving.
+    :param incarnations: lives of the members that are meant, in their order. An engine
+        that has started again since knows nothing of the group and is no member.
     """
 
-    name: str
-    model: str
-    epoch: int
-    members: tuple[str, ...]
+    name: _Name
+    model: _Name
+    epoch: _Positive
+    members: Annotated[tuple[_Name, ...], msgspec.Meta(min_length=1)]
     is_retired: bool = False
+    incarnations: tuple[int, ...] = ()
 
     @property
     def head(self):
         """Id of the engine that takes the group's requests."""
         return self.members[0]
 
+    def incarnation_of(self, engine):
+        """Return the life of a member that is meant, or ``None`` if any is."""
+        lives = dict(zip(self.members, self.incarnations, strict=False))
+        return lives.get(engine)
+
+    def holds(self, engine, incarnation):
+        """Whether a life of an engine is a member.
+
+        :param engine: id of the engine.
+        :param incarnation: life that is asked about.
+        """
+        meant = self.incarnation_of(engine)
+        return engine in self.members and meant in (None, incarnation)
+
 
 class DomainPlan(NamedTuple):
     """All groups of a fabric domain.
@@ -49,13 +70,21 @@
     version: int = 0
     groups: tuple[PlannedGroup, ...] = ()
 
-    def group_of(self, engine):
-        """Return the :class:`PlannedGroup` that holds an engine, or ``None``."""
+    def group_of(self, engine, incarnation):
+        """Return the :class:`PlannedGroup` that holds a life of an engine, or ``None``.
+
+        :param engine: id of the engine.
+        :param incarnation: life that is asked about.
+        """
         for group in self.groups:
-            if engine in group.members:
+            if group.holds(engine, incarnation):
                 return group
         return None
 
+    def names(self, engine):
+        """Whether any life of an engine is in a group."""
+        return any(engine in group.members for group in self.groups)
+
 
 _decoder = msgspec.json.Decoder(tuple[PlannedGroup, ...])
 
@@ -74,6 +103,10 @@
     :raises MalformedAnswer: it cannot be read.
     """
     try:
-        return DomainPlan(domain, version, _decoder.decode(content))
-    except msgspec.DecodeError as error:
+        groups = _decoder.decode(content)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise MalformedAnswer(f"unreadable plan of {domain}: {error}") from error
+    lives = [(m, group.incarnation_of(m)) for group in groups for m in group.members]
+    if len(set(lives)) != len(lives):
+        raise MalformedAnswer(f"unreadable plan of {domain}: an engine stands twice")
+    return DomainPlan(domain, version, groups)
--- a/cowslipcourse/groups/revision.py
+++ b/cowslipcourse/groups/revision.py
@@ -18,13 +18,14 @@
     """An engine as the revision of a plan sees it.
 
     :param id: id of the engine.
-    :param staged: models on its host.
+    :param staged: models on its host, which a new start keeps.
     :param is_live: whether it can be given work.
     :param is_free: whether it is in no group, or in one that cannot be serving.
     :param is_leaving: whether it still does its work but will leave.
     :param ready_in_s: expected seconds until it is ready in its planned group.
     :param pace: factor on its times, as it last said; a group runs at its slowest
         member's.
+    :param incarnation: life of the engine.
     """
 
     id: str
@@ -34,6 +35,7 @@
     is_leaving: bool = False
     ready_in_s: float = 0.0
     pace: float = 1.0
+    incarnation: int = 0
 
     @property
     def is_slow(self):
@@ -84,7 +86,9 @@
         self._free = [
             view
             for view in self._views.values()
-            if view.is_live and view.is_free and plan.group_of(view.id) is None
+            if view.is_live
+            and view.is_free
+            and plan.group_of(view.id, view.incarnation) is None
         ]
 
     def make(self, wishes):
@@ -106,11 +110,19 @@
         for group in list(self._groups.values()):
             if not group.is_retired:
                 continue
-            views = [self._views.get(member) for member in group.members]
+            views = self._members(group)
             if all(view is None or view.is_free for view in views):
                 del self._groups[group.name]
                 self._free += [view for view in views if view and view.is_live]
 
+    def _members(self, group):
+        """Return the views of a group's members; ``None`` for a life that is over."""
+        views = [self._views.get(member) for member in group.members]
+        return [
+            view if view and group.holds(view.id, view.incarnation) else None
+            for view in views
+        ]
+
     def _drop_dead(self):
         """Drop groups of which nothing is left.
 
@@ -135,7 +147,7 @@
 
     def _holds(self, group, model):
         """Whether all members of a group that is not given up hold a model."""
-        views = [self._views.get(member) for member in group.members]
+        views = self._members(group)
         return not group.is_retired and all(
             view is not None and model in view.staged for view in views
         )
@@ -158,12 +170,12 @@
         return self._sizes.get(group.model, len(group.members))
 
     def _survivors(self, group):
-        views = [self._views.get(member) for member in group.members]
+        views = self._members(group)
         return [view.id for view in views if view is not None and view.is_live]
 
     def _is_still_serving(self, group):
         """Whether the group serves until a member that is leaving has left."""
-        views = [self._views.get(member) for member in group.members]
+        views = self._members(group)
         return group.name not in self._broken and all(
             view is not None and (view.is_live or view.is_leaving) for view in views
         )
@@ -177,7 +189,16 @@
             # Loading from the weight store takes longer than the member stays.
             return
         members = tuple(self._survivors(group)) + self._take(group.model, lacking)
-        self._groups[group.name] = group._replace(members=members, epoch=self._epoch)
+        self._replan(group, members)
+
+    def _replan(self, group, members):
+        """Give a group other members, and the epoch that goes with them."""
+        self._groups[group.name] = group._replace(
+            members=members, epoch=self._epoch, incarnations=self._lives(members)
+        )
+
+    def _lives(self, members):
+        return tuple(self._views[member].incarnation for member in members)
 
     def _take(self, model, number):
         """Take free engines, those that hold the model first."""
@@ -201,18 +222,20 @@
             return
         if view.ready_in_s < SWAP_GAIN_S and not view.is_slow:
             return
+        group = self._groups[group.name]
+        # A member that has started again is free, and stands in the group's list still.
         warm = [
             free
             for free in self._free
-            if group.model in free.staged and not free.is_slow
+            if group.model in free.staged
+            and not free.is_slow
+            and free.id not in group.members
         ]
         if not warm:
             return
         self._free.remove(warm[0])
-        group = self._groups[group.name]
         kept = tuple(each for each in group.members if each != member)
-        members = (*kept, warm[0].id)
-        self._groups[group.name] = group._replace(members=members, epoch=self._epoch)
+        self._replan(group, (*kept, warm[0].id))
 
     def _beyond_repair(self):
         """Return the groups that lack members and do not serve."""
@@ -248,9 +271,8 @@
             if len(self._free) - kept >= wish.size:
                 members = self._take(wish.model, wish.size)
                 name = self._new_name()
-                self._groups[name] = PlannedGroup(
-                    name, wish.model, self._epoch, members
-                )
+                group = PlannedGroup(name, wish.model, self._epoch, members)
+                self._replan(group, members)
                 return
 
     def _new_name(self):
--- a/cowslipcourse/groups/situation.py
+++ b/cowslipcourse/groups/situation.py
@@ -1,6 +1,6 @@
 """What follows from the knowledge of a domain for the revision of its plan."""
 
-from cowslipcourse.groups.orders import HEAD_AWAY_S, STALL_MARGIN_S
+from cowslipcourse.groups.orders import HEAD_AWAY_S, STALL_MARGIN_S, is_present
 from cowslipcourse.groups.revision import EngineView, Wish
 from cowslipcourse.ports import GroupState
 
@@ -32,9 +32,10 @@
 
 
 def _engine_view(plan, knowledge, engine, stall_s, now):
-    group = plan.group_of(engine.id)
+    group = plan.group_of(engine.id, engine.incarnation)
     return EngineView(
         id=engine.id,
+        incarnation=engine.incarnation,
         staged=engine.staged,
         is_live=engine.is_live,
         is_free=is_free(plan, knowledge, engine, stall_s),
@@ -48,14 +49,17 @@
     """Whether an engine is in no group, or in one whose head cannot be serving.
 
     An engine that does not answer counts as free of a group that has ended: if it comes
-    back it leaves the group before it is used.
+    back it leaves the group before it is used. A head that has started again has left:
+    it knows nothing of the group.
     """
-    group = plan.group_of(engine.id)
+    group = plan.group_of(engine.id, engine.incarnation)
     if group is None:
         return engine.membership is None
     if not group.is_retired:
         return False
     head = knowledge.engines.get(group.head)
+    if head is not None and not group.holds(head.id, head.incarnation):
+        return True
     if head is not None and head.silent_since is None:
         return head.away_s > HEAD_AWAY_S
     is_away = engine.away_s > HEAD_AWAY_S or not engine.is_live
@@ -85,14 +89,17 @@
     return [
         engine
         for engine in knowledge.engines.values()
-        if engine.is_live and plan.group_of(engine.id) is None
+        if engine.is_live and plan.group_of(engine.id, engine.incarnation) is None
     ]
 
 
 def models_waiting(plan, knowledge):
     """Return the models of groups that lack a live member."""
-    live = {engine.id for engine in knowledge.engines.values() if engine.is_live}
-    return {group.model for group in plan.groups if not live.issuperset(group.members)}
+    return {
+        group.model
+        for group in plan.groups
+        if not all(is_present(group, m, knowledge.engines) for m in group.members)
+    }
 
 
 def wishes(models, plans):
--- a/cowslipcourse/peers/__init__.py
+++ b/cowslipcourse/peers/__init__.py
@@ -8,6 +8,11 @@
     decode,
     encode,
 )
+from cowslipcourse.peers.registration import (
+    Registration,
+    decode_registration,
+    encode_registration,
+)
 from cowslipcourse.peers.registry import PeerRegistry
 from cowslipcourse.peers.state import PeerState, decode_state, encode_state
 
@@ -17,9 +22,12 @@
     "Member",
     "PeerRegistry",
     "PeerState",
+    "Registration",
     "TargetChanges",
     "decode",
+    "decode_registration",
     "decode_state",
     "encode",
+    "encode_registration",
     "encode_state",
 ]
--- a/cowslipcourse/peers/messages.py
+++ b/cowslipcourse/peers/messages.py
@@ -1,14 +1,18 @@
 """Datagrams between daemons: a byte that names the kind, and a MessagePack array."""
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
 from cowslipcourse.exceptions import MalformedAnswer
+from cowslipcourse.ports.addresses import Address
 
 __all__ = ["Digest", "Heartbeat", "Member", "TargetChanges", "decode", "encode"]
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class Member(NamedTuple):
     """A daemon as others need to know it.
 
@@ -23,13 +27,13 @@
     """
 
     name: str
-    incarnation: int
-    registration: int
-    peer_address: str
-    front_address: str
+    incarnation: _Count
+    registration: _Count
+    peer_address: Address
+    front_address: Address
     data_centre: str
     is_ready: bool
-    configuration: int
+    configuration: _Count
 
 
 class Heartbeat(NamedTuple):
@@ -45,11 +49,11 @@
     """
 
     member: Member
-    sequence: int
+    sequence: _Count
     is_fit: bool
-    targets_version: int
-    in_flight: dict[str, int]
-    suspects: dict[str, int]
+    targets_version: _Count
+    in_flight: dict[str, _Count]
+    suspects: dict[str, _Count]
 
 
 class Digest(NamedTuple):
@@ -63,10 +67,10 @@
     """
 
     reporter: Member
-    sequence: int
+    sequence: _Count
     members: tuple[Member, ...]
-    in_flight: dict[str, int]
-    suspects: dict[str, int]
+    in_flight: dict[str, _Count]
+    suspects: dict[str, _Count]
 
 
 class TargetChanges(NamedTuple):
@@ -78,8 +82,8 @@
     :param gone: ids of entries that were dropped.
     """
 
-    after: int
-    version: int
+    after: _Count
+    version: _Count
     changed: dict[str, bytes]
     gone: tuple[str, ...]
 
@@ -105,5 +109,5 @@
         raise MalformedAnswer("a datagram of an unknown kind")
     try:
         return decoder.decode(content[1:])
-    except msgspec.DecodeError as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise MalformedAnswer(f"unreadable datagram: {error}") from error
--- a/cowslipcourse/peers/state.py
+++ b/cowslipcourse/peers/state.py
@@ -1,6 +1,6 @@
 """What a daemon that the store turns away reads from a peer: a MessagePack array."""
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
@@ -19,7 +19,7 @@
     """
 
     configuration: bytes | None
-    targets_version: int
+    targets_version: Annotated[int, msgspec.Meta(ge=0)]
     targets: dict[str, bytes]
 
 
@@ -38,5 +38,5 @@
     """
     try:
         return _decoder.decode(content)
-    except msgspec.DecodeError as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise MalformedAnswer(f"unreadable peer state: {error}") from error
--- a/cowslipcourse/platform/entries.py
+++ b/cowslipcourse/platform/entries.py
@@ -1,37 +1,89 @@
 """Entries of the platform's list of targets, and what engines report."""
 
+from typing import Literal
+
 import msgspec
 
 from cowslipcourse.exceptions import MalformedAnswer
+from cowslipcourse.platform.wire import Count, Name, Positive, Seconds, decode_as
 from cowslipcourse.ports import EngineReport, GroupState, Membership, TargetEntry
+from cowslipcourse.ports.addresses import Address
 
 __all__ = ["decode_entry", "decode_report"]
 
 
+class _WireModel(msgspec.Struct, frozen=True):
+    name: Name
+
+
+class _WireGroup(msgspec.Struct, frozen=True):
+    # Empty outside a group; the other fields mean nothing then.
+    name: str = ""
+    epoch: Count = 0
+    rank: Count = 0
+    state: str = ""
+
+
+class _WireEntry(msgspec.Struct, frozen=True):
+    """Every field that the platform always writes is required, used here or not.
+
+    One that is missing or of another type shows that something else wrote the row.
+    """
+
+    service: Name
+    address: Address
+    zone: Name
+    version: str
+    # Of a whole group, if the target is an engine.
+    slots: Positive
+    # Whether it takes new work; its state in a group is another field.
+    state: Literal["ready", "draining"]
+    # Not used: what matters of a cold engine shows in its times.
+    coldLeftMs: Seconds  # noqa: N815
+    # Counts the engine's own writes to the list. In a report the field of this name
+    # counts accepted orders, so this one must not be used for orders.
+    sequence: Count
+    # Unix time in milliseconds at which this life of the target began.
+    born: Positive
+    domain: str = ""
+    staged: tuple[Name, ...] = ()
+    models: tuple[_WireModel, ...] = ()
+    group: _WireGroup | None = None
+
+
+class _WireReport(msgspec.Struct, frozen=True):
+    # Counts the orders that this life has accepted.
+    sequence: Count
+    born: Positive
+    staged: tuple[Name, ...] = ()
+    models: tuple[_WireModel, ...] = ()
+    group: _WireGroup | None = None
+    inFlight: Count = 0  # noqa: N815
+    waiting: Count = 0
+    pace: Seconds = 1.0
+
+
 def decode_entry(target_id, content):
     """Return the :class:`~cowslipcourse.ports.TargetEntry` of a list row.
 
     :param target_id: key of the row.
     :param content: JSON bytes.
-    :raises MalformedAnswer: the row cannot be read.
+    :raises MalformedAnswer: the row names no target that can be used.
     """
-    try:
-        fields = msgspec.json.decode(content)
-        return TargetEntry(
-            id=target_id,
-            service=fields["service"],
-            address=fields["address"],
-            data_centre=fields["zone"],
-            # Of a whole group, if the target is an engine.
-            slots=int(fields.get("slots") or 1),
-            # Whether it takes new work; its state in a group is another field.
-            is_leaving=fields.get("state") != "ready",
-            domain=fields.get("domain") or "",
-            staged=tuple(fields.get("staged") or ()),
-            membership=_membership(fields),
-        )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
-        raise MalformedAnswer(f"unreadable entry {target_id}: {error!r}") from error
+    what = f"entry {target_id}"
+    fields = decode_as(_WireEntry, content, what)
+    return TargetEntry(
+        id=target_id,
+        service=fields.service,
+        address=fields.address,
+        data_centre=fields.zone,
+        slots=fields.slots,
+        is_leaving=fields.state == "draining",
+        domain=fields.domain,
+        staged=fields.staged,
+        membership=_membership(fields, what),
+        incarnation=fields.born,
+    )
 
 
 def decode_report(content):
@@ -39,32 +91,35 @@
 
     :raises MalformedAnswer: the answer cannot be read.
     """
-    try:
-        fields = msgspec.json.decode(content)
-        return EngineReport(
-            # Counts accepted orders; the list's field of this name counts its own
-            # writes to the list and must not be used for orders.
-            order_count=int(fields["sequence"]),
-            membership=_membership(fields),
-            staged=tuple(fields.get("staged") or ()),
-            running=int(fields.get("inFlight") or 0),
-            waiting=int(fields.get("waiting") or 0),
-            pace=float(fields.get("pace") or 1.0),
-        )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
-        raise MalformedAnswer(f"unreadable report: {error!r}") from error
-
-
-def _membership(fields):
-    group = fields.get("group")
-    if not group or not group.get("name"):
+    fields = decode_as(_WireReport, content, "report")
+    return EngineReport(
+        order_count=fields.sequence,
+        membership=_membership(fields, "report"),
+        staged=fields.staged,
+        running=fields.inFlight,
+        waiting=fields.waiting,
+        # Absent or 0 where the platform declares none.
+        pace=fields.pace or 1.0,
+        incarnation=fields.born,
+    )
+
+
+def _membership(fields, what):
+    group = fields.group
+    if group is None or not group.name:
         return None
-    models = fields.get("models") or ()
     return Membership(
-        group=group["name"],
-        epoch=int(group["epoch"]),
-        rank=int(group.get("rank") or 0),
-        state=GroupState(group["state"]),
+        group=group.name,
+        epoch=group.epoch,
+        rank=group.rank,
+        state=_group_state(group.state, what),
         # An engine serves at most the model of its group.
-        model=models[0]["name"] if models else "",
+        model=fields.models[0].name if fields.models else "",
     )
+
+
+def _group_state(value, what):
+    try:
+        return GroupState(value)
+    except ValueError as error:
+        raise MalformedAnswer(f"unreadable {what}: {error}") from error
--- a/cowslipcourse/platform/store.py
+++ b/cowslipcourse/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from typing import NamedTuple
 
 import aiohttp
 import msgspec
@@ -9,12 +10,20 @@
 from cowslipcourse.exceptions import (
     ConditionFailed,
     HistoryDropped,
+    MalformedAnswer,
     ReplyLost,
     StoreUnavailable,
 )
+from cowslipcourse.platform.wire import Count, decode_as
 from cowslipcourse.ports import RowChanges, StoredRow
 
-__all__ = ["CONFIGURATION_TABLE", "TARGETS_TABLE", "HttpRowStore"]
+__all__ = [
+    "CONFIGURATION_TABLE",
+    "TARGETS_TABLE",
+    "HttpRowStore",
+    "RowPage",
+    "decode_rows",
+]
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -27,6 +36,38 @@
 _NETWORK = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
 
+class _WireRow(msgspec.Struct, frozen=True):
+    key: str
+    # JSON holds base64; empty for a row that was dropped.
+    value: bytes | None = None
+    # Of the transaction that wrote the row; in whole answers, of the newest one.
+    ver: Count = 0
+    deleted: bool | None = None
+
+
+class _WireRows(msgspec.Struct, frozen=True):
+    rows: tuple[_WireRow, ...]
+    ver: Count
+    hasMore: bool | None = None  # noqa: N815
+
+
+class RowPage(NamedTuple):
+    """Rows as one call returns them.
+
+    :param rows: :class:`~cowslipcourse.ports.StoredRow`
+    :param version: newest version of the whole store.
+    :param has_more: whether further keys follow.
+    """
+
+    rows: tuple[StoredRow, ...]
+    version: int
+    has_more: bool
+
+
+class _WireWritten(msgspec.Struct, frozen=True):
+    ver: Count
+
+
 class HttpRowStore:
     """Meets :class:`~cowslipcourse.ports.RowStore`.
 
@@ -46,23 +87,21 @@
         rows, version, start = [], None, ""
         while True:
             query = {"table": table, "part": "", "from": start, "limit": "500"}
-            answer = await self._get("/rows-get", query, self._settings.timeout_s)
-            page = [_row(fields) for fields in answer["rows"]]
-            rows += page
+            page = await self._get("/rows-get", query, self._settings.timeout_s)
+            rows += page.rows
             # The first page's version: what changes between pages is in the feed.
-            version = answer["ver"] if version is None else version
-            if not answer.get("hasMore"):
+            version = page.version if version is None else version
+            if not page.has_more or not page.rows:
                 return RowChanges(tuple(rows), version)
-            start = page[-1].key + "\0"
+            start = page.rows[-1].key + "\0"
 
     async def changes(self, table, after, wait_s):
         """See :class:`~cowslipcourse.ports.RowStore`."""
         query = {"table": table, "after": str(after), "waitMs": str(int(wait_s * 1000))}
-        answer = await self._get(
+        page = await self._get(
             "/rows-feed", query, wait_s + self._settings.feed_margin_s
         )
-        rows = tuple(_row(fields) for fields in answer["rows"])
-        return RowChanges(rows, answer["ver"])
+        return RowChanges(page.rows, page.version)
 
     async def write(self, row_write):
         """See :class:`~cowslipcourse.ports.RowStore`."""
@@ -88,7 +127,11 @@
             raise ConditionFailed([f"{row_write.table}/{row_write.key}"])
         if response.status != 200:
             raise StoreUnavailable(f"the store answered {response.status}")
-        return msgspec.json.decode(content)["ver"]
+        try:
+            return decode_as(_WireWritten, content, "/rows-tx answer").ver
+        except MalformedAnswer as error:
+            # It was written, at a version that is not known.
+            raise ReplyLost(str(error)) from error
 
     async def close(self):
         """Close the connections."""
@@ -116,15 +159,26 @@
         if response.status != 200:
             raise StoreUnavailable(f"{path} answered {response.status}")
         try:
-            return msgspec.json.decode(content)
-        except msgspec.DecodeError as error:
-            raise StoreUnavailable(f"{path}: unreadable answer") from error
+            return decode_rows(content)
+        except MalformedAnswer as error:
+            raise StoreUnavailable(f"{path}: {error}") from error
+
+
+def decode_rows(content):
+    """Return the :class:`RowPage` in an answer.
+
+    :param content: JSON bytes.
+    :raises MalformedAnswer: it cannot be read.
+    """
+    fields = decode_as(_WireRows, content, "rows")
+    rows = tuple(_row(row) for row in fields.rows)
+    return RowPage(rows, fields.ver, bool(fields.hasMore))
 
 
 def _row(fields):
     return StoredRow(
-        key=fields["key"],
-        value=base64.b64decode(fields.get("value") or ""),
-        version=fields.get("ver", 0),
-        deleted=bool(fields.get("deleted")),
+        key=fields.key,
+        value=fields.value or b"",
+        version=fields.ver,
+        deleted=bool(fields.deleted),
     )
--- a/cowslipcourse/ports/engines.py
+++ b/cowslipcourse/ports/engines.py
@@ -45,7 +45,7 @@
 class TargetEntry(NamedTuple):
     """A target as the platform lists it.
 
-    :param id: incarnation of the target; new at each of its starts.
+    :param id: name of the target; it may start again under it.
     :param service: service that it belongs to.
     :param address: ``ip:port``
     :param data_centre: where it runs.
@@ -54,6 +54,7 @@
     :param domain: fabric domain, or empty for a plain service.
     :param staged: models whose weights are on its host.
     :param membership: its group, or ``None``.
+    :param incarnation: Unix time in ms at which this life of the target began.
     """
 
     id: str
@@ -65,6 +66,7 @@
     domain: str = ""
     staged: tuple[str, ...] = ()
     membership: Membership | None = None
+    incarnation: int = 0
 
 
 class EngineReport(NamedTuple):
@@ -76,6 +78,7 @@
     :param running: requests that run.
     :param waiting: requests that wait.
     :param pace: factor on its times; more than 1 means slow.
+    :param incarnation: life of the engine that reports; see :class:`TargetEntry`.
     """
 
     order_count: int
@@ -84,6 +87,7 @@
     running: int = 0
     waiting: int = 0
     pace: float = 1.0
+    incarnation: int = 0
 
 
 class OrderName(StrEnum):
--- a/cowslipcourse/settings.py
+++ b/cowslipcourse/settings.py
@@ -8,6 +8,7 @@
 
 from cowslipcourse.config.documents import describe_errors
 from cowslipcourse.exceptions import Problem, SettingsError
+from cowslipcourse.ports.addresses import ADDRESS_PATTERN
 
 __all__ = [
     "ControllerSettings",
@@ -24,7 +25,7 @@
     "load_settings",
 ]
 
-Address = Annotated[str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
 Url = Annotated[str, Field(pattern=r"^https?://(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
 Seconds = Annotated[float, Field(gt=0, le=3600)]
 
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -109,7 +109,7 @@
 @given("a target with 13 slots and two streams, of which one has begun")
 def step_watched(context):
     context.fleet = FleetView()
-    context.fleet.replace([_entry("t"), _entry("busy", group="g2")])
+    context.fleet.apply([_entry("t"), _entry("busy", group="g2")], ())
     context.watch = SilenceWatch(context.fleet, lambda: None)
     context.begun = _stream("t", 10.0, begun=True)
     context.waiting = _stream("t", 0.0, begun=False)
@@ -151,7 +151,7 @@
 @given("a suspected head of group g1 at epoch 3")
 def step_suspected(context):
     context.fleet = FleetView()
-    context.fleet.replace([_entry("t", epoch=3), _entry("other", group="g2")])
+    context.fleet.apply([_entry("t", epoch=3), _entry("other", group="g2")], ())
     context.fleet.suspect("t", 10.0)
 
 
@@ -180,7 +180,7 @@
 @given("a target that was found silent three times in a row")
 def step_three_times(context):
     context.fleet = FleetView()
-    context.fleet.replace([_entry("t"), _entry("other", group="g2")])
+    context.fleet.apply([_entry("t"), _entry("other", group="g2")], ())
     context.lengths = []
     now = 10.0
     for _ in range(3):
@@ -199,7 +199,7 @@
 @given("two heads that say they are open for g1, at epochs 3 and 5")
 def step_two_heads(context):
     context.fleet = FleetView()
-    context.fleet.replace([_entry("old", epoch=3), _entry("new", epoch=5)])
+    context.fleet.apply([_entry("old", epoch=3), _entry("new", epoch=5)], ())
 
 
 @then("only the one at epoch 5 is chosen")
--- a/features/support/coordinator_runs.py
+++ b/features/support/coordinator_runs.py
@@ -12,7 +12,13 @@
 from cowslipcourse.groups import EngineKnowledge, situation
 from cowslipcourse.groups import orders as group_orders
 from cowslipcourse.groups import revision as group_revision
-from features.support.engine_world import STALL_S, Faults, World, route_table
+from features.support.engine_world import (
+    STALL_S,
+    Engine,
+    Faults,
+    World,
+    route_table,
+)
 
 __all__ = ["DIVIDED_SITE", "SITES", "VARIANTS", "coordinator_run"]
 
@@ -28,15 +34,30 @@
     :param domains: names of fabric domains; each model gets domains of its own if there
         are enough.
     :param engines: engines in each.
+    :param restarts: whether engines start again under their ids, and entries of their
+        earlier lives come late.
     """
 
     domains: tuple[str, ...]
     engines: int
+    restarts: bool = False
 
 
 MIXED_SITE = DuelSite(("d1", "d2"), 8)
 DIVIDED_SITE = DuelSite(("d1", "d2", "d3", "d4", "d5", "d6"), 6)
-SITES = {"mixed": MIXED_SITE, "divided": DIVIDED_SITE}
+SITES = {
+    "mixed": MIXED_SITE,
+    "divided": DIVIDED_SITE,
+    "mixed restarting": MIXED_SITE._replace(restarts=True),
+    "divided restarting": DIVIDED_SITE._replace(restarts=True),
+}
+RESTART_SHARE = 0.6
+"""Share of disturbances that are restarts, on sites that have them."""
+QUICK_SHARE = 0.5
+"""Share of restarts that nobody sees as a silence."""
+LONGEST_DOWN_S = 6.0
+OLD_ENTRY_SHARE = 0.3
+"""Share of readings of the list with an entry of an earlier life after them."""
 
 
 class _Tools:
@@ -93,13 +114,30 @@
             )
 
 
-async def _list(world, coordinator, rng):
+async def _list(world, coordinator, rng, site):
     """Bring the list to a coordinator, late at times."""
+    listed = set()
     while True:
         await asyncio.sleep(LIST_S)
         entries = world.entries()
         await asyncio.sleep(rng.choice([0.0, 0.05, 0.8]))
-        coordinator.see_all(entries)
+        present = {entry.id for entry in entries}
+        coordinator.see_gone(listed - present)
+        coordinator.see_entries(entries)
+        listed = present
+        if site.restarts and world.past_entries and rng.random() < OLD_ENTRY_SHARE:
+            coordinator.see_entries([rng.choice(world.past_entries[-5:])])
+
+
+def _restart(world, engine, rng):
+    """Let an engine start again under its id, at once or after a while."""
+    if rng.random() < QUICK_SHARE:
+        world.restart(engine)
+        return
+    engine.is_dark = True
+    engine.membership = None
+    later = rng.uniform(0.2, LONGEST_DOWN_S)
+    asyncio.get_running_loop().call_later(later, world.restart, engine)
 
 
 async def _disturb(world, site, rng):
@@ -115,6 +153,9 @@
             world.add_engine(rng.choice(site.domains))
             continue
         engine = rng.choice(live)
+        if site.restarts and rng.random() < RESTART_SHARE:
+            _restart(world, engine, rng)
+            continue
         engine.is_dark = True
         luck = rng.random()
         if luck < 0.4:
@@ -154,7 +195,7 @@
             settings,
             lambda number=number: duel.acting[number],
         )
-        running += [coordinator.run(), _list(world, coordinator, rng)]
+        running += [coordinator.run(), _list(world, coordinator, rng, site)]
     tasks = [asyncio.create_task(coroutine) for coroutine in running]
     await asyncio.sleep(RUN_S)
     for task in tasks:
@@ -186,7 +227,7 @@
     is_free = situation.is_free
 
     def free(plan, knowledge, engine, stall_s):
-        if plan.group_of(engine.id) is None:
+        if plan.group_of(engine.id, engine.incarnation) is None:
             return True
         return is_free(plan, knowledge, engine, stall_s)
 
@@ -219,7 +260,7 @@
     is_free = situation.is_free
 
     def free(plan, knowledge, engine, stall_s):
-        group = plan.group_of(engine.id)
+        group = plan.group_of(engine.id, engine.incarnation)
         if group is None or not group.is_retired:
             return is_free(plan, knowledge, engine, stall_s)
         head = knowledge.engines.get(group.head)
@@ -241,7 +282,31 @@
         yield
 
 
+@contextlib.contextmanager
+def _lives_confused():
+    """Take all lives of an engine for one."""
+    entry, report = Engine.entry, Engine.report
+    with (
+        mock.patch.object(Engine, "entry", lambda e: entry(e)._replace(incarnation=1)),
+        mock.patch.object(
+            Engine, "report", lambda e: report(e)._replace(incarnation=1)
+        ),
+    ):
+        yield
+
+
+@contextlib.contextmanager
+def _lives_unplanned():
+    """Plan engines by their ids alone."""
+    with mock.patch.object(
+        group_revision._Revision, "_lives", lambda self, members: ()
+    ):
+        yield
+
+
 VARIANTS = {
+    "lives confused": _lives_confused,
+    "engines planned without their lives": _lives_unplanned,
     "evidence from before a group's end": _old_evidence,
     "members freed by the silence of their head": _silence_frees,
     "heads opened before all members were seen ready": _open_unseen,
--- a/features/support/engine_world.py
+++ b/features/support/engine_world.py
@@ -35,6 +35,8 @@
 OPEN_S = 0.3
 REJOIN_S = 0.2
 SERVICE = "llm"
+BORN_MS = 1_790_000_000_000
+"""Time of day at which the first engine starts; each life has a number of its own."""
 LARGE = EngineModel("large", 4, 0.67, 1.0, 16.0, 1.6)
 SMALL = EngineModel("small", 2, 0.33, 0.6, 12.0, 1.1)
 
@@ -69,9 +71,10 @@
 class Engine:
     """One life of an engine."""
 
-    def __init__(self, world, engine_id, domain, staged):
+    def __init__(self, world, engine_id, domain, staged, incarnation):
         self._world = world
         self.id = engine_id
+        self.incarnation = incarnation
         self.domain = domain
         self.staged = staged
         self.is_dark = False
@@ -95,11 +98,17 @@
             domain=self.domain,
             staged=self.staged,
             membership=self.membership,
+            incarnation=self.incarnation,
         )
 
     def report(self):
         """Return what it would report if reports did not lag."""
-        return EngineReport(self.order_count, self.membership, self.staged)
+        return EngineReport(
+            self.order_count,
+            self.membership,
+            self.staged,
+            incarnation=self.incarnation,
+        )
 
     def lagging_report(self):
         """Return the report of a moment ago."""
@@ -171,7 +180,8 @@
             same = self.membership is not None and self._is_in(
                 before.group, before.epoch
             )
-            if turn == self._turn and same:
+            lives = self._world.engines.get(self.id) is self
+            if turn == self._turn and same and lives:
                 act()
 
         asyncio.get_running_loop().call_later(seconds, run)
@@ -228,14 +238,25 @@
         self._version = 0
         self._ready = set()
         self._born = 0
+        self._lives = 0
+        self.past_entries = []
 
     def add_engine(self, domain, staged=()):
         """Start an engine and return it."""
         self._born += 1
-        engine = Engine(self, f"e{self._born}", domain, staged)
-        self.engines[engine.id] = engine
+        return self._start(f"e{self._born}", domain, staged)
+
+    def _start(self, engine_id, domain, staged):
+        self._lives += 1
+        engine = Engine(self, engine_id, domain, staged, BORN_MS + self._lives)
+        self.engines[engine_id] = engine
         return engine
 
+    def restart(self, engine):
+        """Start an engine again under its id: its host keeps the weights, no more."""
+        self.past_entries.append(engine.entry())
+        return self._start(engine.id, engine.domain, engine.staged)
+
     def entries(self):
         """Return the platform's list: engines that are not dark."""
         return [e.entry() for e in self.engines.values() if not e.is_dark]
@@ -254,7 +275,8 @@
     def note_ready(self, engine):
         """Remember that an engine was ready in its group."""
         found = engine.membership
-        self._ready.add((engine.id, found.group, found.epoch, engine.members))
+        life = engine.id, engine.incarnation
+        self._ready.add((life, found.group, found.epoch, engine.members))
 
     def is_whole(self, head):
         """Whether a head and all members are in their group and live."""
@@ -269,9 +291,10 @@
         """Check a group that runs a request."""
         found = head.membership
         size = self.models[found.model].size
+        lives = [(m, self.engines[m].incarnation) for m in head.members]
         ready = all(
-            (member, found.group, found.epoch, head.members) in self._ready
-            for member in head.members
+            (life, found.group, found.epoch, head.members) in self._ready
+            for life in lives
         )
         if len(set(head.members)) != size or not ready:
             self.violations.append(f"partial: {found} {head.members}")
--- a/features/support/fuzz.py
+++ b/features/support/fuzz.py
@@ -4,7 +4,7 @@
 import sys
 
 from features.support.booking_runs import BookingRun
-from features.support.coordinator_runs import DIVIDED_SITE, coordinator_run
+from features.support.coordinator_runs import SITES, coordinator_run
 from features.support.edit_runs import EditRun
 from features.support.group_runs import AnswerFaults, fixed_secrets, group_run
 from features.support.membership_runs import random_run, settle
@@ -39,17 +39,18 @@
     return run_paused(_edit_run(seed))
 
 
-def _duels(seed):
-    return run_paused(coordinator_run(seed)).violations
+def _duels(site):
+    def run(seed):
+        return run_paused(coordinator_run(seed, SITES[site])).violations
 
-
-def _divided_duels(seed):
-    return run_paused(coordinator_run(seed, DIVIDED_SITE)).violations
+    return run
 
 
 KINDS = {
-    "duels": _duels,
-    "divided-duels": _divided_duels,
+    "duels": _duels("mixed"),
+    "divided-duels": _duels("divided"),
+    "restart-duels": _duels("mixed restarting"),
+    "divided-restart-duels": _duels("divided restarting"),
     "membership": _membership,
     "groups": _groups,
     "answers": _answers,
--- a/features/support/knowledge.py
+++ b/features/support/knowledge.py
@@ -10,6 +10,7 @@
 from cowslipcourse.peers import Heartbeat, Member, PeerRegistry
 from cowslipcourse.platform.store import CONFIGURATION_TABLE
 from cowslipcourse.ports import RowChanges, StoredRow
+from features.support.wire import entry_content
 
 __all__ = ["FlakyStore", "Listener", "heartbeat", "make_knowledge", "member"]
 
@@ -24,15 +25,18 @@
         self.drops_history = False
         self.deletes = None
         self.configuration = 7
+        self.configuration_content = None
 
     def rows(self, table):
         if table == CONFIGURATION_TABLE:
-            content = json.dumps(
-                {"version": self.configuration, "routes": [], "services": []}
+            content = (
+                self.configuration_content
+                or json.dumps(
+                    {"version": self.configuration, "routes": [], "services": []}
+                ).encode()
             )
-            return (StoredRow("config", content.encode(), 1),)
-        content = {"service": "s", "address": "a:1", "zone": "z", "state": "ready"}
-        value = json.dumps(content).encode()
+            return (StoredRow("config", content, 1),)
+        value = entry_content()
         return tuple(StoredRow(key, value, 1) for key in self.targets)
 
     async def read_table(self, table):
@@ -67,9 +71,6 @@
     def take_configuration(self, table):
         self.table = table
 
-    def take_all_targets(self, entries):
-        self.targets = {entry.id for entry in entries}
-
     def take_targets(self, entries, gone):
         self.targets |= {entry.id for entry in entries}
         self.targets -= set(gone)
@@ -97,7 +98,8 @@
 
 def member(name, registration, data_centre="north", incarnation=1):
     """Return a daemon as others know it."""
-    addresses = f"{name}:1", f"{name}:2"
+    host = ".".join(str(byte % 250) for byte in name.encode().ljust(3)[:3])
+    addresses = f"10.{host}:1", f"10.{host}:2"
     return Member(name, incarnation, registration, *addresses, data_centre, True, 7)
 
 
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -24,6 +24,7 @@
 from cowslipcourse.ports import EngineOrder, OrderAnswer, OrderName
 from features.support.engine_world import LARGE, SERVICE, SMALL, Faults, World
 from features.support.platform_store import Store
+from features.support.wire import entry_content, entry_fields
 from harness.ports import free_ports
 
 __all__ = ["HOST", "KEY", "PlatformSite", "stream_events"]
@@ -208,8 +209,8 @@
 
     def list_plain(self, name, address, state="ready"):
         """Write the entry of a plain target."""
-        entry = {"service": PLAIN, "address": address, "zone": "n", "state": state}
-        self.store.put("servers", name, json.dumps(entry | {"slots": 6}).encode())
+        content = entry_content(service=PLAIN, address=address, state=state, slots=6)
+        self.store.put("servers", name, content)
 
     async def published_address(self, address):
         """Return the address under which a target is listed."""
@@ -221,7 +222,12 @@
 
     def _fields(self, engine):
         found = engine.membership
-        fields = {"domain": engine.domain, "staged": list(engine.staged), "models": []}
+        fields = {
+            "domain": engine.domain,
+            "staged": list(engine.staged),
+            "models": [],
+            "born": engine.incarnation,
+        }
         if found is not None:
             fields["models"] = [{"name": found.model}]
             fields["group"] = {
@@ -242,13 +248,9 @@
                 if engine.id in self._addresses and not engine.is_dark
             }
             for engine_id, engine in live.items():
-                entry = self._fields(engine) | {
-                    "service": SERVICE,
-                    "address": self._addresses[engine_id],
-                    "zone": "n",
-                    "slots": 13,
-                    "state": "ready",
-                }
+                entry = entry_fields(
+                    SERVICE, self._addresses[engine_id], **self._fields(engine)
+                )
                 if self._listed.get(engine_id) != entry:
                     self._listed[engine_id] = entry
                     self.store.put("servers", engine_id, json.dumps(entry).encode())
