A planned stop refuses what cannot end and does not wait for idle connections

Ruled out: refusing everything from the signal on: streams take about a second, callers retry once only.

--- a/cowslipcourse/entry/front.py
+++ b/cowslipcourse/entry/front.py
@@ -6,11 +6,15 @@
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.adapters.web import problem_response
 from cowslipcourse.entry.calls import Responder, read_call
-from cowslipcourse.exceptions import CallerGone, RequestError
+from cowslipcourse.entry.stopping import RequestDurations, can_end
+from cowslipcourse.exceptions import CallerGone, GatewayDraining, RequestError
 from cowslipcourse.platform.edge import attempt_id
 
 __all__ = ["FrontApp"]
 
+GO_ELSEWHERE_S = 0.0
+"""When to come back to another daemon: they are not known to be short of anything."""
+
 log = get_logger(__name__)
 
 
@@ -26,9 +30,22 @@
         self._tools = tools
         self._forwarder = forwarder
         self._metrics = metrics
-        self.is_draining = False
+        self._durations = RequestDurations()
+        self._ends_at = None
         self.in_flight = 0
 
+    @property
+    def is_draining(self):
+        """Whether the daemon is about to stop."""
+        return self._ends_at is not None
+
+    def drain(self, ends_at):
+        """Let callers go elsewhere after their answers.
+
+        :param ends_at: loop time at which the last connections will be closed.
+        """
+        self._ends_at = ends_at
+
     async def __call__(self, scope, receive, send):
         """See the ASGI specification."""
         if scope["type"] != "http":
@@ -54,6 +71,7 @@
 
     async def _serve(self, scope, receive, responder):
         call = await read_call(scope, receive, self._tools.table)
+        self._check_time_left(call)
         forwarding = asyncio.create_task(self._forwarder.forward(call, responder))
         leaving = asyncio.create_task(_wait_disconnect(receive))
         try:
@@ -64,11 +82,23 @@
                 log.info("caller-left", request=call.id)
                 raise CallerGone("the caller left")
             forwarding.result()
+            self._durations.note(call.route, _now() - call.arrived_at)
         finally:
             leaving.cancel()
             forwarding.cancel()
             await asyncio.gather(forwarding, leaving, return_exceptions=True)
 
+    def _check_time_left(self, call):
+        """Refuse what cannot end before this daemon does.
+
+        :raises GatewayDraining: it has not run; other daemons take it at once.
+        """
+        if self._ends_at is None:
+            return
+        left_s = self._ends_at - call.arrived_at
+        if not can_end(left_s, self._durations.longest_s(call.route)):
+            raise GatewayDraining("this daemon is about to end", GO_ELSEWHERE_S)
+
     async def _fail(self, error, scope, receive, send, responder):
         log.info(
             "request-failed",
@@ -87,6 +117,10 @@
         await problem_response(error, headers)(scope, receive, send)
 
 
+def _now():
+    return asyncio.get_running_loop().time()
+
+
 async def _wait_disconnect(receive):
     while (await receive())["type"] != "http.disconnect":
         continue
--- a/cowslipcourse/entry/main.py
+++ b/cowslipcourse/entry/main.py
@@ -72,7 +72,10 @@
             asyncio.run(_run(settings, path))
         finally:
             listener.stop()
-        return 0
+        sys.stdout.flush()
+        # Taking the interpreter apart takes tenths of a second of what is left of the
+        # grace on a busy VM, and nothing is left to be saved.
+        os._exit(0)
 
 
 class CheckCommand(Command):
--- a/features/platform_path/platform.feature
+++ b/features/platform_path/platform.feature
@@ -29,6 +29,11 @@
     Then every stream is whole
     And the daemon ends with exit code 0
 
+  Scenario: Idle connections do not hold up a planned stop
+    Given a platform with three daemons, whose groups serve
+    When callers keep idle connections to a daemon that is told to stop
+    Then the daemon ends with exit code 0 within 4.5 s
+
   Scenario: A key is taken away while the store turns unreachable afterwards
     Given a platform with three daemons, whose groups serve
     When the key is replaced by another
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -175,6 +175,32 @@
     assert context.platform.processes["a2"].returncode == 0
 
 
+@when("callers keep idle connections to a daemon that is told to stop")
+def step_idle_stop(context):
+    async def act():
+        site = context.platform
+        async with aiohttp.ClientSession() as session:
+            await asyncio.gather(
+                *(_call(session, site.fronts["a2"], "/draft/x") for _ in range(5))
+            )
+            began_at = asyncio.get_running_loop().time()
+            site.kill("a2", signal.SIGTERM)
+
+            async def ended():
+                return site.processes["a2"].poll() is not None
+
+            await _until(ended, "the end of a2")
+            context.took_s = asyncio.get_running_loop().time() - began_at
+
+    _play(context, act())
+
+
+@then("the daemon ends with exit code 0 within {seconds:f} s")
+def step_ended_within(context, seconds):
+    assert context.platform.processes["a2"].returncode == 0
+    assert context.took_s < seconds, context.took_s
+
+
 @then("every stream is whole")
 def step_whole(context):
     for name, (status, body, _) in context.answers:
