--- a/cowslipcourse/entry/target_list.py
+++ b/cowslipcourse/entry/target_list.py
@@ -11,6 +11,7 @@
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.exceptions import MalformedAnswer
 from cowslipcourse.platform import decode_entry
+from cowslipcourse.ports import UNTOLD
 
 __all__ = ["EntryChanges", "TargetList"]
 
@@ -71,12 +72,15 @@
         """Take one entry; return what it changes, or ``None``."""
         if self._contents.get(target) == content:
             return None
+        newest = self._incarnations.get(target, UNTOLD)
         try:
             entry = decode_entry(target, content)
+            if entry.incarnation == UNTOLD != newest:
+                raise MalformedAnswer("it no longer tells its life")
         except MalformedAnswer as error:
             self._contents[target] = content
             return self._withhold(target, content, error)
-        if entry.incarnation < self._incarnations.get(target, 0):
+        if entry.incarnation < newest:
             log.info("entry-outdated", id=target, incarnation=entry.incarnation)
             return None
         self._contents[target] = content
--- a/cowslipcourse/groups/knowledge.py
+++ b/cowslipcourse/groups/knowledge.py
@@ -1,6 +1,6 @@
 """What a coordinator knows of the engines of a fabric domain."""
 
-from cowslipcourse.ports import GroupState
+from cowslipcourse.ports import UNTOLD, GroupState
 
 __all__ = ["DomainKnowledge", "EngineKnowledge"]
 
@@ -190,14 +190,15 @@
         """Take in an entry of the list.
 
         One of an earlier life than is known says nothing; one of a later life ends what
-        was known: order count, evidence, silence, pace, what the engine was told.
+        was known: order count, evidence, silence, pace, what the engine was told. One
+        that does not tell its life is of the life that is known.
         """
         self.data_centre = entry.data_centre
         known = self.engines.get(entry.id)
         if known is None or known.incarnation < entry.incarnation:
             self.engines[entry.id] = EngineKnowledge(entry)
-        elif known.incarnation == entry.incarnation:
-            known.see_entry(entry)
+        elif entry.incarnation in (UNTOLD, known.incarnation):
+            known.see_entry(entry._replace(incarnation=known.incarnation))
 
     def see_report(self, engine_id, report, asked_at):
         """Take in a report, which may tell of another life than the list.
@@ -205,12 +206,13 @@
         :param asked_at: when it was asked for.
         """
         known = self.engines.get(engine_id)
-        if known is None or report.incarnation < known.incarnation:
+        if known is None:
             return
         if report.incarnation > known.incarnation:
             known = known.next_life(report.incarnation)
             self.engines[engine_id] = known
-        known.see_report(report, asked_at)
+        if report.incarnation in (UNTOLD, known.incarnation):
+            known.see_report(report, asked_at)
 
     def see_plan(self, plan, now):
         """Note which groups are given up, and lives that the list has not told yet.
@@ -235,7 +237,7 @@
         for member in group.members:
             known = self.engines.get(member)
             meant = group.incarnation_of(member)
-            if known is not None and meant is not None and known.incarnation < meant:
+            if known is not None and known.incarnation < meant:
                 self.engines[member] = known.next_life(meant)
 
     def see_gone(self, engine_id):
--- a/cowslipcourse/groups/plan.py
+++ b/cowslipcourse/groups/plan.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cowslipcourse.exceptions import MalformedAnswer
+from cowslipcourse.ports import UNTOLD
 
 __all__ = ["DomainPlan", "PlannedGroup", "decode_plan", "encode_plan"]
 
@@ -44,9 +45,9 @@
         return self.members[0]
 
     def incarnation_of(self, engine):
-        """Return the life of a member that is meant, or ``None`` if any is."""
+        """Return the life of a member that is meant; :data:`~.ports.UNTOLD` for any."""
         lives = dict(zip(self.members, self.incarnations, strict=False))
-        return lives.get(engine)
+        return lives.get(engine, UNTOLD)
 
     def holds(self, engine, incarnation):
         """Whether a life of an engine is a member.
@@ -55,7 +56,7 @@
         :param incarnation: life that is asked about.
         """
         meant = self.incarnation_of(engine)
-        return engine in self.members and meant in (None, incarnation)
+        return engine in self.members and meant in (UNTOLD, incarnation)
 
 
 class DomainPlan(NamedTuple):
--- a/cowslipcourse/platform/entries.py
+++ b/cowslipcourse/platform/entries.py
@@ -6,7 +6,13 @@
 
 from cowslipcourse.exceptions import MalformedAnswer
 from cowslipcourse.platform.wire import Count, Name, Positive, Seconds, decode_as
-from cowslipcourse.ports import EngineReport, GroupState, Membership, TargetEntry
+from cowslipcourse.ports import (
+    UNTOLD,
+    EngineReport,
+    GroupState,
+    Membership,
+    TargetEntry,
+)
 from cowslipcourse.ports.addresses import Address
 
 __all__ = ["decode_entry", "decode_report"]
@@ -43,8 +49,9 @@
     # Counts the engine's own writes to the list. In a report the field of this name
     # counts accepted orders, so this one must not be used for orders.
     sequence: Count
-    # Unix time in milliseconds at which this life of the target began.
-    born: Positive
+    # Unix time in milliseconds at which this life of the target began. Where targets
+    # have a new id at each start the platform does not write it.
+    born: Positive | msgspec.UnsetType = msgspec.UNSET
     domain: str = ""
     staged: tuple[Name, ...] = ()
     models: tuple[_WireModel, ...] = ()
@@ -54,7 +61,7 @@
 class _WireReport(msgspec.Struct, frozen=True):
     # Counts the orders that this life has accepted.
     sequence: Count
-    born: Positive
+    born: Positive | msgspec.UnsetType = msgspec.UNSET
     staged: tuple[Name, ...] = ()
     models: tuple[_WireModel, ...] = ()
     group: _WireGroup | None = None
@@ -82,7 +89,7 @@
         domain=fields.domain,
         staged=fields.staged,
         membership=_membership(fields, what),
-        incarnation=fields.born,
+        incarnation=fields.born or UNTOLD,
     )
 
 
@@ -100,7 +107,7 @@
         waiting=fields.waiting,
         # Absent or 0 where the platform declares none.
         pace=fields.pace or 1.0,
-        incarnation=fields.born,
+        incarnation=fields.born or UNTOLD,
     )
 
 
--- a/cowslipcourse/ports/__init__.py
+++ b/cowslipcourse/ports/__init__.py
@@ -1,6 +1,7 @@
 """Interfaces between the system and everything outside its processes."""
 
 from cowslipcourse.ports.engines import (
+    UNTOLD,
     EngineControl,
     EngineOrder,
     EngineReport,
@@ -29,6 +30,7 @@
 )
 
 __all__ = [
+    "UNTOLD",
     "EngineControl",
     "EngineLoad",
     "EngineOrder",
--- a/cowslipcourse/ports/engines.py
+++ b/cowslipcourse/ports/engines.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, Protocol
 
 __all__ = [
+    "UNTOLD",
     "EngineControl",
     "EngineOrder",
     "EngineReport",
@@ -15,6 +16,10 @@
 ]
 
 
+UNTOLD = 0
+"""Incarnation of a target that does not tell its lives apart."""
+
+
 class GroupState(StrEnum):
     """How far an engine is in its group."""
 
@@ -54,7 +59,8 @@
     :param domain: fabric domain, or empty for a plain service.
     :param staged: models whose weights are on its host.
     :param membership: its group, or ``None``.
-    :param incarnation: Unix time in ms at which this life of the target began.
+    :param incarnation: Unix time in ms at which this life of the target began, or
+        :data:`UNTOLD`.
     """
 
     id: str
@@ -66,7 +72,7 @@
     domain: str = ""
     staged: tuple[str, ...] = ()
     membership: Membership | None = None
-    incarnation: int = 0
+    incarnation: int = UNTOLD
 
 
 class EngineReport(NamedTuple):
@@ -87,7 +93,7 @@
     running: int = 0
     waiting: int = 0
     pace: float = 1.0
-    incarnation: int = 0
+    incarnation: int = UNTOLD
 
 
 class OrderName(StrEnum):
--- a/features/group_plans/duels.feature
+++ b/features/group_plans/duels.feature
@@ -35,4 +35,4 @@
       | epochs used twice                               | divided | 82    |
       | members freed by the silence of their head      | mixed   | 11    |
       | members freed by the silence of their head      | divided | 9     |
-      | evidence from before a group's end              | divided | 2     |
+      | evidence from before a group's end              | divided | 139   |
--- a/features/knowledge/outside.feature
+++ b/features/knowledge/outside.feature
@@ -52,6 +52,11 @@
     And t2 comes as it started 0 ms later
     Then the list names t1
 
+  Scenario: An entry that no longer tells its life is another writer's
+    Given a list with the good entries t1 and t2
+    When t2 comes without the time of its start
+    Then t2 is named as leaving
+
   Scenario: Bad parts of a configuration leave the good ones in force
     When a configuration comes whose second route has no prefix and whose second key list is a number
     Then its first route and its first workspace are in force
--- a/features/steps/outside_steps.py
+++ b/features/steps/outside_steps.py
@@ -13,7 +13,7 @@
 from cowslipcourse.platform import decode_configuration
 from features.support.knowledge import FlakyStore, make_knowledge
 from features.support.outside import DECODERS, REFUSALS, damaged, lenient_entry
-from features.support.wire import BORN_MS, entry_content
+from features.support.wire import BORN_MS, entry_content, entry_fields
 from harness.paused_loop import run_paused
 
 BAD_FIELDS = {
@@ -115,6 +115,13 @@
     context.changes = context.list.apply(content, ())
 
 
+@when("{target} comes without the time of its start")
+def step_comes_untold(context, target):
+    fields = entry_fields()
+    del fields["born"]
+    context.changes = context.list.apply({target: json.dumps(fields).encode()}, ())
+
+
 @when("{target} is dropped")
 def step_dropped(context, target):
     context.list.apply({}, (target,))
