Coordinators tell all daemons which groups have ended and which heads open

Change: a datagram for each replaced epoch and each open order, to all known daemons; a module of its own says which heads serve, by list and news. Lists by model are made when something changes and not for each request. Ruled out: sharing suspicions for choosing: they are one daemon's guess, while the row that is replaced is a fact.

--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -27,6 +27,7 @@
     spares_of,
     wishes,
 )
+from cowslipcourse.peers import GroupNews, OpenedHead
 from cowslipcourse.ports import EngineOrder, OrderName, RowWrite
 
 __all__ = ["GROUPS_TABLE", "Coordinator"]
@@ -59,14 +60,18 @@
     :param control: :class:`~cowslipcourse.ports.EngineControl`
     :param settings: :class:`~cowslipcourse.entry.settings.ControlSettings`
     :param is_coordinator: callable.
+    :param tell: called with :class:`~cowslipcourse.peers.GroupNews` for all daemons.
     """
 
-    def __init__(self, tools, store, control, settings, is_coordinator):
+    def __init__(self, tools, store, control, settings, is_coordinator, tell):
         self._tools = tools
         self._store = store
-        self._calls = EngineCalls(control, self._see_report, self._doubt_own_links)
+        self._calls = EngineCalls(
+            control, self._see_report, self._doubt_own_links, self._note_opened
+        )
         self.settings = settings
         self._is_coordinator = is_coordinator
+        self._tell = tell
         self._domains = {}
         self._domain_of = {}
         self._plans = {}
@@ -256,6 +261,18 @@
         self._take_plan(DomainPlan(domain, version, groups))
         self._confirmed_at = asked_at
         _log_revision(plan, groups, version)
+        for news in _endings(plan, groups):
+            self._tell(news)
+
+    def _note_opened(self, engine, order):
+        """Tell which head begins to serve; the list says so up to a second later."""
+        spec = self._tools.table.services.get(engine.entry.service)
+        plan = self._plans.get(engine.entry.domain)
+        group = plan and plan.group_of(engine.id, engine.incarnation)
+        if spec is None or not group or group.epoch != order.epoch:
+            return
+        head = OpenedHead(engine.id, engine.incarnation, group.model, spec.open_s)
+        self._tell(GroupNews(group.name, group.epoch, head))
 
     # Orders and questions.
 
@@ -327,6 +344,17 @@
                 self._spawn_ask(domain, engine.id)
 
 
+def _endings(plan, groups):
+    """Yield news of groups whose earlier heads serve no longer."""
+    before = {group.name: group for group in plan.groups}
+    for group in groups:
+        known = before.get(group.name)
+        if known is None or known == group:
+            continue
+        # A name is not used again: no later epoch of a retired group will serve.
+        yield GroupNews(group.name, group.epoch + group.is_retired)
+
+
 def _log_revision(plan, groups, version):
     before = set(plan.groups)
     for group in groups:
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -98,6 +98,7 @@
             self._control,
             settings.control,
             self._is_coordinator,
+            self.tell_news,
         )
         self.knowledge = Knowledge(settings, self._store, self._registry, rng, self)
 
@@ -233,6 +234,15 @@
         known = self._registry.number_known(now) + 1
         self._tools.budget.daemons = max(known, SMALLEST_SITE)
 
+    def take_news(self, news):
+        """Take in what a coordinator has decided about a group."""
+        self._fleet.take_news(news, asyncio.get_running_loop().time())
+
+    def tell_news(self, news):
+        """Tell all daemons, this one first, what was decided about a group."""
+        self.take_news(news)
+        self._link.tell_news(news)
+
     def push(self, changes):
         """Send changes of targets to the daemons of the data centre."""
         self._link.push(changes)
--- a/cowslipcourse/entry/engine_calls.py
+++ b/cowslipcourse/entry/engine_calls.py
@@ -26,12 +26,14 @@
     :param control: :class:`~cowslipcourse.ports.EngineControl`
     :param on_report: called with an engine, its report and when it was asked for.
     :param on_silent: called after an engine was found silent.
+    :param on_opened: called with an engine and the order, after it began to open.
     """
 
-    def __init__(self, control, on_report, on_silent):
+    def __init__(self, control, on_report, on_silent, on_opened):
         self._control = control
         self._on_report = on_report
         self._on_silent = on_silent
+        self._on_opened = on_opened
         self._busy = set()
         self._tasks = set()
 
@@ -111,6 +113,8 @@
         if answer is OrderAnswer.BEGUN:
             engine.order_count = order.expected_count + 1
             _note_begun(engine, order, models, sent_at)
+            if order.name is OrderName.OPEN:
+                self._on_opened(engine, order)
         elif answer is OrderAnswer.DONE:
             # It may have counted up or not.
             _note_not_begun(engine, order)
--- a/cowslipcourse/entry/fleet.py
+++ b/cowslipcourse/entry/fleet.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from cowslipcourse.ports import GroupState
+from cowslipcourse.entry.heads import GroupHeads
 
 __all__ = ["FleetView", "Place"]
 
@@ -44,7 +44,7 @@
         self._in_flight = {}
         self._peers_in_flight = {}
         self._suspects = {}
-        self._newest_epoch = {}
+        self._heads = GroupHeads()
         self.version = 0
 
     @property
@@ -67,12 +67,14 @@
 
     def _changed(self):
         self.version += 1
-        newest = {}
-        for entry in self._entries.values():
-            found = entry.membership
-            if found is not None:
-                newest[found.group] = max(newest.get(found.group, 0), found.epoch)
-        self._newest_epoch = newest
+        self._heads.see_entries(self._entries.values())
+
+    def take_news(self, news, now):
+        """Take in what a coordinator has decided about a group.
+
+        :param news: :class:`~cowslipcourse.peers.GroupNews`
+        """
+        self._heads.take_news(news, self._entries.values(), now)
 
     def started(self, target):
         """Count a request that was sent to a target."""
@@ -118,8 +120,8 @@
         entry = self._entries.get(target)
         if entry is None:
             return 0, 0
-        epoch = 0 if entry.membership is None else entry.membership.epoch
-        return entry.incarnation, epoch
+        listed = 0 if entry.membership is None else entry.membership.epoch
+        return entry.incarnation, max(listed, self._heads.opened_epoch(target))
 
     def load(self, target):
         """Return the requests that all daemons have at a target."""
@@ -141,27 +143,8 @@
 
     def group_places(self, service, model, slots, now):
         """Return the :class:`Place` list of a model: heads of its open groups."""
-        leaving = {
-            (entry.membership.group, entry.membership.epoch)
-            for entry in self._entries.values()
-            if entry.is_leaving and entry.membership is not None
-        }
         places = [
             Place(entry, self.load(entry.id), slots)
-            for entry in self._entries.values()
-            if self._serves(entry, service, model)
-            and (entry.membership.group, entry.membership.epoch) not in leaving
+            for entry in self._heads.serving(service, model, now)
         ]
         return self._trusted(places, now)
-
-    def _serves(self, entry, service, model):
-        found = entry.membership
-        return (
-            found is not None
-            and entry.service == service
-            and not entry.is_leaving
-            and found.rank == 0
-            and found.state is GroupState.OPEN
-            and found.model == model
-            and found.epoch == self._newest_epoch[found.group]
-        )
--- /dev/null
+++ b/cowslipcourse/entry/heads.py
@@ -0,0 +1,143 @@
+"""Which engines take the requests of a model: heads of groups that serve, as known.
+
+The list of targets says so, but up to a second late. What a coordinator tells directly
+goes before it, in both directions: a group that is given up or formed anew gets nothing
+more at its former head, and a head that was told to open is used once it serves. Where
+an engine is lost every 3 s, requests had gone on for 2.5 s to heads of groups that had
+been given up, 0.4 to 1.1 s lost for each (from the daemons' logs).
+"""
+
+from typing import NamedTuple
+
+from cowslipcourse.ports import UNTOLD, GroupState, Membership
+
+__all__ = ["GroupHeads"]
+
+NEWS_S = 10.0
+"""Time for which a head is believed to serve that the list does not show yet: longer
+than the store is usually away. If the head ends, its entry goes, and so does belief."""
+MOST_REMEMBERED = 10_000
+"""Groups whose least epoch is remembered, about 1 MB; names are not used again."""
+_OVER = (GroupState.CLOSING, GroupState.BROKEN)
+
+
+class _Opened(NamedTuple):
+    group: str
+    epoch: int
+    model: str
+    incarnation: int
+    from_s: float
+
+
+class GroupHeads:
+    """Heads of groups, from the list's entries and from news."""
+
+    def __init__(self):
+        self._candidates = ()
+        self._newest_epoch = {}
+        self._leaving = frozenset()
+        self._least_epoch = {}
+        self._opened = {}
+
+    def see_entries(self, entries):
+        """Take in the whole list.
+
+        :param entries: iterable of :class:`~cowslipcourse.ports.TargetEntry`
+        """
+        joined = [entry for entry in entries if entry.membership is not None]
+        self._newest_epoch = {}
+        for entry in joined:
+            found = entry.membership
+            known = self._newest_epoch.get(found.group, 0)
+            self._newest_epoch[found.group] = max(known, found.epoch)
+        self._leaving = frozenset(
+            (entry.membership.group, entry.membership.epoch)
+            for entry in joined
+            if entry.is_leaving
+        )
+        self._candidates = tuple(
+            entry
+            for entry in entries
+            if not entry.is_leaving
+            and (_is_open_head(entry.membership) or entry.id in self._opened)
+        )
+
+    def take_news(self, news, entries, now):
+        """Take in a :class:`~cowslipcourse.peers.GroupNews`.
+
+        :param entries: the whole list.
+        :param now: loop time.
+        """
+        known = self._least_epoch.pop(news.group, 0)
+        self._least_epoch[news.group] = max(known, news.epoch)
+        if len(self._least_epoch) > MOST_REMEMBERED:
+            del self._least_epoch[next(iter(self._least_epoch))]
+        head = news.opened
+        if head is not None:
+            self._opened[head.engine] = _Opened(
+                news.group,
+                news.epoch,
+                head.model,
+                head.incarnation,
+                now + head.serves_in_s,
+            )
+        self._opened = {
+            engine: opened
+            for engine, opened in self._opened.items()
+            if now < opened.from_s + NEWS_S
+        }
+        self.see_entries(entries)
+
+    def opened_epoch(self, engine):
+        """Return the epoch at which an engine was told to open, 0 if it was not."""
+        opened = self._opened.get(engine)
+        return 0 if opened is None else opened.epoch
+
+    def serving(self, service, model, now):
+        """Return the entries of heads that serve a model, each in its open group."""
+        found = []
+        for entry in self._candidates:
+            membership = self._membership(entry, now)
+            if (
+                entry.service == service
+                and _is_open_head(membership)
+                and membership.model == model
+                and self._is_current(membership)
+            ):
+                found.append(entry._replace(membership=membership))
+        return found
+
+    def _membership(self, entry, now):
+        """Return the group of an engine by the list, or by news that is newer."""
+        listed, opened = entry.membership, self._opened.get(entry.id)
+        if opened is None or not opened.from_s <= now < opened.from_s + NEWS_S:
+            return listed
+        if opened.incarnation not in (UNTOLD, entry.incarnation):
+            return listed
+        if listed is not None and _is_newer(listed, opened):
+            return listed
+        return Membership(opened.group, opened.epoch, 0, GroupState.OPEN, opened.model)
+
+    def _is_current(self, membership):
+        group, epoch = membership.group, membership.epoch
+        least = self._least_epoch.get(group, 0)
+        newest = self._newest_epoch.get(group, 0)
+        return epoch >= max(least, newest) and (group, epoch) not in self._leaving
+
+
+def _is_open_head(membership):
+    return (
+        membership is not None
+        and membership.rank == 0
+        and membership.state is GroupState.OPEN
+    )
+
+
+def _is_newer(listed, opened):
+    """Whether the list tells of what came after a head was told to open.
+
+    Epochs are versions of the store, so they can be compared between groups.
+    """
+    if listed.epoch != opened.epoch:
+        return listed.epoch > opened.epoch
+    return listed.state in _OVER
--- a/cowslipcourse/entry/peer_link.py
+++ b/cowslipcourse/entry/peer_link.py
@@ -4,7 +4,14 @@
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.exceptions import MalformedAnswer
-from cowslipcourse.peers import Digest, Heartbeat, TargetChanges, decode, encode
+from cowslipcourse.peers import (
+    Digest,
+    GroupNews,
+    Heartbeat,
+    TargetChanges,
+    decode,
+    encode,
+)
 
 __all__ = ["PeerLink"]
 
@@ -33,8 +40,8 @@
 
     :param settings: :class:`~cowslipcourse.entry.settings.EntrySettings`
     :param registry: :class:`~cowslipcourse.peers.PeerRegistry`
-    :param daemon: has ``heartbeat()``, ``heartbeat_interval_s()``, ``heard(message)``
-        and ``knowledge``.
+    :param daemon: has ``heartbeat()``, ``heartbeat_interval_s()``, ``heard(message)``,
+        ``take_news(news)`` and ``knowledge``.
     """
 
     def __init__(self, settings, registry, daemon):
@@ -73,6 +80,14 @@
             digest = self._digest(own, now)
             self._send(encode(digest), self._registry.far_addresses(now))
 
+    def tell_news(self, news):
+        """Send a :class:`~cowslipcourse.peers.GroupNews` to all daemons, once.
+
+        One that is lost costs what there is without news: the list tells it later.
+        """
+        now = asyncio.get_running_loop().time()
+        self._send(encode(news), self._registry.all_addresses(now))
+
     def push(self, changes):
         """Send changes of targets to the own data centre."""
         content = encode(changes)
@@ -122,6 +137,8 @@
         now = asyncio.get_running_loop().time()
         if isinstance(message, TargetChanges):
             self._daemon.knowledge.take_push(message)
+        elif isinstance(message, GroupNews):
+            self._daemon.take_news(message)
         elif isinstance(message, Heartbeat):
             if message.member.name != self._settings.name and (
                 self._registry.note_heartbeat(message, now)
--- a/cowslipcourse/peers/__init__.py
+++ b/cowslipcourse/peers/__init__.py
@@ -2,8 +2,10 @@
 
 from cowslipcourse.peers.messages import (
     Digest,
+    GroupNews,
     Heartbeat,
     Member,
+    OpenedHead,
     TargetChanges,
     decode,
     encode,
@@ -18,8 +20,10 @@
 
 __all__ = [
     "Digest",
+    "GroupNews",
     "Heartbeat",
     "Member",
+    "OpenedHead",
     "PeerRegistry",
     "PeerState",
     "Registration",
--- a/cowslipcourse/peers/messages.py
+++ b/cowslipcourse/peers/messages.py
@@ -7,7 +7,16 @@
 from cowslipcourse.exceptions import MalformedAnswer
 from cowslipcourse.ports.addresses import Address
 
-__all__ = ["Digest", "Heartbeat", "Member", "TargetChanges", "decode", "encode"]
+__all__ = [
+    "Digest",
+    "GroupNews",
+    "Heartbeat",
+    "Member",
+    "OpenedHead",
+    "TargetChanges",
+    "decode",
+    "encode",
+]
 
 
 _Count = Annotated[int, msgspec.Meta(ge=0)]
@@ -91,7 +100,37 @@
     gone: tuple[str, ...]
 
 
-_KINDS = {b"H": Heartbeat, b"D": Digest, b"T": TargetChanges}
+class GroupNews(NamedTuple):
+    """What a coordinator has decided about a group, for all daemons.
+
+    The list of targets tells the same, up to a second later.
+
+    :param group: name of the group.
+    :param epoch: epoch from which on it may serve; heads of earlier ones no longer do.
+    :param opened: what its head serves, if it was told to open.
+    """
+
+    group: Annotated[str, msgspec.Meta(min_length=1)]
+    epoch: _Count
+    opened: "OpenedHead | None" = None
+
+
+class OpenedHead(NamedTuple):
+    """The head of a group that begins to serve.
+
+    :param engine: id of the head.
+    :param incarnation: life of the head that was told to open.
+    :param model: model that it serves.
+    :param serves_in_s: seconds until it serves.
+    """
+
+    engine: str
+    incarnation: _Count
+    model: str
+    serves_in_s: Annotated[float, msgspec.Meta(ge=0, le=60)]
+
+
+_KINDS = {b"H": Heartbeat, b"D": Digest, b"T": TargetChanges, b"G": GroupNews}
 _LETTERS = {kind: letter for letter, kind in _KINDS.items()}
 _encoder = msgspec.msgpack.Encoder()
 _decoders = {letter: msgspec.msgpack.Decoder(kind) for letter, kind in _KINDS.items()}
--- a/cowslipcourse/peers/registry.py
+++ b/cowslipcourse/peers/registry.py
@@ -148,6 +148,11 @@
             if data_centre == self._data_centre
         ]
 
+    def all_addresses(self, now):
+        """Return the addresses of all other daemons that are known."""
+        self._forget(now)
+        return list(self._addresses)
+
     def far_addresses(self, now):
         """Return the addresses that a digest goes to: reporters elsewhere.
 
--- a/features/steps/life_steps.py
+++ b/features/steps/life_steps.py
@@ -185,7 +185,12 @@
     services = ServiceSpec("llm", models=(LARGE, SMALL)), ServiceSpec("desk")
     table = RouteTable(1, (), services, CallerLimits(), {})
     context.coordinator = Coordinator(
-        _Tools(table), None, _Silent(), ControlSettings(), lambda: True
+        _Tools(table),
+        None,
+        _Silent(),
+        ControlSettings(),
+        lambda: True,
+        lambda news: None,
     )
 
 
@@ -221,7 +226,12 @@
                 world.add_engine(domain)
         await world.write(RowWrite(GROUPS_TABLE, "d2", b'[["g"]]', None))
         coordinator = Coordinator(
-            _Tools(route_table()), world, world, ControlSettings(), lambda: True
+            _Tools(route_table()),
+            world,
+            world,
+            ControlSettings(),
+            lambda: True,
+            lambda news: None,
         )
         coordinator.see_entries(world.entries())
         tasks = [asyncio.create_task(c) for c in (coordinator.run(), world.run())]
--- a/features/support/coordinator_runs.py
+++ b/features/support/coordinator_runs.py
@@ -194,6 +194,7 @@
             links,
             settings,
             lambda number=number: duel.acting[number],
+            lambda news: None,
         )
         running += [coordinator.run(), _list(world, coordinator, rng, site)]
     tasks = [asyncio.create_task(coroutine) for coroutine in running]
