Callers before the users' platform are told fractions of seconds to come back

Cause: 0.5 s was decided and a whole second told, as the header is whole seconds in general; the users' callers take fractions and honour a third of what is left of their time.

--- a/cowslipcourse/entry/front.py
+++ b/cowslipcourse/entry/front.py
@@ -8,7 +8,7 @@
 from cowslipcourse.entry.calls import Responder, read_call
 from cowslipcourse.entry.stopping import RequestDurations, can_end
 from cowslipcourse.exceptions import CallerGone, GatewayDraining, RequestError
-from cowslipcourse.platform.edge import attempt_id
+from cowslipcourse.platform.edge import attempt_id, come_back_header
 
 __all__ = ["FrontApp"]
 
@@ -113,7 +113,9 @@
         if responder.started:
             # Ending without the last chunk tells the caller that it is not whole.
             raise error
-        headers = {"Connection": "close"} if self.is_draining else {}
+        headers = come_back_header(error.retry_after_s)
+        if self.is_draining:
+            headers["Connection"] = "close"
         await problem_answer(error, headers)(scope, receive, send)
 
 
--- a/cowslipcourse/platform/edge.py
+++ b/cowslipcourse/platform/edge.py
@@ -9,6 +9,7 @@
     "answer_headers",
     "attempt_header",
     "attempt_id",
+    "come_back_header",
     "failed_unexecuted",
     "header_bytes",
     "read_caller_fields",
@@ -18,6 +19,7 @@
 MS = 1000.0
 
 _ATTEMPT = b"x-attempt-id"
+_COME_BACK = "Retry-After"
 _BUDGET = b"x-time-budget-ms"
 _EXPECTED_ID = b"x-expect-instance"
 _KEY = b"authorization"
@@ -145,6 +147,16 @@
     return [(name, value) for name, value in headers if name not in _HOP_BY_HOP]
 
 
+def come_back_header(seconds):
+    """Return the header that tells a caller when to come back, as a dictionary.
+
+    Callers here take fractions, and count them against what is left of their time.
+
+    :param seconds: seconds, or ``None`` if coming back does not help.
+    """
+    return {} if seconds is None else {_COME_BACK: f"{seconds:.3f}"}
+
+
 def failed_unexecuted(head):
     """Whether an answer proves that the request has not run and will not.
 
