Given-up groups are formed anew under their names by free engines

Change: a given-up group that engines become free for is formed anew under its own name with a new epoch, which needs no proof about its head, as in any repair. Ruled out: not giving such groups up: their survivors must stay away for the stall time to be of use to others, and that time runs from the order to leave.

--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -351,7 +351,7 @@
         known = before.get(group.name)
         if known is None or known == group:
             continue
-        # A name is not used again: no later epoch of a retired group will serve.
+        # If a retired group is formed anew, its epoch is a later one.
         yield GroupNews(group.name, group.epoch + group.is_retired)
 
 
--- a/cowslipcourse/groups/revision.py
+++ b/cowslipcourse/groups/revision.py
@@ -97,6 +97,7 @@
         self._leave_cold_engines()
         for group in self._incomplete():
             self._repair(group)
+        self._revive()
         self._swap_loading()
         if self._shape.model is None:
             self._give_up_one()
@@ -191,6 +192,21 @@
         members = tuple(self._survivors(group)) + self._take(group.model, lacking)
         self._replan(group, members)
 
+    def _revive(self):
+        """Form given-up groups anew under their names, as far as engines are free.
+
+        The survivors of a group whose head is silent are not free for others until the
+        head must have broken, 4.5 s later. Under the group's own name they need not
+        wait: that is a repair like any other.
+        """
+        retired = [group for group in self._groups.values() if group.is_retired]
+        for group in sorted(retired, key=self._lacking):
+            held = [view for view in self._members(group) if view and view.is_live]
+            warm = sum(group.model in view.staged for view in self._free)
+            if held and 0 < self._lacking(group) <= warm:
+                self._groups[group.name] = group._replace(is_retired=False)
+                self._repair(self._groups[group.name])
+
     def _replan(self, group, members):
         """Give a group other members, and the epoch that goes with them."""
         self._groups[group.name] = group._replace(
--- a/features/group_plans/revision.feature
+++ b/features/group_plans/revision.feature
@@ -106,6 +106,22 @@
     When b is lost
     Then the group of large is given up
 
+  Scenario: A given-up group whose head is lost is formed anew under its name
+    Given a domain with a group of large on a b c d
+    And the domain serves large alone
+    When a is lost
+    Then the group of large is given up
+    When that is in force and the spare e that holds large comes
+    Then the group keeps its name, gets a higher epoch and has the members b c d e
+
+  Scenario: A given-up group is not formed anew by an engine that must load first
+    Given a domain with a group of large on a b c d
+    And the domain serves large alone
+    When a is lost
+    Then the group of large is given up
+    When that is in force and the spare e that holds small comes
+    Then the group of large is given up
+
   Scenario: Members of a given-up group are free although its lost head stays lost
     Given a retired group on a b c d whose head a is lost
     When b, c and d have been away for 4.6 s by reports
--- a/features/steps/revision_steps.py
+++ b/features/steps/revision_steps.py
@@ -118,6 +118,15 @@
     _revise(context)
 
 
+@when("that is in force and the spare {engine} that holds {model} comes")
+def step_comes(context, engine, model):
+    context.plan = context.plan._replace(
+        version=context.plan.version + 1, groups=context.revised
+    )
+    context.views[engine] = _view(engine, (model,), is_free=True)
+    _revise(context)
+
+
 @when("the group is broken")
 def step_broken(context):
     _revise(context, broken=frozenset(["g1"]))
