--- a/cowslipcourse/entry/streaming.py
+++ b/cowslipcourse/entry/streaming.py
@@ -92,7 +92,8 @@
             places = self._tools.fleet.group_places(service, model, spec.slots, now)
         else:
             places = self._tools.fleet.service_places(service, now)
-        return choose_group(places, tried, self._tools.rng)
+        tools = self._tools
+        return choose_group(places, tried, tools.data_centre, tools.rng)
 
     async def _run(self, progress, entry):
         call = progress.call
