--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -7,11 +7,11 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.entry.domains import Domains
 from cowslipcourse.entry.engine_calls import EngineCalls
 from cowslipcourse.entry.pauses import ticks
 from cowslipcourse.exceptions import ConditionFailed, MalformedAnswer, StoreError
 from cowslipcourse.groups import (
-    DomainKnowledge,
     DomainPlan,
     LoadLimit,
     StepKind,
@@ -64,20 +64,21 @@
     """
 
     def __init__(self, tools, store, control, settings, is_coordinator, tell):
+        self.domains = Domains(tools)
         self._tools = tools
         self._store = store
         self._calls = EngineCalls(
-            control, self._see_report, self._doubt_own_links, self._note_opened
+            control,
+            self.domains.see_report,
+            self._doubt_own_links,
+            self._note_opened,
         )
         self.settings = settings
         self._is_coordinator = is_coordinator
         self._tell = tell
-        self._domains = {}
-        self._domain_of = {}
         self._plans = {}
         self._unreadable = frozenset()
         self._confirmed_at = None
-        self._grown_at = {}
         self._load_limit = LoadLimit()
         self._investigated = {}
         self._acts = False
@@ -85,40 +86,6 @@
 
     # What other parts tell.
 
-    def see_entries(self, entries):
-        """Take in changed entries of engines."""
-        now = asyncio.get_running_loop().time()
-        for entry in entries:
-            if not self._is_engine(entry):
-                self.see_gone((entry.id,))
-                continue
-            self._leave_other_domain(entry)
-            domain = self._domains.setdefault(entry.domain, DomainKnowledge())
-            if entry.id not in domain.engines:
-                self._grown_at[entry.domain] = now
-            domain.see_entry(entry)
-
-    def _is_engine(self, entry):
-        """Whether an entry names an engine: its service is one that serves models."""
-        table = self._tools.table
-        spec = None if table is None else table.services.get(entry.service)
-        return bool(entry.domain) and spec is not None and bool(spec.models)
-
-    def _leave_other_domain(self, entry):
-        """An engine is in one domain: two rows could plan it for two groups."""
-        known = self._domain_of.get(entry.id)
-        if known not in (None, entry.domain):
-            log.warning("engine-moved", id=entry.id, known=known, listed=entry.domain)
-            self._domains[known].see_gone(entry.id)
-        self._domain_of[entry.id] = entry.domain
-
-    def see_gone(self, ids):
-        """Note ids that the list no longer holds."""
-        for engine_id in ids:
-            known = self._domain_of.get(engine_id)
-            if known is not None:
-                self._domains[known].see_gone(engine_id)
-
     def look_into(self, target, epoch):
         """Ask the members of a group whose head was found silent."""
         if not self._acts:
@@ -144,17 +111,9 @@
         log.info("group-suspected", group=group.name, epoch=group.epoch)
         for member in group.members:
             self._spawn_ask(plan.domain, member)
-        for engine in spares_of(plan, self._domains[plan.domain]):
+        for engine in spares_of(plan, self.domains.by_name[plan.domain]):
             self._spawn_ask(plan.domain, engine.id)
 
-    def engines(self, domain):
-        """Return the :class:`~cowslipcourse.groups.EngineKnowledge` of a domain by id.
-
-        :param domain: name of the domain.
-        """
-        known = self._domains.get(domain)
-        return {} if known is None else known.engines
-
     # The loop.
 
     async def run(self):
@@ -174,7 +133,7 @@
         try:
             if self._confirmed_at is None:
                 await self._read_plans()
-            for domain in sorted(self._domains):
+            for domain in sorted(self.domains.by_name):
                 if domain not in self._unreadable:
                     await self._tend(domain)
         except StoreError as error:
@@ -200,23 +159,21 @@
 
     def _take_plan(self, plan):
         self._plans[plan.domain] = plan
-        knowledge = self._domains.setdefault(plan.domain, DomainKnowledge())
-        knowledge.see_plan(plan, asyncio.get_running_loop().time())
+        self.domains.see_plan(plan)
 
     async def _tend(self, domain):
         now = asyncio.get_running_loop().time()
-        is_growing = now - self._grown_at.get(domain, now) < SETTLE_S
+        is_growing = self.domains.grew_s_ago(domain, now) < SETTLE_S
         if is_growing and not self._plan(domain).groups:
             return
-        knowledge = self._domains[domain]
+        knowledge = self.domains.by_name[domain]
         spec = self._spec(knowledge)
         if spec is None:
             return
         shape = self._shape(domain, spec)
         await self._revise(domain, knowledge, spec, shape, now)
         plan = self._plan(domain)
-        for engine_id in knowledge.forget(plan.names):
-            del self._domain_of[engine_id]
+        self.domains.forget(plan)
         models = {model.name: model for model in spec.models}
         steps = next_steps(plan, knowledge.engines, models, self.settings.stall_s, now)
         for step in steps:
@@ -235,7 +192,8 @@
         return None
 
     def _shape(self, domain, spec):
-        places = {name: known.data_centre for name, known in self._domains.items()}
+        known = self.domains.by_name
+        places = {name: domain.data_centre for name, domain in known.items()}
         return choose_shape(domain, self._plans, places, spec.models)
 
     def _plan(self, domain):
@@ -277,25 +235,13 @@
     # Orders and questions.
 
     def _spawn_ask(self, domain, engine_id):
-        engine = self._domains[domain].engines.get(engine_id)
+        engine = self.domains.engine(domain, engine_id)
         if engine is not None:
             self._calls.ask(engine)
 
-    def _see_report(self, engine, report, asked_at):
-        known = self._domains[engine.entry.domain]
-        if report.incarnation != engine.incarnation:
-            log.info(
-                "engine-other-life",
-                engine=engine.id,
-                known=engine.incarnation,
-                reported=report.incarnation,
-            )
-        known.see_report(engine.id, report, asked_at)
-
     def _doubt_own_links(self):
         """Stop to coordinate if too many engines seem silent at once."""
-        engines = [e for d in self._domains.values() for e in d.engines.values()]
-        listed = [engine for engine in engines if engine.listed]
+        listed = [engine for engine in self.domains.engines if engine.listed]
         silent = [engine for engine in listed if engine.silent_since is not None]
         if len(silent) <= MOST_SILENT * len(listed):
             return
@@ -306,7 +252,7 @@
             engine.silent_since = None
 
     def _spawn_order(self, domain, engine_id, order, models):
-        engine = self._domains[domain].engines.get(engine_id)
+        engine = self.domains.engine(domain, engine_id)
         if engine is not None and self._is_confirmed():
             self._calls.order(engine, order, models)
 
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -177,13 +177,13 @@
         self._is_ready = not self._front.is_draining
         log.info("configuration", version=table.version, routes=len(table))
         # Which entries name engines follows from the services.
-        self._coordinator.see_entries(self._fleet.entries.values())
+        self._coordinator.domains.see_entries(self._fleet.entries.values())
 
     def take_targets(self, entries, gone):
         """Apply changes to the list of targets."""
         self._fleet.apply(entries, gone)
-        self._coordinator.see_entries(entries)
-        self._coordinator.see_gone(gone)
+        self._coordinator.domains.see_entries(entries)
+        self._coordinator.domains.see_gone(gone)
 
     # Peers.
 
--- /dev/null
+++ b/cowslipcourse/entry/domains.py
@@ -0,0 +1,96 @@
+"""The fabric domains as the list of targets and reports tell of them."""
+
+import asyncio
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.groups import DomainKnowledge
+
+__all__ = ["Domains"]
+
+log = get_logger(__name__)
+
+
+class Domains:
+    """What is known of engines, by domain.
+
+    :param tools: :class:`~cowslipcourse.entry.tools.EntryTools`
+    """
+
+    def __init__(self, tools):
+        self._tools = tools
+        self._domain_of = {}
+        self._grown_at = {}
+        self.by_name = {}
+
+    @property
+    def engines(self):
+        """All engines that are listed, or needed still, in a list."""
+        return [e for domain in self.by_name.values() for e in domain.engines.values()]
+
+    def see_entries(self, entries):
+        """Take in changed entries; those that name no engine are taken as gone."""
+        now = asyncio.get_running_loop().time()
+        for entry in entries:
+            if not self._is_engine(entry):
+                self.see_gone((entry.id,))
+                continue
+            self._leave_other_domain(entry)
+            domain = self.by_name.setdefault(entry.domain, DomainKnowledge())
+            if entry.id not in domain.engines:
+                self._grown_at[entry.domain] = now
+            domain.see_entry(entry)
+
+    def see_gone(self, ids):
+        """Note ids that the list no longer holds."""
+        for engine_id in ids:
+            known = self._domain_of.get(engine_id)
+            if known is not None:
+                self.by_name[known].see_gone(engine_id)
+
+    def see_report(self, engine, report, asked_at):
+        """Take in a report.
+
+        :param engine: :class:`~cowslipcourse.groups.EngineKnowledge` that was asked.
+        :param asked_at: when it was asked for.
+        """
+        if report.incarnation != engine.incarnation:
+            log.info(
+                "engine-other-life",
+                engine=engine.id,
+                known=engine.incarnation,
+                reported=report.incarnation,
+            )
+        self.by_name[engine.entry.domain].see_report(engine.id, report, asked_at)
+
+    def see_plan(self, plan):
+        """Take in what a domain's plan says of its engines."""
+        known = self.by_name.setdefault(plan.domain, DomainKnowledge())
+        known.see_plan(plan, asyncio.get_running_loop().time())
+
+    def forget(self, plan):
+        """Forget engines of a plan's domain that neither list nor plan names."""
+        for engine_id in self.by_name[plan.domain].forget(plan.names):
+            del self._domain_of[engine_id]
+
+    def grew_s_ago(self, domain, now):
+        """Return the seconds since a domain got an engine; 0 if it never did."""
+        return now - self._grown_at.get(domain, now)
+
+    def engine(self, domain, engine_id):
+        """Return the :class:`~cowslipcourse.groups.EngineKnowledge`, or ``None``."""
+        known = self.by_name.get(domain)
+        return None if known is None else known.engines.get(engine_id)
+
+    def _is_engine(self, entry):
+        """Whether an entry names an engine: its service is one that serves models."""
+        table = self._tools.table
+        spec = None if table is None else table.services.get(entry.service)
+        return bool(entry.domain) and spec is not None and bool(spec.models)
+
+    def _leave_other_domain(self, entry):
+        """An engine is in one domain: two rows could plan it for two groups."""
+        known = self._domain_of.get(entry.id)
+        if known not in (None, entry.domain):
+            log.warning("engine-moved", id=entry.id, known=known, listed=entry.domain)
+            self.by_name[known].see_gone(entry.id)
+        self._domain_of[entry.id] = entry.domain
--- a/cowslipcourse/groups/plan.py
+++ b/cowslipcourse/groups/plan.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cowslipcourse.decoding import decoded
 from cowslipcourse.exceptions import MalformedAnswer
 from cowslipcourse.ports import UNTOLD
 
@@ -103,10 +104,7 @@
 
     :raises MalformedAnswer: it cannot be read.
     """
-    try:
-        groups = _decoder.decode(content)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise MalformedAnswer(f"unreadable plan of {domain}: {error}") from error
+    groups = decoded(_decoder, content, f"plan of {domain}")
     lives = [(m, group.incarnation_of(m)) for group in groups for m in group.members]
     if len(set(lives)) != len(lives):
         raise MalformedAnswer(f"unreadable plan of {domain}: an engine stands twice")
--- a/cowslipcourse/peers/messages.py
+++ b/cowslipcourse/peers/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cowslipcourse.decoding import decoded
 from cowslipcourse.exceptions import MalformedAnswer
 from cowslipcourse.ports.addresses import Address
 
@@ -149,7 +150,4 @@
     decoder = _decoders.get(content[:1])
     if decoder is None:
         raise MalformedAnswer("a datagram of an unknown kind")
-    try:
-        return decoder.decode(content[1:])
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise MalformedAnswer(f"unreadable datagram: {error}") from error
+    return decoded(decoder, content[1:], "datagram")
--- a/cowslipcourse/peers/registration.py
+++ b/cowslipcourse/peers/registration.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cowslipcourse.exceptions import MalformedAnswer
+from cowslipcourse.decoding import decoded
 from cowslipcourse.ports.addresses import Address
 
 __all__ = ["Registration", "decode_registration", "encode_registration"]
@@ -34,7 +34,4 @@
 
     :raises MalformedAnswer: it cannot be read.
     """
-    try:
-        return _decoder.decode(content)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise MalformedAnswer(f"unreadable registration: {error}") from error
+    return decoded(_decoder, content, "registration")
--- a/cowslipcourse/peers/state.py
+++ b/cowslipcourse/peers/state.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cowslipcourse.exceptions import MalformedAnswer
+from cowslipcourse.decoding import decoded
 
 __all__ = ["PeerState", "decode_state", "encode_state"]
 
@@ -36,7 +36,4 @@
 
     :raises MalformedAnswer: it cannot be read.
     """
-    try:
-        return _decoder.decode(content)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise MalformedAnswer(f"unreadable peer state: {error}") from error
+    return decoded(_decoder, content, "peer state")
--- a/cowslipcourse/platform/wire.py
+++ b/cowslipcourse/platform/wire.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from cowslipcourse.exceptions import MalformedAnswer
+from cowslipcourse.decoding import decoded
 
 __all__ = ["Count", "Name", "Positive", "Seconds", "decode_as"]
 
@@ -36,7 +36,4 @@
     decoder = _decoders.get(kind)
     if decoder is None:
         decoder = _decoders[kind] = msgspec.json.Decoder(kind)
-    try:
-        return decoder.decode(content)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise MalformedAnswer(f"unreadable {what}: {error}") from error
+    return decoded(decoder, content, what)
--- a/features/steps/life_steps.py
+++ b/features/steps/life_steps.py
@@ -197,7 +197,7 @@
 @when("entries of llm, desk and nobody come, all with the domain d1")
 def step_entries(context):
     async def run():
-        context.coordinator.see_entries(
+        context.coordinator.domains.see_entries(
             [_entry(name, service=name) for name in ("llm", "desk", "nobody")]
         )
 
@@ -206,7 +206,8 @@
 
 @then("only the entry of llm is an engine of d1")
 def step_only_llm(context):
-    assert set(context.coordinator.engines("d1")) == {"llm"}
+    engines = context.coordinator.domains.engines
+    assert [engine.id for engine in engines] == ["llm"], engines
 
 
 @given(
@@ -233,7 +234,7 @@
             lambda: True,
             lambda news: None,
         )
-        coordinator.see_entries(world.entries())
+        coordinator.domains.see_entries(world.entries())
         tasks = [asyncio.create_task(c) for c in (coordinator.run(), world.run())]
         await asyncio.sleep(3.0)
         for task in tasks:
--- a/features/support/coordinator_runs.py
+++ b/features/support/coordinator_runs.py
@@ -122,11 +122,11 @@
         entries = world.entries()
         await asyncio.sleep(rng.choice([0.0, 0.05, 0.8]))
         present = {entry.id for entry in entries}
-        coordinator.see_gone(listed - present)
-        coordinator.see_entries(entries)
+        coordinator.domains.see_gone(listed - present)
+        coordinator.domains.see_entries(entries)
         listed = present
         if site.restarts and world.past_entries and rng.random() < OLD_ENTRY_SHARE:
-            coordinator.see_entries([rng.choice(world.past_entries[-5:])])
+            coordinator.domains.see_entries([rng.choice(world.past_entries[-5:])])
 
 
 def _restart(world, engine, rng):
