--- a/cowslipcourse/entry/choosing.py
+++ b/cowslipcourse/entry/choosing.py
@@ -9,18 +9,11 @@
 a second late; the best of all would be every daemon's choice at once."""
 
 
-NEAR_WORTH = 1
-"""Requests that a group of the own data centre may have more than another one and is
-chosen still. Streams between data centres are paid for by the byte and dearer than a
-place in a batch, which slows the others by 1% or 2%."""
-
-
-def choose_group(places, tried, data_centre, rng, sample=SAMPLE):
+def choose_group(places, tried, rng, sample=SAMPLE):
     """Return the place with the least load, or ``None`` if all are full.
 
     :param places: list of :class:`~cowslipcourse.entry.fleet.Place`
     :param tried: ids of targets that this request is not to be sent to again.
-    :param data_centre: this daemon's own.
     :param rng: :class:`random.Random`
     :param sample: number of places that are compared.
     """
@@ -34,12 +27,7 @@
         return None
     if len(open_places) > sample:
         open_places = rng.sample(open_places, sample)
-
-    def load(place):
-        is_near = place.entry.data_centre == data_centre
-        return place.in_flight - is_near * NEAR_WORTH, rng.random()
-
-    return min(open_places, key=load)
+    return min(open_places, key=lambda place: (place.in_flight, rng.random()))
 
 
 def choose_target(places, tried, data_centre, rng):
--- a/cowslipcourse/entry/streaming.py
+++ b/cowslipcourse/entry/streaming.py
@@ -92,8 +92,7 @@
             places = self._tools.fleet.group_places(service, model, spec.slots, now)
         else:
             places = self._tools.fleet.service_places(service, now)
-        tools = self._tools
-        return choose_group(places, tried, tools.data_centre, tools.rng)
+        return choose_group(places, tried, self._tools.rng)
 
     async def _run(self, progress, entry):
         call = progress.call
--- a/features/forwarding/decisions.feature
+++ b/features/forwarding/decisions.feature
@@ -30,21 +30,6 @@
     And after 0.4 s of silence the begun one is ended and the target suspected
     And a stream that waits behind others is given 3 s
 
-  Scenario Outline: A near group is chosen at nearly equal load
-    Given a near group with <near> requests and a far one with <far>
-    Then the <chosen> one is chosen
-
-    Examples:
-      | near | far | chosen |
-      | 3    | 3   | near   |
-      | 4    | 3   | either |
-      | 5    | 3   | far    |
-
-  Scenario: Near groups at nearly equal load keep bytes in their data centres
-    Given 2 groups in each of 3 data centres, daemons in each, and 60 streams at a time
-    When 3000 requests come, by near groups and without
-    Then near groups take at least 1.3 times as many, and the fullest group is no fuller by 2
-
   Scenario: A target that is suspected is chosen again when its group has changed
     Given a suspected head of group g1 at epoch 3
     Then it is not chosen while another serves
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -241,7 +241,7 @@
             Place(entry, count, 1000)
             for entry, count in zip(entries, counts, strict=True)
         ]
-        chosen = choosing.choose_group(places, set(), "elsewhere", rng, sample)
+        chosen = choosing.choose_group(places, set(), rng, sample)
         running.append((now + answer_s, daemon, entries.index(chosen.entry)))
         if now > answer_s:
             loads = [
