--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -6,6 +6,10 @@
     When the soak runs seeds 1 to 2 with 6 s of faults each
     Then no promise was broken
 
+  Scenario: Engines start again under their ids and entries are spoiled
+    When the soak runs seeds 1001 to 1002 with 6 s of faults each
+    Then no promise was broken
+
   Scenario Outline: A broken promise is noticed
     Given a soak's history in which <what happened>
     Then the checks say "<finding>"
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -182,7 +182,7 @@
         address = f"127.0.0.1:{free_ports(1)[0]}"
         self._addresses[engine.id] = await self.published_address(address)
         report, order, stream = (
-            functools.partial(call, engine)
+            functools.partial(call, engine.id)
             for call in (self._report, self._order, self._stream)
         )
         routes = [
@@ -258,16 +258,20 @@
                 del self._listed[engine_id]
                 self.store.drop("servers", engine_id)
 
-    async def _silent_if_dark(self, engine):
-        while engine.is_dark or engine.id not in self.world.engines:
+    async def _present(self, engine_id):
+        """Return the present life of an engine; nothing answers without one."""
+        while True:
+            engine = self.world.engines.get(engine_id)
+            if engine is not None and not engine.is_dark:
+                return engine
             await asyncio.sleep(0.1)
 
-    async def _report(self, engine, request):
-        await self._silent_if_dark(engine)
+    async def _report(self, engine_id, request):
+        engine = await self._present(engine_id)
         return JSONResponse(self._fields(engine) | {"sequence": engine.order_count})
 
-    async def _order(self, engine, request):
-        await self._silent_if_dark(engine)
+    async def _order(self, engine_id, request):
+        engine = await self._present(engine_id)
         body = await request.json()
         order = EngineOrder(
             OrderName(body["operation"]),
@@ -279,8 +283,8 @@
         )
         return Response(status_code=STATUS[engine.take(order)])
 
-    async def _stream(self, engine, request):
-        await self._silent_if_dark(engine)
+    async def _stream(self, engine_id, request):
+        engine = await self._present(engine_id)
         headers = {"x-attempt-id": request.headers["x-attempt-id"]}
         if not engine.is_open_head:
             return Response(status_code=421, headers=headers)
@@ -292,6 +296,8 @@
             for event in events:
                 await asyncio.sleep(EVENT_S)
                 while engine.membership is None or not self._serves(engine):
+                    if self.world.engines.get(engine_id) is not engine:
+                        raise ConnectionResetError("the engine has started again")
                     await asyncio.sleep(0.1)
                 yield event
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -61,7 +61,7 @@
             return ["the site never served"], site
         calling = asyncio.create_task(callers.run())
         began_at = asyncio.get_running_loop().time()
-        for fault in make_schedule(rng, duration_s):
+        for fault in make_schedule(rng, duration_s, seed):
             now = asyncio.get_running_loop().time()
             await asyncio.sleep(max(0.0, began_at + fault.at_s - now))
             site.apply(fault)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -36,6 +36,8 @@
     TARGET_LEAVES = "target-leaves"
     TARGET_RESETS = "target-resets"
     KEY_CHANGES = "key-changes"
+    ENGINE_STARTS_AGAIN = "engine-starts-again"
+    ENTRY_SPOILED = "entry-spoiled"
 
 
 K = FaultKind
@@ -52,12 +54,17 @@
         K.STORE_LINK_RESET,
     )
 )
+LATER_KINDS = frozenset((K.ENGINE_STARTS_AGAIN, K.ENTRY_SPOILED))
+LATER_KINDS_FROM = 1000
+"""First seed that draws the kinds added later: earlier seeds stay as they are."""
 _WEIGHTS = dict.fromkeys(FaultKind, 2.0) | {
     K.KILL_ALL: 0.3,
     K.ENGINE_LOST: 5,
     K.ENGINE_DARK: 4,
     K.ENGINE_ADDED: 4,
     K.KEY_CHANGES: 4,
+    K.ENGINE_STARTS_AGAIN: 6,
+    K.ENTRY_SPOILED: 4,
 }
 
 
@@ -76,13 +83,16 @@
     for_s: float
 
 
-def make_schedule(rng, duration_s):
+def make_schedule(rng, duration_s, seed):
     """Return the list of :class:`Fault` of a run, by time.
 
     :param rng: :class:`random.Random`
     :param duration_s: seconds within which faults begin and end.
+    :param seed: decides which kinds are drawn.
     """
-    kinds, weights = zip(*_WEIGHTS.items(), strict=True)
+    left_out = LATER_KINDS if seed < LATER_KINDS_FROM else frozenset()
+    drawn = {kind: w for kind, w in _WEIGHTS.items() if kind not in left_out}
+    kinds, weights = zip(*drawn.items(), strict=True)
     faults, at_s, kind = [], 0.0, None
     while True:
         at_s += rng.uniform(LEAST_GAP_S, LONGEST_GAP_S)
--- a/soak/site.py
+++ b/soak/site.py
@@ -18,6 +18,8 @@
 WATCH_S = 0.05
 SLOW_STORE_S = 0.6
 STOP_S = 8.0
+SPOILED_ENTRY = b'{"service": 7, "address": null, "state": "ready"}'
+"""An entry as another writer may leave it."""
 """A daemon's own settings allow it this long to stop."""
 RESET_AGAIN_S = 0.1
 HANDLED = ("SigIgn:", "SigCgt:")
@@ -252,6 +254,19 @@
             self._lost += 1
             self.world.engines.pop(engine.id, None)
 
+    async def _do_engine_starts_again(self, fault):
+        engine = self._some_engine(fault)
+        if engine is not None:
+            self.world.restart(engine)
+
+    async def _do_entry_spoiled(self, fault):
+        """Let another writer replace an engine's entry until its next own one."""
+        engine = self._some_engine(fault)
+        if engine is not None:
+            self.store.put("servers", engine.id, SPOILED_ENTRY)
+            await asyncio.sleep(fault.for_s)
+            self._listed.pop(engine.id, None)
+
     async def _do_engine_added(self, fault):
         self._lost -= 1
         await self.add_engine("d1" if fault.luck < 0.5 else "d2")
