An emulator of engines, callers and faults in virtual time around the decision code

Change: cowslipcourse/emulator: engines and store of the duels (moved), batches of heads, the list with its lag, news, callers with aims and retries, faults; daemons made of the real forwarder, choosing, silence watch, urgency, fleet view and coordinator.

--- /dev/null
+++ b/cowslipcourse/emulator/__init__.py
@@ -0,0 +1,11 @@
+"""Engines, callers and faults in virtual time around the real decision code.
+
+Nothing here runs in production: it tells what a change of a decision does to callers
+in a minute, where a play of real processes takes an hour. ``docs/emulator.md`` says
+what is emulated and what is not.
+"""
+
+from cowslipcourse.emulator.clock import PausedLoop, run_paused
+from cowslipcourse.emulator.engines import Engine, Faults, World
+
+__all__ = ["Engine", "Faults", "PausedLoop", "World", "run_paused"]
--- /dev/null
+++ b/cowslipcourse/emulator/callers.py
@@ -0,0 +1,200 @@
+"""Callers of emulated daemons, and what they get."""
+
+import asyncio
+import math
+from typing import NamedTuple
+
+from cowslipcourse.emulator.site_file import KindSettings
+from cowslipcourse.entry.calls import Call
+from cowslipcourse.exceptions import RequestError
+from cowslipcourse.platform.edge import CallerFields
+from cowslipcourse.routes import RequestKind, Route
+
+__all__ = ["CallRecord", "Callers", "Outcome"]
+
+PATIENCE_SHARE = 1 / 3
+"""Longest share of the time left that a caller waits when told to come back."""
+MOST_EVENTS = 160
+
+
+class Outcome:
+    """How a caller's request ended."""
+
+    ON_TIME = "on-time"
+    LATE = "late"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class CallRecord(NamedTuple):
+    """A request as its caller saw it.
+
+    :param kind: name of its kind.
+    :param at_s: seconds after the start of the traffic at which it came.
+    :param outcome: one of :class:`Outcome`.
+    :param tries: times that it was sent.
+    """
+
+    kind: str
+    at_s: float
+    outcome: str
+    tries: int
+
+
+class _Size(NamedTuple):
+    prompt_tokens: int
+    events: int
+    event_tokens: int
+
+
+class _SizedCall:
+    """A :class:`~cowslipcourse.entry.calls.Call` with the size of its answer."""
+
+    def __init__(self, call, size):
+        self._call = call
+        self.size = size
+
+    def __getattr__(self, name):
+        return getattr(self._call, name)
+
+
+class _Responder:
+    """Keeps what a caller sees of one answer."""
+
+    def __init__(self):
+        self.started = False
+        self.is_whole = False
+        self.first_at = None
+        self.last_at = None
+        self.last_event = 0
+        self.longest_pause_s = 0.0
+
+    async def start(self, status, headers):
+        self.started = True
+
+    async def pass_on(self, content):
+        now = asyncio.get_running_loop().time()
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.last_at)
+        self.last_at = now
+        self.last_event += content.count(b"\n\n")
+
+    async def finish(self, body=b""):
+        self.is_whole = self.last_event > 0
+
+
+class Callers:
+    """Sends requests of all kinds to daemons picked at random.
+
+    :param daemons: list of :class:`~cowslipcourse.emulator.daemons.EmulatedDaemon`
+    :param settings: :class:`~cowslipcourse.emulator.site_file.SiteSettings`
+    :param bursts: callable that takes a kind and seconds and returns a factor.
+    :param rng: :class:`random.Random`
+    """
+
+    def __init__(self, daemons, settings, bursts, rng):
+        self._daemons = daemons
+        self._settings = settings
+        self._bursts = bursts
+        self._rng = rng
+        self._tasks = set()
+        self.records = []
+
+    async def run(self, seconds):
+        """Let requests come for a time, and wait for the last answers."""
+        arrivals = [self._arrive(kind, seconds) for kind in self._settings.kinds]
+        await asyncio.gather(*arrivals)
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def _arrive(self, kind: KindSettings, seconds):
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        while True:
+            at_s = loop.time() - began_at
+            rate = kind.per_s * self._bursts(kind.name, at_s)
+            await asyncio.sleep(self._rng.expovariate(rate))
+            at_s = loop.time() - began_at
+            if at_s >= seconds:
+                return
+            task = asyncio.create_task(self._request(kind, at_s))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _request(self, kind, at_s):
+        loop = asyncio.get_running_loop()
+        arrived_at = loop.time()
+        deadline = arrived_at + kind.deadline_s
+        size = self._size(kind)
+        seen, tries, outcome = _Responder(), 0, Outcome.FAILED
+        while tries <= kind.retries and loop.time() < deadline:
+            tries += 1
+            outcome, wait_s = await self._try(kind, size, seen, deadline)
+            if outcome is None:
+                outcome = _punctuality(kind, seen, arrived_at)
+                break
+            left_s = deadline - loop.time()
+            await asyncio.sleep(max(0.0, min(wait_s, left_s * PATIENCE_SHARE)))
+        self.records.append(CallRecord(kind.name, at_s, outcome, tries))
+
+    async def _try(self, kind, size, seen, deadline):
+        """Return ``(None, 0)`` after a whole answer, else the outcome and a wait."""
+        loop = asyncio.get_running_loop()
+        left_s = deadline - loop.time()
+        call = Call(
+            id="emulated",
+            method="POST",
+            path=b"/",
+            headers=(),
+            body=b"",
+            fields=CallerFields(
+                budget_s=left_s, model=kind.model, last_event=seen.last_event or None
+            ),
+            route=_route(kind),
+            workspace=None,
+            arrived_at=loop.time(),
+            deadline=deadline,
+        )
+        daemon = self._rng.choice(self._daemons)
+        try:
+            await daemon.forwarder.forward(_SizedCall(call, size), seen)
+        except RequestError as error:
+            refused = error.outcome == "not_run"
+            outcome = Outcome.REFUSED if refused else Outcome.FAILED
+            return outcome, error.retry_after_s or 0.0
+        return (None, 0.0) if seen.is_whole else (Outcome.FAILED, 0.0)
+
+    def _size(self, kind):
+        prompt = _skewed(self._rng, kind.prompt_tokens, kind.spread)
+        events = _skewed(self._rng, kind.events, kind.spread)
+        return _Size(prompt, min(events, MOST_EVENTS), self._settings.steps_per_event)
+
+
+def _skewed(rng, mean, spread):
+    """Draw a whole number of at least 1 from a log-normal distribution."""
+    sigma = math.sqrt(math.log(1 + spread * spread))
+    return max(1, round(rng.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma)))
+
+
+def _route(kind):
+    return Route(
+        kind.name,
+        "host",
+        "/",
+        RequestKind.STREAMING,
+        (("llm", 1.0),),
+        kind.deadline_s,
+        kind.aim_s,
+        1,
+        2,
+        is_resumable=True,
+        pause_limit_s=kind.pause_s,
+    )
+
+
+def _punctuality(kind, seen, arrived_at):
+    in_aim = seen.first_at - arrived_at <= kind.aim_s
+    is_smooth = seen.longest_pause_s <= kind.pause_s
+    return Outcome.ON_TIME if in_aim and is_smooth else Outcome.LATE
--- /dev/null
+++ b/cowslipcourse/emulator/connections.py
@@ -0,0 +1,152 @@
+"""Attempts at emulated engines, in place of connections over a network."""
+
+import asyncio
+from collections import deque
+from contextlib import asynccontextmanager
+
+from cowslipcourse.emulator.batches import BatchedRequest, GroupBatch
+from cowslipcourse.entry.attempts import CONNECT_TIMEOUT_S, Attempt
+from cowslipcourse.entry.urgency import urgency
+from cowslipcourse.exceptions import TargetUnreachable
+from cowslipcourse.exchange import AnswerHead
+from cowslipcourse.platform.edge import MISDIRECTED, unexecuted_head
+
+__all__ = ["EmulatedAttempts", "Heads"]
+
+LINK_S = 0.001
+"""One way between a daemon and an engine."""
+FULL = 503
+
+
+class Heads:
+    """The batches of all heads.
+
+    :param world: :class:`~cowslipcourse.emulator.engines.World`
+    :param spec: :class:`~cowslipcourse.routes.ServiceSpec`
+    """
+
+    def __init__(self, world, spec):
+        self.world = world
+        self._spec = spec
+        self._batches = {}
+
+    def now(self):
+        """Return the time of the loop."""
+        return asyncio.get_running_loop().time()
+
+    def batch(self, engine):
+        """Return the :class:`~.GroupBatch` of an open head."""
+        found = engine.membership
+        key = engine.id, engine.incarnation, found.epoch
+        if key not in self._batches:
+            model = self._spec.model(found.model)
+            self._batches[key] = GroupBatch(self.world, engine, self._spec, model.pace)
+        return self._batches[key]
+
+
+class _EmulatedConnection:
+    """Meets what streams use of :class:`~cowslipcourse.exchange.TargetConnection`."""
+
+    def __init__(self, head):
+        self.heard_at = 0.0
+        self.request = None
+        self._head = head
+        self._chunks = deque()
+        self._is_complete = False
+        self._error = None
+        self._changed = asyncio.Event()
+
+    async def head(self):
+        """Return the head; that of a stream comes with its first event."""
+        while self._head.status == 200 and not self._chunks:
+            await self._wait()
+        return self._head
+
+    async def read(self):
+        """Return the next bytes; empty at the end."""
+        while not self._chunks:
+            if self._is_complete:
+                return b""
+            await self._wait()
+        return self._chunks.popleft()
+
+    async def read_all(self):
+        """Return the rest."""
+        return b""
+
+    def abort(self, error=None):
+        """Close; the engine drops the request."""
+        if self.request is not None:
+            self.request.is_cancelled = True
+        if error is not None:
+            self.break_off(error)
+
+    def deliver(self, number, is_last):
+        """Take an event from the engine."""
+        self.heard_at = asyncio.get_running_loop().time()
+        self._chunks.append(b"id: %d\ndata: x\n\n" % number)
+        self._is_complete = is_last
+        self._changed.set()
+
+    def break_off(self, error):
+        """Let whoever reads get an error."""
+        self._error = self._error or error
+        self._changed.set()
+
+    async def _wait(self):
+        if self._error is not None:
+            raise self._error
+        self._changed.clear()
+        await self._changed.wait()
+        if self._error is not None:
+            raise self._error
+
+
+class EmulatedAttempts:
+    """Meets :class:`~cowslipcourse.entry.attempts.Attempts`.
+
+    :param fleet: :class:`~cowslipcourse.entry.fleet.FleetView` of the daemon.
+    :param heads: :class:`Heads`
+    """
+
+    def __init__(self, fleet, heads):
+        self._fleet = fleet
+        self._heads = heads
+
+    @asynccontextmanager
+    async def open(self, call, entry, last_event=None):
+        """See :class:`~cowslipcourse.entry.attempts.Attempts`."""
+        self._fleet.started(entry.id)
+        connection = None
+        try:
+            engine = self._heads.world.engines.get(entry.id)
+            if engine is None or engine.is_dark:
+                await asyncio.sleep(CONNECT_TIMEOUT_S)
+                raise TargetUnreachable("dark", sent=False)
+            await asyncio.sleep(LINK_S)
+            connection = self._send(call, engine, last_event)
+            yield Attempt(entry, connection, asyncio.get_running_loop().time())
+        finally:
+            self._fleet.ended(entry.id)
+            if connection is not None and connection.request is not None:
+                connection.request.is_cancelled = True
+
+    def _send(self, call, engine, last_event):
+        if not engine.is_open_head:
+            return _EmulatedConnection(AnswerHead(MISDIRECTED, ()))
+        batch = self._heads.batch(engine)
+        if batch.is_full:
+            return _EmulatedConnection(unexecuted_head(FULL))
+        waited_s = asyncio.get_running_loop().time() - call.arrived_at
+        connection = _EmulatedConnection(AnswerHead(200, ()))
+        passed = last_event or call.fields.last_event or 0
+        connection.request = BatchedRequest(
+            call.size.prompt_tokens + passed * call.size.event_tokens,
+            passed + 1,
+            call.size.events,
+            urgency(call.route, call.workspace, call.fields.budget_s, waited_s),
+            connection.deliver,
+            connection.break_off,
+        )
+        batch.submit(connection.request)
+        return connection
--- /dev/null
+++ b/cowslipcourse/emulator/daemons.py
@@ -0,0 +1,74 @@
+"""Daemons with the real decision code and no network."""
+
+import random
+
+from cowslipcourse.admission import SharedRetryBudget
+from cowslipcourse.emulator.connections import EmulatedAttempts
+from cowslipcourse.entry.coordinator import Coordinator
+from cowslipcourse.entry.fleet import FleetView
+from cowslipcourse.entry.forwarding import Forwarder
+from cowslipcourse.entry.settings import EntrySettings
+from cowslipcourse.entry.silence import SilenceWatch
+from cowslipcourse.entry.tools import EntryTools
+
+__all__ = ["EmulatedDaemon"]
+
+ADDRESS = "127.0.0.1:1"
+
+
+def _settings(name, data_centre):
+    listen = dict.fromkeys(("front", "directory", "ready", "peer"), ADDRESS)
+    return EntrySettings(
+        name=name, data_centre=data_centre, listen=listen, store={"address": ADDRESS}
+    )
+
+
+class EmulatedDaemon:
+    """What a daemon decides with: views, forwarder, silence watch, coordinator.
+
+    :param name: name of the daemon.
+    :param data_centre: where it runs.
+    :param table: :class:`~cowslipcourse.routes.RouteTable`
+    :param heads: :class:`~cowslipcourse.emulator.connections.Heads`
+    :param tell: called with news for all daemons.
+    :param acts: whether it is the coordinator.
+    :param seed: of its choices.
+    """
+
+    def __init__(self, name, data_centre, table, heads, tell, acts, seed):
+        settings = _settings(name, data_centre)
+        self.fleet = FleetView()
+        self.coordinator_of_all = None
+        self._silence = SilenceWatch(self.fleet, self._on_suspect)
+        tools = EntryTools(
+            settings,
+            self.fleet,
+            EmulatedAttempts(self.fleet, heads),
+            SharedRetryBudget(settings.retries),
+            self._silence,
+            random.Random(seed),
+        )
+        tools.table = table
+        self._heads = heads
+        self.forwarder = Forwarder(tools)
+        self.coordinator = Coordinator(
+            tools, heads.world, heads.world, settings.control, lambda: acts, tell
+        )
+        self._acts = acts
+
+    def coroutines(self):
+        """Return the coroutines that keep it going."""
+        acting = (self.coordinator.run(),) if self._acts else ()
+        return (self._silence.run(), *acting)
+
+    def see_list(self, changed, gone):
+        """Take changes of the list of targets."""
+        self.fleet.apply(changed, gone)
+        if self._acts:
+            self.coordinator.domains.see_entries(changed)
+            self.coordinator.domains.see_gone(gone)
+
+    def _on_suspect(self):
+        now = self._heads.now()
+        for target, epoch in self.fleet.suspects(now).items():
+            self.coordinator_of_all.look_into(target, epoch)
--- /dev/null
+++ b/cowslipcourse/emulator/engines.py
@@ -0,0 +1,384 @@
+"""Engines and a store in fake time, with an oracle that watches the groups.
+
+The oracle knows two rules only. A group must not run a request unless every member
+has been ready under its name, epoch and list. An engine must not take a join of another
+group while the head of its own is open, or stands still and is not broken yet.
+"""
+
+import asyncio
+from collections import deque
+from typing import NamedTuple
+
+from cowslipcourse.exceptions import (
+    ConditionFailed,
+    ReplyLost,
+    StoreUnavailable,
+    TargetUnreachable,
+)
+from cowslipcourse.ports import (
+    EngineReport,
+    GroupState,
+    Membership,
+    OrderAnswer,
+    OrderName,
+    RowChanges,
+    StoredRow,
+    TargetEntry,
+)
+
+__all__ = ["OPEN_S", "SERVICE", "SLOTS", "STALL_S", "Engine", "Faults", "World"]
+
+STALL_S = 4.0
+"""Time for which a head that lacks a member stands still before it breaks."""
+REPORT_LAG_S = 0.2
+"""Reports are as old as that; answers to orders and the list are not."""
+OPEN_S = 0.3
+"""Time from the order to open until a head serves."""
+REJOIN_S = 0.2
+"""Time of a join if the engine served that model last."""
+SERVICE = "llm"
+BORN_MS = 1_790_000_000_000
+"""Time of day at which the first engine starts; each life has a number of its own."""
+SLOTS = 13
+
+
+class Faults(NamedTuple):
+    """How often things go wrong.
+
+    :param late: share of orders carried out 2 to 12 s later, without an answer.
+    :param lost: share of orders that are lost.
+    :param unanswered: share of orders carried out without an answer.
+    :param pause: share of calls in which the caller stands still for up to 15 s.
+    :param store: share of store calls that fail or whose answer is lost.
+    :param checks_count: whether engines check the order count that orders carry.
+    """
+
+    late: float = 0.06
+    lost: float = 0.03
+    unanswered: float = 0.03
+    pause: float = 0.01
+    store: float = 0.05
+    checks_count: bool = True
+
+
+class Engine:
+    """One life of an engine."""
+
+    def __init__(self, world, engine_id, domain, staged, incarnation):
+        self._world = world
+        self.id = engine_id
+        self.incarnation = incarnation
+        self.domain = domain
+        self.staged = staged
+        self.is_dark = False
+        self.order_count = 0
+        self.membership = None
+        self.members = ()
+        self.stands_still_since = None
+        self._highest_epoch = 0
+        self._served = set()
+        self._turn = 0
+        self._reports = deque(maxlen=50)
+
+    def entry(self):
+        """Return its entry in the platform's list."""
+        return TargetEntry(
+            self.id,
+            SERVICE,
+            f"{self.id}:1",
+            self._world.data_centre_of(self.domain),
+            SLOTS,
+            domain=self.domain,
+            staged=self.staged,
+            membership=self.membership,
+            incarnation=self.incarnation,
+        )
+
+    def report(self):
+        """Return what it would report if reports did not lag."""
+        return EngineReport(
+            self.order_count,
+            self.membership,
+            self.staged,
+            incarnation=self.incarnation,
+        )
+
+    def lagging_report(self):
+        """Return the report of a moment ago."""
+        since = asyncio.get_running_loop().time() - REPORT_LAG_S
+        known = [report for at, report in self._reports if at <= since]
+        return known[-1] if known else self.report()
+
+    def note_report(self, now):
+        """Keep what it would report now."""
+        if not self._reports or self._reports[-1][1] != self.report():
+            self._reports.append((now, self.report()))
+
+    def take(self, order):
+        """Carry out an order and return the answer."""
+        if self._world.faults.checks_count and order.expected_count != self.order_count:
+            return OrderAnswer.STATE_DIFFERS
+        if order.name is OrderName.JOIN:
+            return self._join(order)
+        if order.name is OrderName.STAGE:
+            self.staged = (order.model,)
+            return self._begun()
+        if not self._is_in(order.group, order.epoch):
+            return OrderAnswer.DONE
+        if order.name is OrderName.LEAVE:
+            self.membership = None
+            self._begun()
+            return OrderAnswer.DONE
+        if self.membership.state is not GroupState.READY:
+            return OrderAnswer.STATE_DIFFERS
+        self._later(OPEN_S, lambda: self._set_state(GroupState.OPEN))
+        return self._begun()
+
+    def _begun(self):
+        self.order_count += 1
+        return OrderAnswer.BEGUN
+
+    def _join(self, order):
+        if order.epoch < self._highest_epoch:
+            return OrderAnswer.EPOCH_TOO_OLD
+        if self._is_in(order.group, order.epoch) and order.members != self.members:
+            return OrderAnswer.EPOCH_TOO_OLD
+        self._world.check_join(self, order)
+        same = self.membership is not None and self.membership.model == order.model
+        model = self._world.models[order.model]
+        wait_s = model.warm_s if order.model in self.staged else model.load_s
+        self._highest_epoch = order.epoch
+        self.members = order.members
+        self.staged = (order.model,)
+        self.membership = Membership(
+            order.group,
+            order.epoch,
+            order.members.index(self.id),
+            GroupState.JOINING,
+            order.model,
+        )
+        answer = self._begun()
+        self._turn += 1
+        self._later(REJOIN_S if same else wait_s, self._become_ready)
+        return answer
+
+    def _become_ready(self):
+        self._set_state(GroupState.READY)
+        self._world.note_ready(self)
+
+    def _later(self, seconds, act):
+        turn, before = self._turn, self.membership
+
+        def run():
+            same = self.membership is not None and self._is_in(
+                before.group, before.epoch
+            )
+            lives = self._world.engines.get(self.id) is self
+            if turn == self._turn and same and lives:
+                act()
+
+        asyncio.get_running_loop().call_later(seconds, run)
+
+    def _set_state(self, state):
+        self.membership = self.membership._replace(state=state)
+
+    def _is_in(self, group, epoch):
+        found = self.membership
+        return found is not None and (found.group, found.epoch) == (group, epoch)
+
+    @property
+    def is_head(self):
+        """Whether it is the head of a group."""
+        return self.membership is not None and self.membership.rank == 0
+
+    @property
+    def is_open_head(self):
+        """Whether it takes requests as the head of a group."""
+        return self.is_head and self.membership.state is GroupState.OPEN
+
+    def look(self, now):
+        """Serve if the group is whole; stand still and then break if it is not."""
+        if not self.is_open_head:
+            return
+        # Who is cut off from the coordinators still works for its group.
+        whole = self._world.is_whole(self)
+        if whole:
+            self.stands_still_since = None
+            self._world.check_whole(self)
+        elif self.stands_still_since is None:
+            self.stands_still_since = now
+        elif now - self.stands_still_since > STALL_S:
+            self._set_state(GroupState.BROKEN)
+            self.stands_still_since = None
+
+
+class World:
+    """Store, engines and faults; meets ``RowStore`` and ``EngineControl``.
+
+    :param rng: :class:`random.Random`
+    :param faults: :class:`Faults`
+    :param models: :class:`~cowslipcourse.routes.EngineModel` list that they serve.
+    :param data_centres: data centre by domain; one for all if it is left out.
+    """
+
+    def __init__(self, rng, faults, models, data_centres=None):
+        self.models = {model.name: model for model in models}
+        self.rng = rng
+        self.faults = faults
+        self.engines = {}
+        self.violations = []
+        self.served = set()
+        self._rows = {}
+        self._version = 0
+        self._ready = set()
+        self._data_centres = data_centres or {}
+        self._born = 0
+        self._lives = 0
+        self.past_entries = []
+
+    def data_centre_of(self, domain):
+        """Return the data centre that a domain is in."""
+        return self._data_centres.get(domain, "dc")
+
+    def add_engine(self, domain, staged=()):
+        """Start an engine and return it."""
+        self._born += 1
+        return self._start(f"e{self._born}", domain, staged)
+
+    def _start(self, engine_id, domain, staged):
+        self._lives += 1
+        engine = Engine(self, engine_id, domain, staged, BORN_MS + self._lives)
+        self.engines[engine_id] = engine
+        return engine
+
+    def restart(self, engine):
+        """Start an engine again under its id: its host keeps the weights, no more."""
+        self.past_entries.append(engine.entry())
+        return self._start(engine.id, engine.domain, engine.staged)
+
+    def entries(self):
+        """Return the platform's list: engines that are not dark."""
+        return [e.entry() for e in self.engines.values() if not e.is_dark]
+
+    async def run(self):
+        """Let requests come to every open group, for ever."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(0.02)
+            for engine in list(self.engines.values()):
+                engine.look(loop.time())
+                engine.note_report(loop.time())
+
+    # The oracle.
+
+    def note_ready(self, engine):
+        """Remember that an engine was ready in its group."""
+        found = engine.membership
+        life = engine.id, engine.incarnation
+        self._ready.add((life, found.group, found.epoch, engine.members))
+
+    def is_whole(self, head):
+        """Whether a head and all members are in their group and live."""
+        found = head.membership
+        engines = [self.engines.get(member) for member in head.members]
+        return all(
+            engine is not None and engine._is_in(found.group, found.epoch)
+            for engine in engines
+        )
+
+    def check_whole(self, head):
+        """Check a group that runs a request."""
+        found = head.membership
+        size = self.models[found.model].size
+        lives = [(m, self.engines[m].incarnation) for m in head.members]
+        ready = all(
+            (life, found.group, found.epoch, head.members) in self._ready
+            for life in lives
+        )
+        if len(set(head.members)) != size or not ready:
+            self.violations.append(f"partial: {found} {head.members}")
+        self.served.add((found.group, found.epoch))
+
+    def check_join(self, engine, order):
+        """Check an engine that is about to take a join."""
+        found = engine.membership
+        if found is None or found.group == order.group:
+            return
+        head = self.engines.get(engine.members[0])
+        if (
+            head is not None
+            and head.is_open_head
+            and (head.membership.group, head.membership.epoch)
+            == (found.group, found.epoch)
+        ):
+            self.violations.append(f"two: {engine.id} {found} {order}")
+
+    # The store.
+
+    async def read_table(self, table):
+        """See :class:`~cowslipcourse.ports.RowStore`."""
+        await self._store_call()
+        rows = [row for (name, _), row in self._rows.items() if name == table]
+        return RowChanges(tuple(rows), self._version)
+
+    async def write(self, row_write):
+        """See :class:`~cowslipcourse.ports.RowStore`."""
+        await self._store_call()
+        key = row_write.table, row_write.key
+        known = self._rows[key].version if key in self._rows else 0
+        if row_write.expected is not None and row_write.expected != known:
+            raise ConditionFailed([row_write.key])
+        self._version += 1
+        self._rows[key] = StoredRow(row_write.key, row_write.value, self._version)
+        version = self._version
+        if self.rng.random() < self.faults.store:
+            raise ReplyLost("the answer was lost")
+        await self._pause()
+        return version
+
+    async def _store_call(self):
+        await asyncio.sleep(0.004)
+        await self._pause()
+        if self.rng.random() < self.faults.store:
+            raise StoreUnavailable("busy")
+
+    async def _pause(self):
+        if self.rng.random() < self.faults.pause:
+            await asyncio.sleep(self.rng.uniform(0.5, 15.0))
+
+    # Control of engines.
+
+    async def report(self, entry):
+        """See :class:`~cowslipcourse.ports.EngineControl`."""
+        await asyncio.sleep(0.003)
+        engine = self.engines.get(entry.id)
+        if engine is None or engine.is_dark:
+            await asyncio.sleep(0.15)
+            raise TargetUnreachable("dark")
+        report = engine.lagging_report()
+        await self._pause()
+        return report
+
+    async def order(self, entry, order):
+        """See :class:`~cowslipcourse.ports.EngineControl`."""
+        await self._pause()
+        await asyncio.sleep(0.003)
+        luck = self.rng.random()
+        if luck < self.faults.late:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.rng.uniform(2, 12), self._carry_out, entry.id, order)
+            raise TargetUnreachable("no answer")
+        if luck < self.faults.late + self.faults.lost:
+            raise TargetUnreachable("lost")
+        answer = self._carry_out(entry.id, order)
+        unanswered = self.rng.random() < self.faults.unanswered
+        if answer is None or unanswered:
+            raise TargetUnreachable("no answer")
+        await self._pause()
+        return answer
+
+    def _carry_out(self, engine_id, order):
+        engine = self.engines.get(engine_id)
+        if engine is None or engine.is_dark:
+            return None
+        return engine.take(order)
--- /dev/null
+++ b/cowslipcourse/emulator/site.py
@@ -0,0 +1,246 @@
+"""A site in virtual time: engines, list, daemons, callers and faults."""
+
+import asyncio
+import random
+from collections import deque
+from typing import NamedTuple
+
+from cowslipcourse.emulator.callers import Callers, CallRecord
+from cowslipcourse.emulator.connections import LINK_S, Heads
+from cowslipcourse.emulator.daemons import EmulatedDaemon
+from cowslipcourse.emulator.engines import OPEN_S, SERVICE, Faults, World
+from cowslipcourse.routes import (
+    CallerLimits,
+    EngineModel,
+    EngineTimes,
+    RouteTable,
+    ServiceSpec,
+)
+
+__all__ = ["EmulatedSite", "SiteResult", "play"]
+
+LIST_S = 0.25
+"""Interval at which reporters hand on changes of the list."""
+HEARTBEAT_S = 0.25
+LEAD_LOADS = 0.1
+"""Factor on the times of loads before the traffic starts."""
+LOOK_S = 0.5
+"""Interval at which idle engines and open groups are counted."""
+NO_FAULTS = Faults(late=0, lost=0, unanswered=0, pause=0, store=0)
+
+
+class SiteResult(NamedTuple):
+    """What one run gave.
+
+    :param records: :class:`~cowslipcourse.emulator.callers.CallRecord` list.
+    :param idle_engine_s: seconds that live engines spent in no open group.
+    :param open_groups: mean number of open groups by model.
+    :param violations: what the oracle of the groups saw, as texts.
+    """
+
+    records: list[CallRecord]
+    idle_engine_s: float
+    open_groups: dict[str, float]
+    violations: list[str]
+
+
+class EmulatedSite:
+    """Everything of one run.
+
+    :param settings: :class:`~cowslipcourse.emulator.site_file.ExperimentSettings`
+    :param seed: of all luck in the run.
+    """
+
+    def __init__(self, settings, seed):
+        self._settings = settings
+        self._rng = random.Random(seed)
+        site = settings.site
+        models = [EngineModel(**model.model_dump()) for model in site.models]
+        quick = [m._replace(load_s=m.load_s * LEAD_LOADS) for m in models]
+        self._models = {model.name: model for model in models}
+        self._world = World(self._rng, NO_FAULTS, quick, site.domains)
+        for domain in site.domains:
+            for _ in range(site.engines_a_domain):
+                self._world.add_engine(domain)
+        spec = _spec(site, models)
+        table = RouteTable(1, (), (spec,), CallerLimits(), {})
+        self._heads = Heads(self._world, spec)
+        places = sorted(set(site.domains.values()))
+        self._daemons = [
+            EmulatedDaemon(
+                f"daemon-{number}",
+                places[number % len(places)],
+                table,
+                self._heads,
+                self._tell,
+                number == 0,
+                self._rng.random(),
+            )
+            for number in range(site.daemons)
+        ]
+        for daemon in self._daemons:
+            daemon.coordinator_of_all = self._daemons[0].coordinator
+        self._gone_at = {}
+        self._began_at = None
+        self._idle_engine_s = 0.0
+        self._open_groups = {name: [] for name in self._models}
+
+    async def play(self):
+        """Play the run and return its :class:`SiteResult`."""
+        running = [self._world.run(), self._list(), self._heartbeats(), self._count()]
+        for daemon in self._daemons:
+            running += daemon.coroutines()
+        tasks = [asyncio.create_task(coroutine) for coroutine in running]
+        await asyncio.sleep(self._settings.site.lead_s)
+        self._world.models = self._models
+        self._began_at = asyncio.get_running_loop().time()
+        tasks += [asyncio.create_task(self._strike(f)) for f in self._settings.faults]
+        site = self._settings.site
+        callers = Callers(self._daemons, site, self._burst_factor, self._rng)
+        await callers.run(self._settings.seconds)
+        for task in tasks:
+            task.cancel()
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(result, Exception):
+                raise result
+        means = {m: sum(n) / max(1, len(n)) for m, n in self._open_groups.items()}
+        records = callers.records
+        return SiteResult(records, self._idle_engine_s, means, self._world.violations)
+
+    # What travels.
+
+    def _tell(self, news):
+        loop = asyncio.get_running_loop()
+        for daemon in self._daemons:
+            loop.call_later(2 * LINK_S, self._hear, daemon, news)
+
+    def _hear(self, daemon, news):
+        daemon.fleet.take_news(news, asyncio.get_running_loop().time())
+
+    async def _heartbeats(self):
+        """Bring each daemon what the others had in flight a moment ago."""
+        while True:
+            told = [dict(daemon.fleet.in_flight) for daemon in self._daemons]
+            await asyncio.sleep(HEARTBEAT_S)
+            for own, daemon in enumerate(self._daemons):
+                total = {}
+                for other, in_flight in enumerate(told):
+                    if other != own:
+                        for target, number in in_flight.items():
+                            total[target] = total.get(target, 0) + number
+                daemon.fleet.note_peers(total)
+
+    async def _list(self):
+        """Bring all daemons the list as it was a moment ago."""
+        loop = asyncio.get_running_loop()
+        site, history, known, lapsing = self._settings.site, deque(), {}, {}
+        while True:
+            now = loop.time()
+            live = {entry.id: entry for entry in self._world.entries()}
+            lapsing = {
+                engine: entry
+                for engine, entry in {**lapsing, **known}.items()
+                if engine not in live and now < self._lost_at(engine) + site.lapse_s
+            }
+            history.append((now, {**lapsing, **live}))
+            while len(history) > 1 and history[1][0] <= now - site.list_lag_s:
+                history.popleft()
+            listed = history[0][1]
+            changed = [e for i, e in listed.items() if known.get(i) != e]
+            gone = tuple(engine for engine in known if engine not in listed)
+            if changed or gone:
+                for daemon in self._daemons:
+                    daemon.see_list(changed, gone)
+            known = listed
+            await asyncio.sleep(LIST_S)
+
+    def _lost_at(self, engine):
+        return self._gone_at.setdefault(engine, asyncio.get_running_loop().time())
+
+    async def _count(self):
+        while True:
+            await asyncio.sleep(LOOK_S)
+            if self._began_at is None:
+                continue
+            serving = dict.fromkeys(self._models, 0)
+            busy = 0
+            for engine in self._world.engines.values():
+                if engine.is_open_head and self._world.is_whole(engine):
+                    serving[engine.membership.model] += 1
+                    busy += len(engine.members)
+            live = sum(not e.is_dark for e in self._world.engines.values())
+            self._idle_engine_s += max(0, live - busy) * LOOK_S
+            for model, number in serving.items():
+                self._open_groups[model].append(number)
+
+    # Faults.
+
+    async def _strike(self, fault):
+        for at_s in fault.times():
+            now_s = asyncio.get_running_loop().time() - self._began_at
+            await asyncio.sleep(max(0.0, at_s - now_s))
+            getattr(self, f"_{fault.kind}")(fault)
+
+    def _joined(self, count):
+        joined = [e for e in self._world.engines.values() if e.membership is not None]
+        return self._rng.sample(joined, min(count, len(joined)))
+
+    def _lose(self, fault):
+        for engine in self._joined(fault.count):
+            engine.is_dark = True
+            del self._world.engines[engine.id]
+
+    def _restart(self, fault):
+        for engine in self._joined(fault.count):
+            self._world.restart(engine)
+
+    def _domain(self, fault):
+        domain = self._rng.choice(sorted(self._settings.site.domains))
+        struck = [e for e in self._world.engines.values() if e.domain == domain]
+        for engine in struck:
+            engine.is_dark = True
+            asyncio.get_running_loop().call_later(fault.for_s, _light, engine)
+
+    def _add(self, fault):
+        domain = self._rng.choice(sorted(self._settings.site.domains))
+        for _ in range(fault.count):
+            self._world.add_engine(domain)
+
+    def _burst(self, fault):
+        """Nothing is to be done when a burst begins: callers ask for the factor."""
+
+    def _burst_factor(self, kind, at_s):
+        """Return the factor on the rate of a kind of request at a time."""
+        factor = 1.0
+        for fault in self._settings.faults:
+            is_meant = fault.kind == "burst" and fault.request in ("", kind)
+            if is_meant and any(t <= at_s < t + fault.for_s for t in fault.times()):
+                factor *= fault.factor
+        return factor
+
+
+def _light(engine):
+    engine.is_dark = False
+
+
+def _spec(site, models):
+    times = EngineTimes(
+        site.step_s,
+        site.step_per_request_s,
+        site.steps_per_event,
+        site.prefill_tokens_per_s,
+        site.chunk_tokens,
+    )
+    return ServiceSpec(
+        SERVICE,
+        models=tuple(models),
+        slots=site.slots,
+        open_s=OPEN_S,
+        loads_per_s=site.loads_per_s,
+        times=times,
+    )
+
+
+async def play(settings, seed):
+    """Play one run of an experiment and return its :class:`SiteResult`."""
+    return await EmulatedSite(settings, seed).play()
--- a/cowslipcourse/platform/edge.py
+++ b/cowslipcourse/platform/edge.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from cowslipcourse.exceptions import BadRequest
+from cowslipcourse.exchange import AnswerHead
 
 __all__ = [
     "CallerFields",
@@ -14,6 +15,7 @@
     "header_bytes",
     "read_caller_fields",
     "target_headers",
+    "unexecuted_head",
 ]
 
 MS = 1000.0
@@ -157,6 +159,11 @@
     return {} if seconds is None else {_COME_BACK: f"{seconds:.3f}"}
 
 
+def unexecuted_head(status):
+    """Return the head of an answer which says that the request has not run."""
+    return AnswerHead(status, ((_NOT_EXECUTED, b"1"),))
+
+
 def failed_unexecuted(head):
     """Whether an answer proves that the request has not run and will not.
 
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -5,11 +5,11 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from cowslipcourse.emulator.clock import run_paused
 from cowslipcourse.requests import AnswerRelay
 from cowslipcourse.requests.relay import END_DATA
 from features.support.group_runs import AnswerFaults, fixed_secrets, group_run
 from features.support.group_variants import VARIANTS
-from harness.paused_loop import run_paused
 
 TRUTH = [f"data: token {i}".encode() for i in range(6)] + [END_DATA]
 EXAMPLES = 3000
--- a/features/steps/booking_steps.py
+++ b/features/steps/booking_steps.py
@@ -5,13 +5,13 @@
 from behave import then, when
 
 from cowslipcourse.admission import Priority
+from cowslipcourse.emulator.clock import run_paused
 from cowslipcourse.exceptions import DaemonStopped, RequestError
 from cowslipcourse.gateway.callers import Call
 from features.steps.group_steps import found
 from features.support.booking_runs import BookingRun
 from features.support.booking_variants import VARIANTS
 from features.support.group_runs import fixed_secrets
-from harness.paused_loop import run_paused
 
 MOST_VARIANT_SEEDS = 8
 LEAST_COMPLETED = 10
--- a/features/steps/duel_steps.py
+++ b/features/steps/duel_steps.py
@@ -2,8 +2,8 @@
 
 from behave import then, when
 
+from cowslipcourse.emulator.clock import run_paused
 from features.support.coordinator_runs import SITES, VARIANTS, coordinator_run
-from harness.paused_loop import run_paused
 
 MOST_SEEDS = 100
 """Runs until a missing mechanism must have been found out; most take a few per cent."""
--- a/features/steps/edit_steps.py
+++ b/features/steps/edit_steps.py
@@ -14,13 +14,13 @@
     resolve,
 )
 from cowslipcourse.daemon import now
+from cowslipcourse.emulator.clock import run_paused
 from cowslipcourse.exceptions import ConfigurationError, ConfirmationRequired
 from cowslipcourse.fleet import VM, TargetKind, VmState
 from features.steps.outage_steps import granted, run
 from features.support.edit_runs import EditRun
 from features.support.group_runs import Load, fixed_secrets
 from features.support.small_site import base_changes, change
-from harness.paused_loop import run_paused
 
 ROLL_LIMIT_S = 120.0
 
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -5,13 +5,13 @@
 from behave import then, when
 
 from cowslipcourse.admission import Priority
+from cowslipcourse.emulator.clock import run_paused
 from cowslipcourse.exceptions import RequestError
 from cowslipcourse.gateway.callers import Call
 from cowslipcourse.gateway.generation import Generation
 from features.support.group_runs import fixed_secrets, group_run
 from features.support.group_variants import VARIANTS
 from harness.callers import chat_body
-from harness.paused_loop import run_paused
 
 LEAST_REQUESTS = 100
 
--- a/features/steps/knowledge_steps.py
+++ b/features/steps/knowledge_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from cowslipcourse.emulator.clock import run_paused
 from cowslipcourse.peers import (
     Heartbeat,
     PeerState,
@@ -14,7 +15,6 @@
 from cowslipcourse.platform.store import CONFIGURATION_TABLE
 from cowslipcourse.ports import RowChanges
 from features.support.knowledge import FlakyStore, heartbeat, make_knowledge, member
-from harness.paused_loop import run_paused
 
 
 @given("a daemon that follows a store with the targets t1 and t2")
--- a/features/steps/life_steps.py
+++ b/features/steps/life_steps.py
@@ -5,6 +5,8 @@
 
 from behave import given, then, when
 
+from cowslipcourse.emulator import Faults, World
+from cowslipcourse.emulator.clock import run_paused
 from cowslipcourse.entry.coordinator import GROUPS_TABLE, Coordinator
 from cowslipcourse.entry.settings import ControlSettings
 from cowslipcourse.groups import (
@@ -25,8 +27,7 @@
     TargetEntry,
 )
 from cowslipcourse.routes import CallerLimits, RouteTable, ServiceSpec
-from features.support.engine_world import LARGE, SMALL, Faults, World, route_table
-from harness.paused_loop import run_paused
+from features.support.engine_world import LARGE, MODELS, SMALL, route_table
 
 FIRST, SECOND = 100, 200
 STALL_S = 4.0
@@ -221,7 +222,7 @@
 def step_coordinates(context):
     async def run():
         faults = Faults(late=0, lost=0, unanswered=0, pause=0, store=0)
-        world = World(random.Random(context.seed), faults)
+        world = World(random.Random(context.seed), faults, MODELS)
         for domain in ("d1", "d2"):
             for _ in range(8):
                 world.add_engine(domain)
--- a/features/steps/outage_steps.py
+++ b/features/steps/outage_steps.py
@@ -6,9 +6,9 @@
 from behave import given, then, when
 
 from cowslipcourse.daemon import now
+from cowslipcourse.emulator.clock import PausedLoop
 from features.support.group_runs import fixed_secrets, vms
 from features.support.small_site import SmallSite, base_changes
-from harness.paused_loop import PausedLoop
 
 LOOK_S = 0.25
 
--- a/features/steps/outside_steps.py
+++ b/features/steps/outside_steps.py
@@ -8,13 +8,13 @@
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import given as draw
 
+from cowslipcourse.emulator.clock import run_paused
 from cowslipcourse.entry import target_list
 from cowslipcourse.entry.target_list import TargetList
 from cowslipcourse.platform import decode_configuration
 from features.support.knowledge import FlakyStore, make_knowledge
 from features.support.outside import DECODERS, REFUSALS, damaged, lenient_entry
 from features.support.wire import BORN_MS, entry_content, entry_fields
-from harness.paused_loop import run_paused
 
 BAD_FIELDS = {
     "a service that is a number": {"service": 7},
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -4,10 +4,10 @@
 
 from behave import given, then, when
 
+from cowslipcourse.emulator.clock import run_paused
 from cowslipcourse.entry.front import FrontApp
 from cowslipcourse.entry.metrics import EntryMetrics
 from cowslipcourse.routes import CallerLimits, RequestKind, Route, RouteTable
-from harness.paused_loop import run_paused
 
 ROUTE = Route(
     "draft",
--- a/features/support/coordinator_runs.py
+++ b/features/support/coordinator_runs.py
@@ -6,19 +6,14 @@
 from typing import NamedTuple
 from unittest import mock
 
+from cowslipcourse.emulator import Engine, Faults, World
 from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.settings import ControlSettings
 from cowslipcourse.exceptions import TargetUnreachable
 from cowslipcourse.groups import EngineKnowledge, situation
 from cowslipcourse.groups import orders as group_orders
 from cowslipcourse.groups import revision as group_revision
-from features.support.engine_world import (
-    STALL_S,
-    Engine,
-    Faults,
-    World,
-    route_table,
-)
+from features.support.engine_world import MODELS, STALL_S, route_table
 
 __all__ = ["DIVIDED_SITE", "SITES", "VARIANTS", "coordinator_run"]
 
@@ -178,7 +173,7 @@
     :param site: :class:`DuelSite`
     """
     rng = random.Random(seed)
-    world = World(rng, Faults())
+    world = World(rng, Faults(), MODELS)
     for domain in site.domains:
         for _ in range(site.engines):
             world.add_engine(domain)
--- a/features/support/fuzz.py
+++ b/features/support/fuzz.py
@@ -3,12 +3,12 @@
 import logging
 import sys
 
+from cowslipcourse.emulator.clock import run_paused
 from features.support.booking_runs import BookingRun
 from features.support.coordinator_runs import SITES, coordinator_run
 from features.support.edit_runs import EditRun
 from features.support.group_runs import AnswerFaults, fixed_secrets, group_run
 from features.support.membership_runs import random_run, settle
-from harness.paused_loop import run_paused
 
 
 def _membership(seed):
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -21,8 +21,9 @@
 from starlette.routing import Route
 
 from cowslipcourse.adapters.web import WebServer
+from cowslipcourse.emulator import Faults, World
 from cowslipcourse.ports import EngineOrder, OrderAnswer, OrderName
-from features.support.engine_world import LARGE, SERVICE, SMALL, Faults, World
+from features.support.engine_world import LARGE, SERVICE, SMALL
 from features.support.platform_store import Store
 from features.support.wire import entry_content, entry_fields
 from harness.ports import free_ports
