--- a/cowslipcourse/platform/configuration.py
+++ b/cowslipcourse/platform/configuration.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from cowslipcourse.exceptions import ConfigurationError, MalformedAnswer, Problem
-from cowslipcourse.platform.wire import Count, Name, Positive, Seconds, decode_as
+from cowslipcourse.platform.wire import Count, Name, Positive, Quantity, decode_as
 from cowslipcourse.routes import (
     CallerLimits,
     EngineModel,
@@ -46,7 +46,7 @@
 
 class _WireBackend(msgspec.Struct, frozen=True):
     service: Name
-    weight: Seconds = 1.0
+    weight: Quantity = 1.0
 
 
 class _WireRoute(msgspec.Struct, frozen=True):
@@ -54,15 +54,15 @@
     host: Name
     prefix: Name
     kind: RequestKind
-    timeoutMs: Seconds  # noqa: N815
+    timeoutMs: Quantity  # noqa: N815
     # Time within which an answer is on time.
-    sloMs: Seconds | None = None  # noqa: N815
+    sloMs: Quantity | None = None  # noqa: N815
     priority: Count | None = None
     maxAttempts: Positive | None = None  # noqa: N815
     public: bool | None = None
     resumable: bool | None = None
     # Longest pause between events that is on time.
-    gapTargetMs: Seconds | None = None  # noqa: N815
+    gapTargetMs: Quantity | None = None  # noqa: N815
     # Either one service, or several with weights.
     service: Name | None = None
     backends: tuple[_WireBackend, ...] | None = None
@@ -71,11 +71,11 @@
 class _WireModel(msgspec.Struct, frozen=True):
     name: Name
     size: Positive
-    share: Seconds | None = None
-    pace: Seconds | None = None
-    loadS: Seconds | None = None  # noqa: N815
+    share: Quantity | None = None
+    pace: Quantity | None = None
+    loadS: Quantity | None = None  # noqa: N815
     # Time to load from the engine's own host.
-    warmS: Seconds | None = None  # noqa: N815
+    warmS: Quantity | None = None  # noqa: N815
 
 
 class _WireEngine(msgspec.Struct, frozen=True):
@@ -83,13 +83,13 @@
     # Of a whole group, not of one engine.
     slots: Count | None = None
     # Time from the open order until a group serves.
-    formMs: Seconds | None = None  # noqa: N815
-    loadsPerS: Seconds | None = None  # noqa: N815
-    step_ms: Seconds | None = None
-    per_seq_ms: Seconds | None = None
+    formMs: Quantity | None = None  # noqa: N815
+    loadsPerS: Quantity | None = None  # noqa: N815
+    step_ms: Quantity | None = None
+    per_seq_ms: Quantity | None = None
     # Token steps between two events of a stream.
     stride: Positive | None = None
-    read_per_s: Seconds | None = None
+    read_per_s: Quantity | None = None
     chunk: Positive | None = None
 
 
@@ -108,8 +108,8 @@
 class _WireLimits(msgspec.Struct, frozen=True):
     maxHeaderBytes: Positive | None = None  # noqa: N815
     maxBodyBytes: Positive | None = None  # noqa: N815
-    headerTimeoutMs: Seconds | None = None  # noqa: N815
-    idleTimeoutMs: Seconds | None = None  # noqa: N815
+    headerTimeoutMs: Quantity | None = None  # noqa: N815
+    idleTimeoutMs: Quantity | None = None  # noqa: N815
 
 
 def decode_configuration(content):
--- a/cowslipcourse/platform/entries.py
+++ b/cowslipcourse/platform/entries.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from cowslipcourse.exceptions import MalformedAnswer
-from cowslipcourse.platform.wire import Count, Name, Positive, Seconds, decode_as
+from cowslipcourse.platform.wire import Count, Name, Positive, Quantity, decode_as
 from cowslipcourse.ports import (
     UNTOLD,
     EngineReport,
@@ -45,7 +45,7 @@
     # Whether it takes new work; its state in a group is another field.
     state: Literal["ready", "draining"]
     # Not used: what matters of a cold engine shows in its times.
-    coldLeftMs: Seconds  # noqa: N815
+    coldLeftMs: Quantity  # noqa: N815
     # Counts the engine's own writes to the list. In a report the field of this name
     # counts accepted orders, so this one must not be used for orders.
     sequence: Count
@@ -67,7 +67,7 @@
     group: _WireGroup | None = None
     inFlight: Count = 0  # noqa: N815
     waiting: Count = 0
-    pace: Seconds = 1.0
+    pace: Quantity = 1.0
 
 
 def decode_entry(target_id, content):
--- a/cowslipcourse/platform/wire.py
+++ b/cowslipcourse/platform/wire.py
@@ -11,7 +11,7 @@
 
 from cowslipcourse.decoding import decoded
 
-__all__ = ["Count", "Name", "Positive", "Seconds", "decode_as"]
+__all__ = ["Count", "Name", "Positive", "Quantity", "decode_as"]
 
 LONGEST_NAME = 200
 """Bytes of a key of the store; no name on the platform is longer."""
@@ -19,8 +19,8 @@
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=LONGEST_NAME)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 62)]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=1 << 62)]
-Seconds = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
-"""Any duration or time of day, in the platform's unit for it."""
+Quantity = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+"""A number that is not negative, in the platform's unit for it."""
 
 _decoders = {}
 
