Spares practise a join, so that a repair by one takes 0.2 s

Change: a spare that holds a model of its domain joins a group of its own once, which is never opened, and leaves it when ready. It counts as free all the while. The emulator's engines remember the model of their last group, as the users' do.

--- a/cowslipcourse/emulator/callers.py
+++ b/cowslipcourse/emulator/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import random
 from typing import NamedTuple
 
 from cowslipcourse.emulator.site_file import KindSettings
@@ -112,22 +113,23 @@
     async def _arrive(self, kind: KindSettings, seconds):
         loop = asyncio.get_running_loop()
         began_at = loop.time()
+        luck = random.Random(self._rng.random())
         while True:
             at_s = loop.time() - began_at
             rate = kind.per_s * self._bursts(kind.name, at_s)
-            await asyncio.sleep(self._rng.expovariate(rate))
+            await asyncio.sleep(luck.expovariate(rate))
             at_s = loop.time() - began_at
             if at_s >= seconds:
                 return
-            task = asyncio.create_task(self._request(kind, at_s))
+            size = self._size(kind, luck)
+            task = asyncio.create_task(self._request(kind, size, at_s))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _request(self, kind, at_s):
+    async def _request(self, kind, size, at_s):
         loop = asyncio.get_running_loop()
         arrived_at = loop.time()
         deadline = arrived_at + kind.deadline_s
-        size = self._size(kind)
         seen, tries, outcome = _Responder(), 0, Outcome.FAILED
         while tries <= kind.retries and loop.time() < deadline:
             tries += 1
@@ -166,9 +168,9 @@
             return outcome, error.retry_after_s or 0.0
         return (None, 0.0) if seen.is_whole else (Outcome.FAILED, 0.0)
 
-    def _size(self, kind):
-        prompt = _skewed(self._rng, kind.prompt_tokens, kind.spread)
-        events = _skewed(self._rng, kind.events, kind.spread)
+    def _size(self, kind, luck):
+        prompt = _skewed(luck, kind.prompt_tokens, kind.spread)
+        events = _skewed(luck, kind.events, kind.spread)
         return _Size(prompt, min(events, MOST_EVENTS), self._settings.steps_per_event)
 
 
--- a/cowslipcourse/emulator/engines.py
+++ b/cowslipcourse/emulator/engines.py
@@ -76,6 +76,7 @@
         self.members = ()
         self.stands_still_since = None
         self._highest_epoch = 0
+        self._joined_model = None
         self._served = set()
         self._turn = 0
         self._reports = deque(maxlen=50)
@@ -144,7 +145,8 @@
         if self._is_in(order.group, order.epoch) and order.members != self.members:
             return OrderAnswer.EPOCH_TOO_OLD
         self._world.check_join(self, order)
-        same = self.membership is not None and self.membership.model == order.model
+        same = self._last_model() == order.model
+        self._joined_model = order.model
         model = self._world.models[order.model]
         wait_s = model.warm_s if order.model in self.staged else model.load_s
         self._highest_epoch = order.epoch
@@ -162,6 +164,12 @@
         self._later(REJOIN_S if same else wait_s, self._become_ready)
         return answer
 
+    def _last_model(self):
+        """Return the model of its last group, or of its present one alone."""
+        if self._world.remembers_models:
+            return self._joined_model
+        return None if self.membership is None else self.membership.model
+
     def _become_ready(self):
         self._set_state(GroupState.READY)
         self._world.note_ready(self)
@@ -219,9 +227,11 @@
     :param faults: :class:`Faults`
     :param models: :class:`~cowslipcourse.routes.EngineModel` list that they serve.
     :param data_centres: data centre by domain; one for all if it is left out.
+    :param remembers_models: whether an engine joins quickly, too, if it has left its
+        last group of the model. The users' engines do; the duels' runs began without.
     """
 
-    def __init__(self, rng, faults, models, data_centres=None):
+    def __init__(self, rng, faults, models, data_centres=None, remembers_models=False):
         self.models = {model.name: model for model in models}
         self.rng = rng
         self.faults = faults
@@ -232,6 +242,7 @@
         self._version = 0
         self._ready = set()
         self._data_centres = data_centres or {}
+        self.remembers_models = remembers_models
         self._born = 0
         self._lives = 0
         self.past_entries = []
--- a/cowslipcourse/emulator/policies.py
+++ b/cowslipcourse/emulator/policies.py
@@ -66,8 +66,14 @@
     return _replaced(connections, "urgency", lambda *args: 5)
 
 
+def _without_practice():
+    """Let spares join a group for the first time when they are needed."""
+    return _replaced(coordinator, "practice_step", lambda *args: None)
+
+
 POLICIES = {
     "as-is": _as_is,
+    "without-practice": _without_practice,
     "without-opened-news": _without_news,
     "without-ended-news": _without_endings,
     "without-revival": _without_revival,
--- a/cowslipcourse/emulator/site.py
+++ b/cowslipcourse/emulator/site.py
@@ -53,12 +53,17 @@
 
     def __init__(self, settings, seed):
         self._settings = settings
-        self._rng = random.Random(seed)
+        # Each part has luck of its own: what one policy changes in one part must not
+        # change the luck of the others, or runs of the same seed could not be paired.
+        self._fault_luck = random.Random(f"faults-{seed}")
+        caller_luck = random.Random(f"callers-{seed}")
+        daemon_luck = random.Random(f"daemons-{seed}")
         site = settings.site
         models = [EngineModel(**model.model_dump()) for model in site.models]
         quick = [m._replace(load_s=m.load_s * LEAD_LOADS) for m in models]
         self._models = {model.name: model for model in models}
-        self._world = World(self._rng, NO_FAULTS, quick, site.domains)
+        world_luck = random.Random(f"engines-{seed}")
+        self._world = World(world_luck, NO_FAULTS, quick, site.domains, True)
         for domain in site.domains:
             for _ in range(site.engines_a_domain):
                 self._world.add_engine(domain)
@@ -74,12 +79,13 @@
                 self._heads,
                 self._tell,
                 number == 0,
-                self._rng.random(),
+                daemon_luck.random(),
             )
             for number in range(site.daemons)
         ]
         for daemon in self._daemons:
             daemon.coordinator_of_all = self._daemons[0].coordinator
+        self._caller_luck = caller_luck
         self._gone_at = {}
         self._began_at = None
         self._idle_engine_s = 0.0
@@ -96,7 +102,7 @@
         self._began_at = asyncio.get_running_loop().time()
         tasks += [asyncio.create_task(self._strike(f)) for f in self._settings.faults]
         site = self._settings.site
-        callers = Callers(self._daemons, site, self._burst_factor, self._rng)
+        callers = Callers(self._daemons, site, self._burst_factor, self._caller_luck)
         await callers.run(self._settings.seconds)
         for task in tasks:
             task.cancel()
@@ -182,8 +188,15 @@
             getattr(self, f"_{fault.kind}")(fault)
 
     def _joined(self, count):
+        """Return engines that are in groups; the same luck strikes the same ones.
+
+        Each engine has a luck of its own, so that two policies lose the same engines
+        although their groups differ.
+        """
+        turn = self._fault_luck.random()
         joined = [e for e in self._world.engines.values() if e.membership is not None]
-        return self._rng.sample(joined, min(count, len(joined)))
+        joined.sort(key=lambda e: random.Random(f"{turn}-{e.id}").random())
+        return joined[:count]
 
     def _lose(self, fault):
         for engine in self._joined(fault.count):
@@ -195,14 +208,14 @@
             self._world.restart(engine)
 
     def _domain(self, fault):
-        domain = self._rng.choice(sorted(self._settings.site.domains))
+        domain = self._fault_luck.choice(sorted(self._settings.site.domains))
         struck = [e for e in self._world.engines.values() if e.domain == domain]
         for engine in struck:
             engine.is_dark = True
             asyncio.get_running_loop().call_later(fault.for_s, _light, engine)
 
     def _add(self, fault):
-        domain = self._rng.choice(sorted(self._settings.site.domains))
+        domain = self._fault_luck.choice(sorted(self._settings.site.domains))
         for _ in range(fault.count):
             self._world.add_engine(domain)
 
--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -23,6 +23,7 @@
     engine_views,
     models_waiting,
     next_steps,
+    practice_step,
     revise,
     spares_of,
     wishes,
@@ -177,11 +178,9 @@
         models = {model.name: model for model in spec.models}
         steps = next_steps(plan, knowledge.engines, models, self.settings.stall_s, now)
         for step in steps:
-            if step.kind is StepKind.ASK:
-                self._spawn_ask(domain, step.engine)
-            else:
-                self._spawn_order(domain, step.engine, step.order, models)
+            self._take_step(domain, step, models)
         self._stage(plan, knowledge, spec, shape, now)
+        self._practise(plan, knowledge, shape, models)
         self._ask_silent(domain, knowledge, now)
 
     def _spec(self, knowledge):
@@ -234,6 +233,12 @@
 
     # Orders and questions.
 
+    def _take_step(self, domain, step, models):
+        if step.kind is StepKind.ASK:
+            self._spawn_ask(domain, step.engine)
+        else:
+            self._spawn_order(domain, step.engine, step.order, models)
+
     def _spawn_ask(self, domain, engine_id):
         engine = self.domains.engine(domain, engine_id)
         if engine is not None:
@@ -281,6 +286,16 @@
                 order = EngineOrder(OrderName.STAGE, engine.order_count, model=model)
                 self._spawn_order(plan.domain, engine_id, order, {})
 
+    def _practise(self, plan, knowledge, shape, models):
+        """Let spares join once, while nothing is under way in the domain."""
+        if models_waiting(plan, knowledge):
+            return
+        served = [name for name in models if shape.model in (None, name)]
+        for engine in spares_of(plan, knowledge):
+            step = practice_step(plan, engine, served)
+            if step is not None:
+                self._take_step(plan.domain, step, models)
+
     def _ask_silent(self, domain, knowledge, now):
         for engine in knowledge.engines.values():
             if engine.silent_since is None or not engine.listed:
--- a/cowslipcourse/entry/engine_calls.py
+++ b/cowslipcourse/entry/engine_calls.py
@@ -140,13 +140,13 @@
     if order.name is OrderName.JOIN:
         engine.joined_at[order.epoch] = sent_at
         model = models[order.model]
-        previous = engine.membership.model if engine.membership else ""
-        if previous == order.model:
+        if engine.joined_model == order.model:
             engine.join_s[order.epoch] = REJOIN_S
         elif order.model in engine.staged:
             engine.join_s[order.epoch] = model.warm_s
         else:
             engine.join_s[order.epoch] = model.load_s
+        engine.joined_model = order.model
     elif order.name is OrderName.OPEN:
         engine.opened_at[order.epoch] = sent_at
     elif order.name is OrderName.LEAVE:
--- a/cowslipcourse/groups/__init__.py
+++ b/cowslipcourse/groups/__init__.py
@@ -2,8 +2,9 @@
 
 from cowslipcourse.groups.knowledge import DomainKnowledge, EngineKnowledge
 from cowslipcourse.groups.loads import LoadLimit
-from cowslipcourse.groups.orders import Step, StepKind, next_steps
+from cowslipcourse.groups.orders import next_steps
 from cowslipcourse.groups.plan import DomainPlan, PlannedGroup, decode_plan, encode_plan
+from cowslipcourse.groups.practice import practice_step
 from cowslipcourse.groups.revision import EngineView, Wish, revise
 from cowslipcourse.groups.shape import MIXED, DomainShape, choose_shape
 from cowslipcourse.groups.situation import (
@@ -14,6 +15,7 @@
     wishes,
 )
 from cowslipcourse.groups.staging import choose_staging
+from cowslipcourse.groups.steps import Step, StepKind
 
 __all__ = [
     "MIXED",
@@ -35,6 +37,7 @@
     "engine_views",
     "models_waiting",
     "next_steps",
+    "practice_step",
     "revise",
     "spares_of",
     "wishes",
--- a/cowslipcourse/groups/knowledge.py
+++ b/cowslipcourse/groups/knowledge.py
@@ -28,6 +28,7 @@
         self.joined_at = {}
         self.join_s = {}
         self.opened_at = {}
+        self.joined_model = None
         self.staging = None
         self.ask_from = 0.0
         self.away_from = None
@@ -174,6 +175,8 @@
         return membership.epoch < known.epoch
 
     def _note(self, membership):
+        if membership is not None and membership.model:
+            self.joined_model = membership.model
         if membership is not None and membership.state in _WAS_READY:
             self._was_ready.add((membership.group, membership.epoch))
 
--- a/cowslipcourse/groups/orders.py
+++ b/cowslipcourse/groups/orders.py
@@ -1,12 +1,13 @@
 """Which orders carry out a plan, given what is known of the engines."""
 
-from enum import StrEnum
 from typing import NamedTuple
 
 from cowslipcourse.groups.knowledge import REPORT_LAG_S
+from cowslipcourse.groups.practice import practises
+from cowslipcourse.groups.steps import Step, StepKind
 from cowslipcourse.ports import EngineOrder, GroupState, OrderName
 
-__all__ = ["Step", "StepKind", "is_present", "next_steps"]
+__all__ = ["is_present", "next_steps"]
 
 JOIN_AGAIN_S = 1.0
 """Time after which a join that shows no effect is looked into; a list lags less."""
@@ -24,26 +25,6 @@
 """Time of a join if the engine served that model last."""
 
 
-class StepKind(StrEnum):
-    """What to do with an engine next."""
-
-    ASK = "ask"
-    ORDER = "order"
-
-
-class Step(NamedTuple):
-    """Something to be done now.
-
-    :param kind: ask for a report, or give the order.
-    :param engine: id of the engine.
-    :param order: :class:`~cowslipcourse.ports.EngineOrder`, or ``None``.
-    """
-
-    kind: StepKind
-    engine: str
-    order: EngineOrder | None = None
-
-
 def next_steps(plan, engines, models, stall_s, now):
     """Return the steps that a domain needs now.
 
@@ -201,6 +182,8 @@
             continue
         if plan.group_of(engine.id, engine.incarnation) is not None:
             continue
+        if practises(engine):
+            continue
         steps.append(_order(engine, OrderName.LEAVE, _Stray.of(engine)))
     return steps
 
--- /dev/null
+++ b/cowslipcourse/groups/practice.py
@@ -0,0 +1,56 @@
+"""Joins that spares practise, so that the next one takes a fraction of a second.
+
+An engine joins in 0.2 s if its last group since its start had the same model, else it
+loads the weights from its host first, which takes 1 to 2 s. A spare that has joined a
+group of its own once repairs another one that much sooner. Such a group has one
+member, which is its head and is never opened, so it holds up nothing: the engine may
+be joined out of it at any time.
+"""
+
+from cowslipcourse.groups.steps import Step, StepKind
+from cowslipcourse.ports import EngineOrder, GroupState, OrderName
+
+__all__ = ["is_practice", "practice_step", "practises"]
+
+_MARK = "-alone-"
+
+
+def is_practice(membership):
+    """Whether an engine is in a group of its own.
+
+    :param membership: :class:`~cowslipcourse.ports.Membership` or ``None``.
+    """
+    return membership is not None and _MARK in membership.group
+
+
+def practises(engine):
+    """Whether an engine is on its way into a group of its own."""
+    found = engine.membership
+    return is_practice(found) and found.state is GroupState.JOINING
+
+
+def practice_step(plan, engine, models):
+    """Return the step that lets a spare practise, or ``None`` if it need not.
+
+    :param plan: :class:`~cowslipcourse.groups.DomainPlan`
+    :param engine: :class:`~cowslipcourse.groups.EngineKnowledge` of a spare.
+    :param models: names of the models that the domain serves.
+    """
+    held = [model for model in engine.staged if model in models]
+    is_idle = engine.membership is None and engine.staging is None
+    if not held or not is_idle or engine.joined_model in held:
+        return None
+    if not plan.version:
+        return None
+    if engine.order_count is None:
+        return Step(StepKind.ASK, engine.id)
+    # The epoch is lower than that of any group that is planned later.
+    order = EngineOrder(
+        OrderName.JOIN,
+        engine.order_count,
+        group=f"{plan.domain}{_MARK}{engine.id}",
+        epoch=plan.version,
+        model=held[0],
+        members=(engine.id,),
+    )
+    return Step(StepKind.ORDER, engine.id, order)
--- a/cowslipcourse/groups/situation.py
+++ b/cowslipcourse/groups/situation.py
@@ -1,6 +1,7 @@
 """What follows from the knowledge of a domain for the revision of its plan."""
 
 from cowslipcourse.groups.orders import HEAD_AWAY_S, STALL_MARGIN_S, is_present
+from cowslipcourse.groups.practice import is_practice
 from cowslipcourse.groups.revision import EngineView, Wish
 from cowslipcourse.ports import GroupState
 
@@ -54,7 +55,7 @@
     """
     group = plan.group_of(engine.id, engine.incarnation)
     if group is None:
-        return engine.membership is None
+        return engine.membership is None or is_practice(engine.membership)
     if not group.is_retired:
         return False
     head = knowledge.engines.get(group.head)
