--- a/cowslipcourse/emulator/main.py
+++ b/cowslipcourse/emulator/main.py
@@ -13,7 +13,7 @@
 from cowslipcourse import __version__
 from cowslipcourse.emulator.clock import run_paused
 from cowslipcourse.emulator.policies import in_force
-from cowslipcourse.emulator.report import compare, figures, table
+from cowslipcourse.emulator.report import RunFigures, compare, figures, table
 from cowslipcourse.emulator.site import play
 from cowslipcourse.emulator.site_file import ExperimentSettings
 from cowslipcourse.exceptions import CowslipError, Problem, SettingsError
@@ -42,13 +42,16 @@
 def _read_runs(path):
     """Return the runs in a file of results.
 
-    :raises SettingsError: a line cannot be read.
+    :raises SettingsError: it has none, or a line cannot be read.
     """
     try:
         lines = Path(path).read_bytes().splitlines()
-        return [msgspec.json.decode(line) for line in lines]
-    except (OSError, msgspec.DecodeError) as error:
+        runs = [msgspec.json.decode(line, type=RunFigures) for line in lines]
+    except (OSError, msgspec.MsgspecError) as error:
         raise SettingsError([Problem(str(path), str(error))]) from error
+    if not runs:
+        raise SettingsError([Problem(str(path), "no runs")])
+    return runs
 
 
 class _ExperimentCommand(Command):
--- a/features/emulator/emulator.feature
+++ b/features/emulator/emulator.feature
@@ -40,3 +40,8 @@
       | an unknown policy           | known:     |
       | an unknown key              | unknown    |
       | a negative rate             | per_s      |
+
+  Scenario: Results that cannot be read are told
+    Given a file of results with a line that is no run
+    When it is compared with itself from the command line
+    Then it ends with exit code 2 and says "results"
--- a/features/steps/emulator_steps.py
+++ b/features/steps/emulator_steps.py
@@ -183,12 +183,26 @@
     context.file.write_text('name = "wrong"\n' + WRONG[fault])
 
 
+def _experiment(*words):
+    command = [sys.executable, "-m", "cowslipcourse.emulator.main", *words]
+    return subprocess.run(command, capture_output=True, text=True, check=False)
+
+
 @when("it is run from the command line")
 def step_command(context):
-    command = [sys.executable, "-m", "cowslipcourse.emulator.main", "run"]
-    context.done = subprocess.run(
-        [*command, str(context.file)], capture_output=True, text=True, check=False
-    )
+    context.done = _experiment("run", str(context.file))
+
+
+@given("a file of results with a line that is no run")
+def step_wrong_results(context):
+    folder = Path(tempfile.mkdtemp(prefix="cowslip-experiment-"))
+    context.file = folder / "results.jsonl"
+    context.file.write_text('{"policy": 7}\n')
+
+
+@when("it is compared with itself from the command line")
+def step_compare_command(context):
+    context.done = _experiment("compare", str(context.file), str(context.file))
 
 
 @then('it ends with exit code {code:d} and says "{words}"')
