Names of practice groups cannot be those of planned ones

Cause: a planned group of a domain whose name holds the mark would have counted as practice, and its engines as free of it. Change: practice names have an end that planned names, which end with a number, cannot have.

--- a/cowslipcourse/groups/practice.py
+++ b/cowslipcourse/groups/practice.py
@@ -12,7 +12,8 @@
 
 __all__ = ["is_practice", "practice_step", "practises"]
 
-_MARK = "-alone-"
+_END = ".alone"
+"""End of the names of such groups; those of planned groups end with a number."""
 
 
 def is_practice(membership):
@@ -20,7 +21,7 @@
 
     :param membership: :class:`~cowslipcourse.ports.Membership` or ``None``.
     """
-    return membership is not None and _MARK in membership.group
+    return membership is not None and membership.group.endswith(_END)
 
 
 def practises(engine):
@@ -48,7 +49,7 @@
     order = EngineOrder(
         OrderName.JOIN,
         engine.order_count,
-        group=f"{plan.domain}{_MARK}{engine.id}",
+        group=f"{plan.domain}-{engine.id}{_END}",
         epoch=plan.version,
         model=held[0],
         members=(engine.id,),
--- a/features/group_plans/practice.feature
+++ b/features/group_plans/practice.feature
@@ -25,6 +25,10 @@
     Given a spare that is joining a group of its own
     Then it counts as free
 
+  Scenario: A planned group is never taken for practice, whatever its domain is called
+    Given a stray in the group x-alone-12 of a domain called x-alone
+    Then it does not count as free
+
   Scenario: A group serves more than a second sooner after a loss
     Given a coordinator of nine engines, one group of which serves
     When a member of the group is lost, with practised spares and with others
--- a/features/steps/practice_steps.py
+++ b/features/steps/practice_steps.py
@@ -37,7 +37,7 @@
 
 
 def _alone(state):
-    return Membership("d1-alone-e1", 7, 0, state, "large")
+    return Membership("d1-e1.alone", 7, 0, state, "large")
 
 
 def _report(context, membership):
@@ -95,7 +95,7 @@
 def step_leave(context):
     (step,) = _steps(context)
     assert step.order.name is OrderName.LEAVE, step
-    assert step.order.group == "d1-alone-e1", step
+    assert step.order.group == "d1-e1.alone", step
 
 
 @then("it counts as free")
@@ -104,6 +104,19 @@
     assert is_free(PLAN, context.knowledge, engine, STALL_S)
 
 
+@given("a stray in the group {group} of a domain called {domain}")
+def step_stray(context, group, domain):
+    context.knowledge = DomainKnowledge()
+    found = Membership(group, 7, 1, GroupState.READY, "large")
+    context.knowledge.see_entry(_entry()._replace(domain=domain, membership=found))
+
+
+@then("it does not count as free")
+def step_not_free(context):
+    engine = context.knowledge.engines["e1"]
+    assert not is_free(PLAN, context.knowledge, engine, STALL_S)
+
+
 LIST_S = 0.25
 LOOK_S = 0.05
 LOST_AT_S = 12.0
