Duels in three features, so that they run beside each other

Change: runs, runs with engines that start again (with ten under other ids, new), and variants each in a file of their own. No example is left out or changed.

--- /dev/null
+++ b/features/group_plans/duel_variants.feature
@@ -0,0 +1,19 @@
+Feature: Duels without a mechanism
+  Each mechanism that keeps groups whole and apart is switched off, and the oracle finds it out.
+
+  Scenario Outline: Without a mechanism the oracle finds it out
+    When duels are run with <variant> on a <site> site, from seed <first> on
+    Then the oracle saw a group that was partial or an engine in two groups
+
+    Examples:
+      | variant                                         | site    | first |
+      | engines planned without their lives             | mixed restarting   | 0  |
+      | lives confused                                  | mixed restarting   | 22 |
+      | heads opened before all members were seen ready | mixed   | 0     |
+      | engines taken out of groups they have not left  | mixed   | 41    |
+      | engines taken out of groups they have not left  | divided | 33    |
+      | epochs used twice                               | mixed   | 1     |
+      | epochs used twice                               | divided | 82    |
+      | members freed by the silence of their head      | mixed   | 11    |
+      | members freed by the silence of their head      | divided | 9     |
+      | evidence from before a group's end              | divided | 139   |
--- a/harness/run_tests.py
+++ b/harness/run_tests.py
@@ -22,7 +22,17 @@
 MOST_KNOWN_RED = 3
 PASSED, FAILED = "passed", "failed"
 MOST_JOBS = 6
-LONGEST = ("processes", "groups", "membership", "bookings", "duels")
+LONGEST = (
+    "duel_variants",
+    "restart_duels",
+    "duels",
+    "emulator",
+    "platform",
+    "processes",
+    "groups",
+    "membership",
+    "bookings",
+)
 """Features that take longest; begun first, so that none runs alone at the end."""
 
 
