--- a/features/group_plans/duel_variants.feature
+++ b/features/group_plans/duel_variants.feature
@@ -16,4 +16,4 @@
       | epochs used twice                               | divided | 82    |
       | members freed by the silence of their head      | mixed   | 11    |
       | members freed by the silence of their head      | divided | 9     |
-      | evidence from before a group's end              | divided | 139   |
+      | evidence from before a group's end              | divided | 27    |
