Roles are taken once a daemon may have heard who registered before it

They counted from their own start, while 195 registrations follow each other in the store for 0.8 s and heartbeats of a large data centre come every 1.2 s, so they had not heard those who registered first. Ruled out: lost rows (the log shows all 195 registered within a second).

--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -17,37 +17,26 @@
 from cowslipcourse.entry.knowledge import Knowledge
 from cowslipcourse.entry.metrics import EntryMetrics
 from cowslipcourse.entry.peer_link import PeerLink
+from cowslipcourse.entry.registering import Registering
 from cowslipcourse.entry.reloading import SettingsWatch
+from cowslipcourse.entry.roles import Roles
 from cowslipcourse.entry.side_apps import metrics_app, peer_app
 from cowslipcourse.entry.silence import SilenceWatch
 from cowslipcourse.entry.tools import EntryTools
-from cowslipcourse.exceptions import MalformedAnswer, StoreError
-from cowslipcourse.peers import (
-    Heartbeat,
-    Member,
-    PeerRegistry,
-    Registration,
-    decode_registration,
-    encode_registration,
-)
+from cowslipcourse.peers import Heartbeat, Member, PeerRegistry
 from cowslipcourse.platform import (
     HttpEngineControl,
     HttpRowStore,
     directory_app,
     ready_app,
 )
-from cowslipcourse.ports import RowWrite
 
 __all__ = ["Entry"]
 
 EXIT_CRASHED = 70
 LAST_LINES_S = 0.05
 """Time for the last lines to be written before a crashed process ends."""
-DAEMONS_TABLE = "daemons"
 SWEEP_S = 1.0
-REGISTER_AGAIN_S = 0.5
-ROLE_LOOK_S = 0.1
-"""Interval at which a daemon looks whether it is a reporter."""
 KEPT_ADDRESSES = 3
 """Some callers keep a list of addresses this many times longer than they are told."""
 STOP_LOOK_S = 0.1
@@ -69,10 +58,7 @@
         self.watch = SettingsWatch(path, settings, self._take_settings)
         self._incarnation = time.time_ns()
         self._sequence = 0
-        self._registration = 0
-        self._started_at = 0.0
         self._is_ready = False
-        self._is_reporter = False
         self._tasks = set()
         self._build()
 
@@ -92,15 +78,19 @@
         self._registry = PeerRegistry(settings.peers, settings.data_centre)
         self._fleet.note_peers(self._registry.in_flight)
         self._link = PeerLink(settings, self._registry, self)
+        self._registering = Registering(settings, self._store, self._learn)
+        self.knowledge = Knowledge(settings, self._store, self._registry, rng, self)
+        self._roles = Roles(
+            settings, self._registry, self._registering, self.knowledge, self
+        )
         self._coordinator = Coordinator(
             self._tools,
             self._store,
             self._control,
             settings.control,
-            self._is_coordinator,
+            self._roles.is_coordinator,
             self.tell_news,
         )
-        self.knowledge = Knowledge(settings, self._store, self._registry, rng, self)
 
     async def run(self, stopping):
         """Serve until told to stop, then stop gracefully."""
@@ -119,15 +109,14 @@
         for server in servers:
             await server.start()
         await self._link.start()
-        self._started_at = asyncio.get_running_loop().time()
         log.info("started", daemon=self._settings.name, incarnation=self._incarnation)
         for coroutine in (
             self._link.run(),
             *self.knowledge.coroutines(),
             self._tools.silence.run(),
             self._coordinator.run(),
-            self._register(),
-            self._share_reading(),
+            self._registering.run(),
+            self._roles.run(),
             self._keep_house(),
             self.watch.run(),
         ):
@@ -169,6 +158,11 @@
         self._coordinator.settings = settings.control
         self._control.settings = settings.control
 
+    @property
+    def is_draining(self):
+        """Whether the daemon is about to stop."""
+        return self._front.is_draining
+
     # What is learnt.
 
     def take_configuration(self, table):
@@ -195,7 +189,7 @@
         member = Member(
             name=settings.name,
             incarnation=self._incarnation,
-            registration=self._registration,
+            registration=self._registering.version,
             peer_address=settings.listen.peer,
             front_address=settings.listen.front,
             data_centre=settings.data_centre,
@@ -215,7 +209,7 @@
     def heartbeat_interval_s(self):
         """Return the seconds until the next heartbeat."""
         now = asyncio.get_running_loop().time()
-        return self._registry.interval_s(self._is_reporter, now)
+        return self._registry.interval_s(self._roles.is_reporter, now)
 
     def _is_fit(self, now):
         """Whether others may rely on it: it reads the store, reaches engines, stays."""
@@ -253,36 +247,6 @@
         for target, epoch in self._fleet.suspects(now).items():
             self._coordinator.look_into(target, epoch)
 
-    def _is_coordinator(self):
-        if not self._is_reporter:
-            return False
-        now = asyncio.get_running_loop().time()
-        own = self.heartbeat()
-        return self._registry.coordinator(own, now) == own.member.name
-
-    async def _share_reading(self):
-        """Read the store only while this daemon is a reporter."""
-        loop = asyncio.get_running_loop()
-        was_reporter = False
-        while True:
-            await asyncio.sleep(ROLE_LOOK_S)
-            now = loop.time()
-            if now - self._started_at < self._settings.peers.alive_s:
-                # Others that are alive have not been heard yet.
-                continue
-            own = self.heartbeat()
-            reporters = self._registry.reporters(own, now)
-            is_reporter = self._is_reporter = own.member.name in reporters
-            # Without any reporter everybody reads.
-            self.knowledge.follow(not reporters or is_reporter)
-            if self._front.is_draining:
-                continue
-            if is_reporter and not was_reporter:
-                log.info("reporting", data_centre=self._settings.data_centre)
-                # Daemons elsewhere may have registered after this one had read.
-                is_reporter = await self._read_daemons()
-            was_reporter = is_reporter
-
     def _addresses(self):
         now = asyncio.get_running_loop().time()
         ready = self._registry.ready(self._settings.name, now)
@@ -292,42 +256,13 @@
         self._tools.rng.shuffle(found)
         return found
 
-    async def _register(self):
-        """Write this daemon's row, and read the others'."""
-        listen = self._settings.listen
-        where = Registration(listen.peer, self._settings.data_centre)
-        content = encode_registration(where)
-        write = RowWrite(DAEMONS_TABLE, self._settings.name, content)
-        while True:
-            try:
-                self._registration = await self._store.write(write)
-            except StoreError as error:
-                log.warning("not-registered", error=error.code, why=error)
-                await asyncio.sleep(REGISTER_AGAIN_S)
-                continue
-            log.info("registered", version=self._registration)
-            while not await self._read_daemons():
-                await asyncio.sleep(REGISTER_AGAIN_S)
-            await asyncio.Event().wait()
-
-    async def _read_daemons(self):
-        """Learn the other daemons' addresses; return whether that was possible."""
-        try:
-            found = await self._store.read_table(DAEMONS_TABLE)
-        except StoreError as error:
-            log.warning("daemons-not-read", error=error.code, why=error)
-            return False
+    def _learn(self, registrations):
+        """Take in where other daemons have registered."""
         now = asyncio.get_running_loop().time()
-        for row in found.rows:
-            try:
-                known = decode_registration(row.value)
-            except MalformedAnswer as error:
-                log.warning("registration-unreadable", daemon=row.key, why=error)
-                continue
+        for known in registrations:
             self._registry.add_address(known.peer_address, known.data_centre, now)
         self._count_daemons(now)
         self._link.tell()
-        return True
 
     async def _keep_house(self):
         while True:
--- a/cowslipcourse/entry/peer_link.py
+++ b/cowslipcourse/entry/peer_link.py
@@ -172,14 +172,26 @@
         elif isinstance(message, GroupNews):
             self._daemon.take_news(message)
         elif isinstance(message, Heartbeat):
-            if message.member.name != self._settings.name and (
-                self._registry.note_heartbeat(message, now)
-            ):
-                self._daemon.heard(message)
+            if message.member.name != self._settings.name:
+                self._take_heartbeat(message, now)
         elif self._registry.note_digest(message, now):
             self._hand_on(content, message, now)
             self._daemon.heard(message)
 
+    def _take_heartbeat(self, heartbeat, now):
+        """Take in a heartbeat, and answer the first one of a run with an own one.
+
+        A daemon that has just started need not wait for the next one of each other:
+        that takes over a second in a large data centre.
+        """
+        is_first = self._registry.is_unknown(heartbeat.member)
+        if not self._registry.note_heartbeat(heartbeat, now):
+            return
+        if is_first:
+            own = self._daemon.heartbeat()
+            self._send(encode(own), [heartbeat.member.peer_address])
+        self._daemon.heard(heartbeat)
+
     def _hand_on(self, content, digest, now):
         """Bring another data centre's digest to the own one, once."""
         is_near = digest.reporter.data_centre == self._settings.data_centre
--- /dev/null
+++ b/cowslipcourse/entry/registering.py
@@ -0,0 +1,76 @@
+"""Register this daemon in the store, and learn where the others are."""
+
+import asyncio
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.exceptions import MalformedAnswer, StoreError
+from cowslipcourse.peers import Registration, decode_registration, encode_registration
+from cowslipcourse.ports import RowWrite
+
+__all__ = ["Registering"]
+
+DAEMONS_TABLE = "daemons"
+REGISTER_AGAIN_S = 0.5
+
+log = get_logger(__name__)
+
+
+class Registering:
+    """This daemon's row, and the rows of the others.
+
+    :param settings: :class:`~cowslipcourse.entry.settings.EntrySettings`
+    :param store: :class:`~cowslipcourse.ports.RowStore`
+    :param on_learnt: called with :class:`~cowslipcourse.peers.Registration` list.
+    """
+
+    def __init__(self, settings, store, on_learnt):
+        self._settings = settings
+        self._store = store
+        self._on_learnt = on_learnt
+        self._version = 0
+        self._finished_at = None
+
+    @property
+    def version(self):
+        """Store version of this daemon's row; 0 until it is written."""
+        return self._version
+
+    @property
+    def finished_at(self):
+        """Loop time since when the others have been known, or ``None``."""
+        return self._finished_at
+
+    async def run(self):
+        """Write this daemon's row, and read the others'."""
+        listen = self._settings.listen
+        where = Registration(listen.peer, self._settings.data_centre)
+        content = encode_registration(where)
+        write = RowWrite(DAEMONS_TABLE, self._settings.name, content)
+        while True:
+            try:
+                self._version = await self._store.write(write)
+            except StoreError as error:
+                log.warning("not-registered", error=error.code, why=error)
+                await asyncio.sleep(REGISTER_AGAIN_S)
+                continue
+            log.info("registered", version=self._version)
+            while not await self.read_others():
+                await asyncio.sleep(REGISTER_AGAIN_S)
+            self._finished_at = asyncio.get_running_loop().time()
+            await asyncio.Event().wait()
+
+    async def read_others(self):
+        """Learn the other daemons' addresses; return whether that was possible."""
+        try:
+            found = await self._store.read_table(DAEMONS_TABLE)
+        except StoreError as error:
+            log.warning("daemons-not-read", error=error.code, why=error)
+            return False
+        learnt = []
+        for row in found.rows:
+            try:
+                learnt.append(decode_registration(row.value))
+            except MalformedAnswer as error:
+                log.warning("registration-unreadable", daemon=row.key, why=error)
+        self._on_learnt(learnt)
+        return True
--- /dev/null
+++ b/cowslipcourse/entry/roles.py
@@ -0,0 +1,81 @@
+"""Which parts a daemon takes for its data centre: reading the store, keeping groups."""
+
+import asyncio
+
+from cowslipcourse.adapters.log import get_logger
+
+__all__ = ["Roles", "is_settled"]
+
+ROLE_LOOK_S = 0.1
+"""Interval at which a daemon looks whether it is a reporter."""
+SETTLE_S = 0.6
+"""Time after a daemon has registered until it takes a role. Those that registered
+before it say so at once when they first hear it; one of those datagrams may be lost.
+After all 195 daemons of a site had lost power, 45 of them took a role at the same
+moment, each before it had heard who had registered earlier."""
+
+log = get_logger(__name__)
+
+
+def is_settled(finished_at, now):
+    """Whether a daemon may have heard all who registered before it.
+
+    :param finished_at: loop time at which it had registered and knew the others'
+        addresses, or ``None``.
+    :param now: loop time.
+    """
+    return finished_at is not None and now - finished_at >= SETTLE_S
+
+
+class Roles:
+    """Decides again and again which roles are this daemon's.
+
+    :param settings: :class:`~cowslipcourse.entry.settings.EntrySettings`
+    :param registry: :class:`~cowslipcourse.peers.PeerRegistry`
+    :param registering: :class:`~cowslipcourse.entry.registering.Registering`
+    :param knowledge: has ``follow(active)``.
+    :param daemon: has ``heartbeat()`` and ``is_draining``.
+    """
+
+    def __init__(self, settings, registry, registering, knowledge, daemon):
+        self._settings = settings
+        self._registry = registry
+        self._registering = registering
+        self._knowledge = knowledge
+        self._daemon = daemon
+        self._is_reporter = False
+
+    @property
+    def is_reporter(self):
+        """Whether this daemon reads the store for its data centre."""
+        return self._is_reporter
+
+    def is_coordinator(self):
+        """Whether this daemon keeps the groups."""
+        if not self._is_reporter:
+            return False
+        now = asyncio.get_running_loop().time()
+        own = self._daemon.heartbeat()
+        return self._registry.coordinator(own, now) == own.member.name
+
+    async def run(self):
+        """Read the store only while this daemon is a reporter."""
+        loop = asyncio.get_running_loop()
+        was_reporter = False
+        while True:
+            await asyncio.sleep(ROLE_LOOK_S)
+            now = loop.time()
+            if not is_settled(self._registering.finished_at, now):
+                continue
+            own = self._daemon.heartbeat()
+            reporters = self._registry.reporters(own, now)
+            is_reporter = self._is_reporter = own.member.name in reporters
+            # Without any reporter everybody reads.
+            self._knowledge.follow(not reporters or is_reporter)
+            if self._daemon.is_draining:
+                continue
+            if is_reporter and not was_reporter:
+                log.info("reporting", data_centre=self._settings.data_centre)
+                # Daemons elsewhere may have registered after this one had read.
+                is_reporter = await self._registering.read_others()
+            was_reporter = is_reporter
--- a/cowslipcourse/peers/registry.py
+++ b/cowslipcourse/peers/registry.py
@@ -60,6 +60,11 @@
         """Write to a daemon that was learnt of elsewhere, for a while at least."""
         self._addresses.setdefault(address, (data_centre, now))
 
+    def is_unknown(self, member):
+        """Whether no heartbeat of this run of a daemon has been heard."""
+        known = self._heartbeats.get(member.name)
+        return known is None or known.message.member.incarnation != member.incarnation
+
     def note_heartbeat(self, heartbeat, now):
         """Take in a heartbeat; return whether it is newer than what was known."""
         member = heartbeat.member
--- a/features/knowledge/size.feature
+++ b/features/knowledge/size.feature
@@ -20,6 +20,17 @@
     When r1 has been silent for 0.7 s
     Then r2 speaks for the data centre in the view of r2
 
+  Scenario: After all daemons have lost power, roles are taken once
+    Their registrations follow each other in the store, for 0.8 s. Taking a role 1.1 s after the start, 45
+    daemons of the large site took one at the same moment.
+    When 195 daemons of 5 data centres start within 1 s, losing 30 in 100 datagrams
+    Then no data centre ever has more than 3 reporters, and 2 from 3 s on
+    And at most one daemon coordinates at any time, and one from 3 s on
+
+  Scenario: Roles that are taken before the others are heard are found out
+    When they start, losing 60 in 100, and take roles once registered
+    Then some data centre has more than 3 reporters
+
   Scenario: The whole list is packed
     Given the list of a site of 930 targets
     Then a peer reads it in less than 60 KB, and a second one gets the same bytes
--- a/features/steps/size_steps.py
+++ b/features/steps/size_steps.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import random
+from unittest import mock
 
 from behave import given, then, when
 
 from cowslipcourse.emulator.clock import run_paused
+from cowslipcourse.entry import roles
 from cowslipcourse.entry.peer_reading import LONGEST_PAUSE_S, PeerReading
 from cowslipcourse.entry.settings import PeerSettings
 from cowslipcourse.exceptions import MalformedAnswer
@@ -91,6 +93,46 @@
     assert context.ready == [others] * (others + 1), context.ready
 
 
+@when(
+    "195 daemons of 5 data centres start within {within:d} s, "
+    "losing {lost:d} in 100 datagrams"
+)
+def step_start(context, within, lost):
+    network = DaemonNetwork(Shape(5, 39, lost=lost / 100))
+    context.roles = run_paused(network.start_all(within, 4))
+
+
+@when("they start, losing {lost:d} in 100, and take roles once registered")
+def step_start_early(context, lost):
+    network = DaemonNetwork(Shape(5, 39, lost=lost / 100))
+    with (
+        mock.patch.object(roles, "is_settled", lambda at, now: at is not None),
+        mock.patch.object(PeerRegistry, "is_unknown", lambda self, member: False),
+    ):
+        context.roles = run_paused(network.start_all(1, 2))
+
+
+@then("no data centre ever has more than {most:d} reporters, and 2 from {at:d} s on")
+def step_few_reporters(context, most, at):
+    for seconds, reporters, _ in context.roles:
+        assert max(reporters.values(), default=0) <= most, (seconds, reporters)
+        if seconds >= at:
+            assert sorted(reporters.values()) == [2] * 5, (seconds, reporters)
+
+
+@then("at most one daemon coordinates at any time, and one from {at:d} s on")
+def step_one_coordinates(context, at):
+    numbers = [(seconds, number) for seconds, _, number in context.roles]
+    assert all(number <= 1 for _, number in numbers), numbers
+    assert all(number == 1 for seconds, number in numbers if seconds >= at), numbers
+
+
+@then("some data centre has more than {most:d} reporters")
+def step_many_reporters(context, most):
+    found = max(max(r.values(), default=0) for _, r, _ in context.roles)
+    assert found > most, found
+
+
 @given("two reporters r1 and r2 of a large data centre, registered in this order")
 def step_reporters(context):
     context.now = 50.0
--- a/features/support/daemon_network.py
+++ b/features/support/daemon_network.py
@@ -5,8 +5,17 @@
 from typing import NamedTuple
 
 from cowslipcourse.entry.peer_link import PeerLink
+from cowslipcourse.entry.registering import Registering
+from cowslipcourse.entry.roles import Roles
 from cowslipcourse.entry.settings import EntrySettings
-from cowslipcourse.peers import Heartbeat, Member, PeerRegistry
+from cowslipcourse.peers import (
+    Heartbeat,
+    Member,
+    PeerRegistry,
+    Registration,
+    encode_registration,
+)
+from cowslipcourse.ports import RowChanges, StoredRow
 
 __all__ = ["DaemonNetwork", "Shape"]
 
@@ -32,10 +41,45 @@
     lost: float = 0.0
 
 
+WRITE_S = 0.004
+"""Writes to one part of the store's rows follow each other."""
+LOOK_S = 0.05
+
+
 class _Knowledge:
     def take_push(self, message):
         """Nothing is pushed here."""
 
+    def follow(self, active):
+        """Nothing is read here."""
+
+
+class _Store:
+    """Rows of daemons; those of an earlier run of all daemons are there already."""
+
+    def __init__(self, daemons):
+        self._version = 1000
+        self._rows = {}
+        self._free_at = 0.0
+        for daemon in daemons:
+            row = encode_registration(
+                Registration(daemon.settings.listen.peer, daemon.settings.data_centre)
+            )
+            self._rows[daemon.settings.name] = row
+
+    async def write(self, row_write):
+        now = asyncio.get_running_loop().time()
+        self._free_at = max(now, self._free_at) + WRITE_S
+        await asyncio.sleep(self._free_at - now)
+        self._version += 1
+        self._rows[row_write.key] = row_write.value
+        return self._version
+
+    async def read_table(self, table):
+        await asyncio.sleep(WRITE_S)
+        rows = [StoredRow(key, value, 1) for key, value in self._rows.items()]
+        return RowChanges(tuple(rows), self._version)
+
 
 class _Daemon:
     """One daemon: its link and its registry, and what it says of itself."""
@@ -67,6 +111,9 @@
             True,
             7,
         )
+        self.is_draining = False
+        self.registering = None
+        self.roles = None
         self.registry = PeerRegistry(self.settings.peers, self.settings.data_centre)
         self.link = PeerLink(self.settings, self.registry, self)
         self.link._transport = self
@@ -76,6 +123,8 @@
         self._sequence += 1
         heads = self._rng.sample(range(HEADS), self._shape.in_flight)
         in_flight = {f"i-{head * 0x123457:010x}": 1 for head in heads}
+        if self.registering is not None:
+            self.member = self.member._replace(registration=self.registering.version)
         beat = Heartbeat(self.member, self._sequence, True, 99, in_flight, {})
         return beat._replace(interval_s=self.heartbeat_interval_s())
 
@@ -86,6 +135,27 @@
         is_reporter = self.member.name in self.registry.reporters(own, now)
         return self.registry.interval_s(is_reporter, now)
 
+    def starts(self, store):
+        """Begin without a registration, and knowing nobody."""
+        self.registering = Registering(self.settings, store, self._learn)
+        self.roles = Roles(
+            self.settings, self.registry, self.registering, self.knowledge, self
+        )
+
+    def _learn(self, registrations):
+        now = asyncio.get_running_loop().time()
+        for known in registrations:
+            self.registry.add_address(known.peer_address, known.data_centre, now)
+        self.link.tell()
+
+    async def live(self, after_s):
+        """Start after a while, and live."""
+        self.is_down = True
+        await asyncio.sleep(after_s)
+        self.is_down = False
+        coroutines = self.registering.run(), self.roles.run(), self.link.run()
+        await asyncio.gather(*coroutines)
+
     def heard(self, message):
         """Nothing is looked into here."""
 
@@ -147,3 +217,35 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         spent = [d.sent_bytes - b for d, b in zip(self.daemons, begun, strict=True)]
         return [each / seconds for each in spent]
+
+    async def start_all(self, within_s, seconds):
+        """Start all daemons after a loss of power; yield who has which role, by time.
+
+        :param within_s: time within which they begin to run.
+        :param seconds: time for which they are watched.
+        :returns: list of ``(seconds since the first start, reporters by data centre,
+            number of coordinators)``
+        """
+        store = _Store(self.daemons)
+        for daemon in self.daemons:
+            daemon.starts(store)
+        tasks = [
+            asyncio.create_task(daemon.live(self._rng.uniform(0, within_s)))
+            for daemon in self.daemons
+        ]
+        seen = []
+        for step in range(int(seconds / LOOK_S)):
+            await asyncio.sleep(LOOK_S)
+            seen.append(((step + 1) * LOOK_S, *self._roles()))
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return seen
+
+    def _roles(self):
+        reporters = {}
+        for daemon in self.daemons:
+            if daemon.roles.is_reporter:
+                place = daemon.settings.data_centre
+                reporters[place] = reporters.get(place, 0) + 1
+        return reporters, sum(daemon.roles.is_coordinator() for daemon in self.daemons)
