A coordinator has 24 calls to engines under way at most

Hundreds of questions were begun at once; their limit of 0.15 s ran while they waited for this process and its link. Ruled out: the engines (4,100 were heard again at the next question). Before and after, fake time, 925 sound engines at 5 ms of processor time a call: over 500 silent / none, all heard within 8 s. A question whose limit is noticed over 50 ms late is not counted.

--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -70,6 +70,7 @@
         self._store = store
         self._calls = EngineCalls(
             control,
+            settings,
             self.domains.see_report,
             self._doubt_own_links,
             self._note_opened,
--- a/cowslipcourse/entry/engine_calls.py
+++ b/cowslipcourse/entry/engine_calls.py
@@ -13,6 +13,15 @@
 QUESTIONS = 2
 """Questions without an answer after which an engine counts as silent: packets are lost,
 and a group is taken apart for it."""
+MOST_QUESTIONS = 6
+"""Questions to one engine at most, where own delays say nothing about it."""
+MOST_CALLS = 24
+"""Calls under way at once. A call costs a small VM some 5 ms of its processor time, an
+answer that is read after 0.15 s counts as none: a coordinator that asked hundreds of
+engines at once called 7,855 sound ones silent in 25 s."""
+OWN_DELAY_S = 0.05
+"""A time limit that is noticed so much later: this process stood still, and an answer
+may have come that it has not read."""
 
 log = get_logger(__name__)
 
@@ -24,18 +33,21 @@
     again meanwhile, nobody looks at that any more.
 
     :param control: :class:`~cowslipcourse.ports.EngineControl`
+    :param settings: :class:`~cowslipcourse.entry.settings.ControlSettings`
     :param on_report: called with an engine, its report and when it was asked for.
     :param on_silent: called after an engine was found silent.
     :param on_opened: called with an engine and the order, after it began to open.
     """
 
-    def __init__(self, control, on_report, on_silent, on_opened):
+    def __init__(self, control, settings, on_report, on_silent, on_opened):
         self._control = control
+        self._settings = settings
         self._on_report = on_report
         self._on_silent = on_silent
         self._on_opened = on_opened
         self._busy = set()
         self._tasks = set()
+        self._places = asyncio.Semaphore(MOST_CALLS)
 
     def is_busy(self, engine):
         """Whether a call to an engine is under way."""
@@ -73,28 +85,43 @@
 
     async def _ask(self, engine):
         loop = asyncio.get_running_loop()
-        first_asked_at = loop.time()
-        for _ in range(QUESTIONS):
-            asked_at = loop.time()
-            try:
-                report = await self._control.report(engine.entry)
-            except (TargetError, MalformedAnswer) as error:
-                why = error
-                continue
-            if engine.silent_since is not None:
-                log.info("engine-heard", engine=engine.id)
-            if report.pace >= SLOW_PACE:
-                log.info("engine-slow", engine=engine.id, pace=report.pace)
-            self._on_report(engine, report, asked_at)
+        first_asked_at, unanswered = None, 0
+        for _ in range(MOST_QUESTIONS):
+            async with self._places:
+                asked_at = loop.time()
+                first_asked_at = first_asked_at or asked_at
+                try:
+                    report = await self._control.report(engine.entry)
+                except (TargetError, MalformedAnswer) as error:
+                    why = error
+                else:
+                    self._note_answer(engine, report, asked_at)
+                    return
+            waited_s = loop.time() - asked_at
+            unanswered += waited_s < self._settings.report_timeout_s + OWN_DELAY_S
+            if unanswered >= QUESTIONS:
+                break
+        if unanswered < QUESTIONS:
+            log.info("engine-not-heard", engine=engine.id, why=why)
             return
         if engine.silent_since is None:
             log.info("engine-silent", engine=engine.id, why=why)
         engine.see_silence(first_asked_at)
         self._on_silent()
 
+    def _note_answer(self, engine, report, asked_at):
+        if engine.silent_since is not None:
+            log.info("engine-heard", engine=engine.id)
+        if report.pace >= SLOW_PACE:
+            log.info("engine-slow", engine=engine.id, pace=report.pace)
+        self._on_report(engine, report, asked_at)
+
     async def _order(self, engine, order, models):
-        loop = asyncio.get_running_loop()
-        sent_at = loop.time()
+        async with self._places:
+            sent_at = asyncio.get_running_loop().time()
+            await self._send_order(engine, order, models, sent_at)
+
+    async def _send_order(self, engine, order, models, sent_at):
         try:
             answer = await self._control.order(engine.entry, order)
         except TargetError as error:
@@ -123,9 +150,9 @@
         else:
             _note_not_begun(engine, order)
             if answer is OrderAnswer.OTHER_ENGINE:
-                engine.see_other_engine(loop.time())
+                engine.see_other_engine(asyncio.get_running_loop().time())
             else:
-                engine.see_refusal(loop.time())
+                engine.see_refusal(asyncio.get_running_loop().time())
 
 
 def _life(engine):
--- a/features/steps/life_steps.py
+++ b/features/steps/life_steps.py
@@ -310,7 +310,7 @@
 @when("an order to e2 is answered by another engine")
 def step_other_engine(context):
     async def run():
-        calls = EngineCalls(_OtherEngine(), None, None, None)
+        calls = EngineCalls(_OtherEngine(), ControlSettings(), None, None, None)
         order = EngineOrder(OrderName.JOIN, 0, "g1", 5, "large", ("e1", "e2"))
         calls.order(context.knowledge.engines["e2"], order, {"large": LARGE})
         await asyncio.sleep(0.1)
--- /dev/null
+++ b/features/steps/question_steps.py
@@ -0,0 +1,138 @@
+"""Steps over questions to engines."""
+
+import asyncio
+from unittest import mock
+
+from behave import given, then, when
+
+from cowslipcourse.emulator.clock import run_paused
+from cowslipcourse.entry import engine_calls
+from cowslipcourse.entry.engine_calls import EngineCalls
+from cowslipcourse.entry.settings import ControlSettings
+from cowslipcourse.exceptions import TargetUnreachable
+from cowslipcourse.groups import EngineKnowledge
+from cowslipcourse.ports import EngineReport, TargetEntry
+
+TRIP_S = 0.003
+SETTINGS = ControlSettings()
+
+
+class _SlowProcess:
+    """A control whose calls share one slow processor: half to send, half to read."""
+
+    def __init__(self, call_s):
+        self._call_s = call_s
+        self._processor = asyncio.Lock()
+
+    async def report(self, entry):
+        try:
+            async with asyncio.timeout(SETTINGS.report_timeout_s):
+                await self._work()
+                await asyncio.sleep(TRIP_S)
+                await self._work()
+        except TimeoutError as error:
+            raise TargetUnreachable("too late") from error
+        return EngineReport(1, None, ())
+
+    async def _work(self):
+        async with self._processor:
+            await asyncio.sleep(self._call_s / 2)
+
+
+class _Deaf:
+    """A control that gets no answer, in a process that stands still at times."""
+
+    def __init__(self, pause_s):
+        self._pause_s = pause_s
+        self.questions = 0
+
+    async def report(self, entry):
+        self.questions += 1
+        await asyncio.sleep(SETTINGS.report_timeout_s + self._pause_s)
+        raise TargetUnreachable("no answer")
+
+
+def _engine(number):
+    return EngineKnowledge(TargetEntry(f"e{number}", "llm", "a:1", "dc", 13))
+
+
+def _ask_all(context, make_control, seconds):
+    async def run():
+        heard = []
+        context.control = make_control()
+        calls = EngineCalls(
+            context.control,
+            SETTINGS,
+            lambda engine, report, asked_at: heard.append(engine.id),
+            lambda: None,
+            None,
+        )
+        for engine in context.engines:
+            calls.ask(engine)
+        await asyncio.sleep(seconds)
+        context.heard = heard
+
+    run_paused(run())
+
+
+def _silent(context):
+    return [e.id for e in context.engines if e.silent_since is not None]
+
+
+@given(
+    "{number:d} sound engines and a coordinator whose calls take {call_ms:d} ms of its "
+    "time each"
+)
+def step_sound(context, number, call_ms):
+    context.engines = [_engine(each) for each in range(number)]
+    context.call_s = call_ms / 1000
+
+
+@when("it asks them all at once")
+def step_ask_all(context):
+    _ask_all(context, lambda: _SlowProcess(context.call_s), 8)
+
+
+@when("it asks them all at once, with no limit on the calls under way")
+def step_ask_unlimited(context):
+    with mock.patch.object(engine_calls, "MOST_CALLS", 10_000):
+        _ask_all(context, lambda: _SlowProcess(context.call_s), 8)
+
+
+@then("all are heard within 8 s and none is silent")
+def step_all_heard(context):
+    assert len(set(context.heard)) == len(context.engines), len(context.heard)
+    assert not _silent(context), len(_silent(context))
+
+
+@then("more than {number:d} seem silent")
+def step_seem_silent(context, number):
+    assert len(_silent(context)) > number, len(_silent(context))
+
+
+@given("an engine that never answers")
+def step_deaf(context):
+    context.engines, context.pause_s = [_engine(1)], 0.0
+
+
+@given(
+    "an engine that never answers, and a process that stands still for {pause_s:f} s "
+    "in each question"
+)
+def step_deaf_pause(context, pause_s):
+    context.engines, context.pause_s = [_engine(1)], pause_s
+
+
+@when("it is asked")
+def step_ask(context):
+    _ask_all(context, lambda: _Deaf(context.pause_s), 10)
+
+
+@then("it is silent after {number:d} questions")
+def step_silent(context, number):
+    assert _silent(context) and context.control.questions == number
+
+
+@then("it is not silent after {number:d} questions")
+def step_not_silent(context, number):
+    assert not _silent(context) and context.control.questions == number
