One daemon of a data centre reads the store, the second reporter stands by

Ruled out: a longer pause between reads: news of targets would be older for all. Before and after, fake time: two followers a data centre / one; after its silence another one reads within 1 s.

--- a/cowslipcourse/entry/roles.py
+++ b/cowslipcourse/entry/roles.py
@@ -47,7 +47,7 @@
 
     @property
     def is_reporter(self):
-        """Whether this daemon reads the store for its data centre."""
+        """Whether this daemon reads the store for its data centre, or stands by."""
         return self._is_reporter
 
     def is_coordinator(self):
@@ -59,7 +59,7 @@
         return self._registry.coordinator(own, now) == own.member.name
 
     async def run(self):
-        """Read the store only while this daemon is a reporter."""
+        """Read the store only while this daemon speaks for its data centre."""
         loop = asyncio.get_running_loop()
         was_reporter = False
         while True:
@@ -70,8 +70,9 @@
             own = self._daemon.heartbeat()
             reporters = self._registry.reporters(own, now)
             is_reporter = self._is_reporter = own.member.name in reporters
-            # Without any reporter everybody reads.
-            self._knowledge.follow(not reporters or is_reporter)
+            # Without any reporter everybody reads. The second one reads once the first
+            # is late: two at once were half of a large site's calls to the store.
+            self._knowledge.follow(not reporters or self._registry.speaks(own, now))
             if self._daemon.is_draining:
                 continue
             if is_reporter and not was_reporter:
--- a/features/knowledge/size.feature
+++ b/features/knowledge/size.feature
@@ -27,6 +27,11 @@
     Then no data centre ever has more than 3 reporters, and 2 from 3 s on
     And at most one daemon coordinates at any time, and one from 3 s on
 
+  Scenario: One daemon of each data centre reads the store, and is followed within a second
+    Two did before, each with four calls a second.
+    When 3 data centres of 12 daemons start, and those that read the store go silent after 4 s
+    Then one daemon of each data centre reads the store after 4 s, and after 5 s another one
+
   Scenario: Roles that are taken before the others are heard are found out
     When they start, losing 60 in 100, and take roles once registered
     Then some data centre has more than 3 reporters
--- a/features/steps/size_steps.py
+++ b/features/steps/size_steps.py
@@ -102,6 +102,34 @@
     context.roles = run_paused(network.start_all(within, 4))
 
 
+@when(
+    "{places:d} data centres of {daemons:d} daemons start, and those that read the "
+    "store go silent after {seconds:d} s"
+)
+def step_followers_go(context, places, daemons, seconds):
+    network = DaemonNetwork(Shape(places, daemons))
+    context.followers = []
+
+    async def go():
+        context.followers.append(network.followers())
+        network.end([n for names in network.followers().values() for n in names])
+        await asyncio.sleep(1.0)
+        context.followers.append(network.followers())
+
+    run_paused(network.start_all(0.5, seconds, go))
+
+
+@then(
+    "one daemon of each data centre reads the store after {first:d} s, and after "
+    "{second:d} s another one"
+)
+def step_one_follows(context, first, second):
+    before, after = context.followers
+    for place in ("hall-0", "hall-1", "hall-2"):
+        assert len(before[place]) == 1 and len(after[place]) == 1, context.followers
+        assert before[place] != after[place], context.followers
+
+
 @when("they start, losing {lost:d} in 100, and take roles once registered")
 def step_start_early(context, lost):
     network = DaemonNetwork(Shape(5, 39, lost=lost / 100))
--- a/features/support/daemon_network.py
+++ b/features/support/daemon_network.py
@@ -47,11 +47,14 @@
 
 
 class _Knowledge:
+    follows = True
+
     def take_push(self, message):
         """Nothing is pushed here."""
 
     def follow(self, active):
-        """Nothing is read here."""
+        """Note whether the store would be read."""
+        self.follows = active
 
 
 class _Store:
@@ -218,11 +221,27 @@
         spent = [d.sent_bytes - b for d, b in zip(self.daemons, begun, strict=True)]
         return [each / seconds for each in spent]
 
-    async def start_all(self, within_s, seconds):
-        """Start all daemons after a loss of power; yield who has which role, by time.
+    def followers(self):
+        """Return the names of daemons that read the store, by data centre."""
+        found = {}
+        for daemon in self.daemons:
+            if daemon.knowledge.follows and not daemon.is_down:
+                names = found.setdefault(daemon.settings.data_centre, [])
+                names.append(daemon.settings.name)
+        return found
+
+    def end(self, names):
+        """Let daemons go silent."""
+        for daemon in self.daemons:
+            if daemon.settings.name in names:
+                daemon.is_down = True
+
+    async def start_all(self, within_s, seconds, then=None):
+        """Start all daemons after a loss of power, and watch them.
 
         :param within_s: time within which they begin to run.
         :param seconds: time for which they are watched.
+        :param then: coroutine function that is run afterwards, while they live on.
         :returns: list of ``(seconds since the first start, reporters by data centre,
             number of coordinators)``
         """
@@ -237,6 +256,8 @@
         for step in range(int(seconds / LOOK_S)):
             await asyncio.sleep(LOOK_S)
             seen.append(((step + 1) * LOOK_S, *self._roles()))
+        if then is not None:
+            await then()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
