Status calls a group serving once every gateway sees it

Cause: scripts/demo failed in fresh clones (2 of 3 first runs, as the issue says): status was one controller's belief, the gateway that callers were told had not heard of any group, answered 503 with a time to come back, and the demo's callers did not come back. Ruled out: the engines (a second run in the same clone passed). Before: IndexError with 0 of 40 answers.

--- a/cowslipcourse/controller/status.py
+++ b/cowslipcourse/controller/status.py
@@ -7,6 +7,7 @@
     SERVICE_PREFIX,
     decode_report,
 )
+from cowslipcourse.membership import Role
 
 __all__ = ["system_status"]
 
@@ -80,14 +81,37 @@
     return [decode_report(record) for record in agent.records.with_prefix(prefix)]
 
 
+def _seen_by_gateway(agent):
+    """Return the groups that each gateway which takes callers knows to serve.
+
+    A controller knows first: right after a start callers found no group at a gateway
+    for a second or two, though status called all groups serving.
+    """
+    oldest = now() - agent.times.isolation_s
+    seen = {
+        daemon["name"]: ()
+        for daemon in _daemons(agent)
+        if daemon["role"] == Role.GATEWAY and daemon["state"] == "serving"
+    }
+    for record in agent.records.with_prefix(GATEWAY_PREFIX):
+        report = decode_report(record)
+        if report.gateway in seen and record.observed_at >= oldest:
+            seen[report.gateway] = report.sees
+    return seen
+
+
 def _groups(agent, grant_s):
     found = []
+    seen = _seen_by_gateway(agent)
     for record in agent.records.with_prefix(GROUP_PREFIX):
         report = decode_report(record)
         if report.spec.state == "dissolved":
             continue
         age_s = now() - record.observed_at
         stale = age_s > grant_s
+        unseen_by = sorted(
+            g for g, sees in seen.items() if report.spec.group not in sees
+        )
         found.append(
             {
                 "group": report.spec.group,
@@ -95,8 +119,10 @@
                 "domain": report.spec.domain,
                 "model": f"{report.spec.model}@{report.spec.version}",
                 "epoch": report.spec.epoch,
-                "serving": report.serving and not stale,
-                "reason": "no-news" if stale else report.reason,
+                "serving": report.serving and not stale and not unseen_by,
+                "reason": _reason(report, stale, unseen_by),
+                "unseen_by": unseen_by,
+                "heard_s": _rounded(age_s),
                 "members": report.spec.vm_names,
                 "running": report.load.running,
                 "waiting": report.load.waiting,
@@ -105,6 +131,15 @@
     return sorted(found, key=lambda item: (item["declaration"], item["group"]))
 
 
+def _reason(report, stale, unseen_by):
+    """Return why a group does not serve callers everywhere, empty if it does."""
+    if stale:
+        return "no-news"
+    if report.reason or not unseen_by:
+        return report.reason
+    return f"not-seen-by-{','.join(unseen_by)}"
+
+
 def _services(agent):
     found = [report._asdict() for report in _reports(agent, SERVICE_PREFIX)]
     return sorted(found, key=lambda item: (item["service"], item["vm"]))
--- a/cowslipcourse/daemon/reports.py
+++ b/cowslipcourse/daemon/reports.py
@@ -82,12 +82,14 @@
     :param leaving: whether it no longer wants new callers.
     :param groups: requests in flight by group.
     :param workspaces: requests in flight by ``workspace``.
+    :param sees: ids of the groups that it knows to serve.
     """
 
     gateway: str
     leaving: bool
     groups: dict[str, int]
     workspaces: dict[str, int]
+    sees: tuple[str, ...] = ()
 
 
 _TYPES = {
--- a/cowslipcourse/gateway/fleet_view.py
+++ b/cowslipcourse/gateway/fleet_view.py
@@ -100,6 +100,15 @@
             and self._departing.isdisjoint(grant.report.spec.vm_names)
         ]
 
+    def seen_groups(self):
+        """Return the ids of the groups that are known to serve."""
+        oldest = now() - self._grant_s
+        return tuple(
+            group
+            for group, grant in self._groups.items()
+            if grant.report.serving and grant.observed_at > oldest
+        )
+
     def is_granted(self, spec):
         """Return whether a group may be sent a request at this very moment.
 
--- a/cowslipcourse/gateway/main.py
+++ b/cowslipcourse/gateway/main.py
@@ -115,6 +115,7 @@
                 self._api.leaving,
                 tools.chooser.in_flight.snapshot(),
                 dict(tools.chooser.by_workspace),
+                tools.view.seen_groups(),
             )
             tools.agent.publish(key, report)
             tools.chooser.reported()
--- a/demo/run_demo.py
+++ b/demo/run_demo.py
@@ -12,6 +12,8 @@
 CONFIGURATION = Path(__file__).parent / "configuration"
 ATLAS_KEY, INCHEON_KEY = "key-of-crew-leads", "key-of-ramp-control"
 STREAMS = 40
+COME_BACK_FOR_S = 10.0
+"""Time for which callers come back when they are told to."""
 SHAPE = SiteShape(
     gateways=("dc1", "dc2", "dc3"),
     controllers=("dc1", "dc2", "dc3"),
@@ -59,6 +61,17 @@
     print(text, flush=True)
 
 
+async def ask(caller, url, body):
+    """Ask until it is answered, coming back when told to, as callers do."""
+    until = time.perf_counter() + COME_BACK_FOR_S
+    while True:
+        answer = await caller.chat(url, body)
+        told_s = (answer.problem or {}).get("retry_after_s")
+        if answer.complete or told_s is None or time.perf_counter() > until:
+            return answer
+        await asyncio.sleep(told_s)
+
+
 async def show_requests(site):
     """Ask for addresses, stream answers and book once, for both deployments."""
     wishes = (
@@ -71,9 +84,11 @@
             url = told["addresses"][0]
             body = chat_body(question, model)
             answers = await asyncio.gather(
-                *(caller.chat(url, body) for _ in range(STREAMS))
+                *(ask(caller, url, body) for _ in range(STREAMS))
             )
             complete = [answer for answer in answers if answer.complete]
+            if not complete:
+                raise RuntimeError(f"no whole answer from {url}: {answers[0].problem}")
             first_ms = sorted(answer.first_token_s * 1000 for answer in complete)
             gaps_ms = [gap * 1000 for answer in complete for gap in answer.gaps_s]
             say(f"  {model}: {len(complete)} of {STREAMS} whole answers from {url}")
@@ -101,7 +116,7 @@
         url = site.urls["g1"]
         load = [
             asyncio.create_task(
-                caller.chat(url, chat_body(f"round {i}", max_tokens=60))
+                ask(caller, url, chat_body(f"round {i}", max_tokens=60))
             )
             for i in range(STREAMS)
         ]
