Emulated groups stand still once a member has started again

Ruled out: an order of ours to the later life (the trace shows the one order, sent 7 s before, and its loss); the group was opened with all members ready. What the check says of openings is as strict as before: the lives at the opening must have been ready.

--- a/cowslipcourse/emulator/engines.py
+++ b/cowslipcourse/emulator/engines.py
@@ -76,6 +76,7 @@
         self.order_count = 0
         self.membership = None
         self.members = ()
+        self.opened_lives = {}
         self.stands_still_since = None
         self._highest_epoch = 0
         self._joined_model = None
@@ -137,7 +138,7 @@
             return OrderAnswer.DONE
         if self.membership.state is not GroupState.READY:
             return OrderAnswer.STATE_DIFFERS
-        self._later(OPEN_S, lambda: self._set_state(GroupState.OPEN))
+        self._later(OPEN_S, self._begin_to_serve)
         return self._begun()
 
     def _begun(self):
@@ -192,6 +193,10 @@
 
         asyncio.get_running_loop().call_later(seconds, run)
 
+    def _begin_to_serve(self):
+        self._set_state(GroupState.OPEN)
+        self.opened_lives = self._world.lives_of(self.members)
+
     def _set_state(self, state):
         self.membership = self.membership._replace(state=state)
 
@@ -311,9 +316,19 @@
         life = engine.id, engine.incarnation
         self._ready.add((life, found.group, found.epoch, engine.members))
 
+    def lives_of(self, members):
+        """Return the present lives of engines by id; those that are gone have none."""
+        return {m: self.engines[m].incarnation for m in members if m in self.engines}
+
     def is_whole(self, head):
-        """Whether a head and all members are in their group and live."""
+        """Whether a head and all members are in their group and live.
+
+        A member that has started again since the head opened is lost to the group, even
+        if a late order to its earlier life joins it again: nothing moves then.
+        """
         found = head.membership
+        if self.lives_of(head.members) != head.opened_lives:
+            return False
         engines = [self.engines.get(member) for member in head.members]
         return all(
             engine is not None and engine._is_in(found.group, found.epoch)
