Each data centre's first reporter keeps the groups of its domains

Ruled out: more than one for a domain: rows are safe under duels, but orders are paid twice. Before and after, fake time: one keeper for all / one for each data centre, taken over within 1.5 s; 15 domains divided among the models alike whether one coordinator divides them or all at once. Loads from the weight store are divided among coordinators. A coordinator that keeps two domains doubted itself when one went dark; now it asks engines elsewhere first. Also: orders no longer wait for questions.

--- a/cowslipcourse/emulator/__init__.py
+++ b/cowslipcourse/emulator/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from cowslipcourse.emulator.clock import PausedLoop, run_paused
+from cowslipcourse.emulator.daemons import WholeSite
 from cowslipcourse.emulator.engines import Engine, Faults, World
 
-__all__ = ["Engine", "Faults", "PausedLoop", "World", "run_paused"]
+__all__ = ["Engine", "Faults", "PausedLoop", "WholeSite", "World", "run_paused"]
--- a/cowslipcourse/emulator/daemons.py
+++ b/cowslipcourse/emulator/daemons.py
@@ -11,7 +11,7 @@
 from cowslipcourse.entry.silence import SilenceWatch
 from cowslipcourse.entry.tools import EntryTools
 
-__all__ = ["EmulatedDaemon"]
+__all__ = ["EmulatedDaemon", "WholeSite"]
 
 ADDRESS = "127.0.0.1:1"
 
@@ -23,6 +23,22 @@
     )
 
 
+class WholeSite:
+    """Meets :class:`~cowslipcourse.entry.scope.Scope`: one daemon keeps all domains.
+
+    :param acts: callable that tells whether it is this one.
+    """
+
+    coordinators = 1
+
+    def __init__(self, acts):
+        self._acts = acts
+
+    def tends(self, data_centre):
+        """Whether this daemon keeps the groups, wherever they are."""
+        return self._acts()
+
+
 class EmulatedDaemon:
     """What a daemon decides with: views, forwarder, silence watch, coordinator.
 
@@ -52,7 +68,12 @@
         self._heads = heads
         self.forwarder = Forwarder(tools)
         self.coordinator = Coordinator(
-            tools, heads.world, heads.world, settings.control, lambda: acts, tell
+            tools,
+            heads.world,
+            heads.world,
+            settings.control,
+            WholeSite(lambda: acts),
+            tell,
         )
         self._acts = acts
 
--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -1,7 +1,11 @@
-"""Form and repair groups, while this daemon is the coordinator.
+"""Form and repair groups of the domains that this daemon keeps.
 
-The row of a domain is written first and orders follow from it. Nothing here is
-trusted across a pause: rows are read again if they have not been confirmed lately.
+Each data centre's first reporter keeps the groups of its domains; those of a data
+centre without one are kept by the first reporter of all. So a coordinator that is lost
+costs one data centre its repairs, and each does a part of the questions and orders.
+
+The row of a domain is written first and orders follow from it. Nothing here is trusted
+across a pause: rows are read again if they have not been confirmed lately.
 """
 
 import asyncio
@@ -9,6 +13,7 @@
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.entry.domains import Domains
 from cowslipcourse.entry.engine_calls import EngineCalls
+from cowslipcourse.entry.own_links import OwnLinks
 from cowslipcourse.entry.pauses import ticks
 from cowslipcourse.exceptions import ConditionFailed, MalformedAnswer, StoreError
 from cowslipcourse.groups import (
@@ -45,26 +50,21 @@
 """Time without a new engine before the first groups of a domain are formed."""
 SILENT_AGAIN_S = 1.0
 """Interval at which silent engines that are still listed are asked again."""
-MOST_SILENT = 0.4
-"""Share of the engines that may be lost at once, say a few domains; beyond that it is
-more likely this daemon that is cut off."""
-UNFIT_S = 3.0
-"""Time for which a daemon that seems cut off leaves coordination to others."""
 log = get_logger(__name__)
 
 
 class Coordinator:
-    """Keeps the groups of all domains as they should be.
+    """Keeps the groups of its domains as they should be.
 
     :param tools: :class:`~cowslipcourse.entry.tools.EntryTools`
     :param store: :class:`~cowslipcourse.ports.RowStore`
     :param control: :class:`~cowslipcourse.ports.EngineControl`
     :param settings: :class:`~cowslipcourse.entry.settings.ControlSettings`
-    :param is_coordinator: callable.
+    :param scope: :class:`~cowslipcourse.entry.scope.Scope`
     :param tell: called with :class:`~cowslipcourse.peers.GroupNews` for all daemons.
     """
 
-    def __init__(self, tools, store, control, settings, is_coordinator, tell):
+    def __init__(self, tools, store, control, settings, scope, tell):
         self.domains = Domains(tools)
         self._tools = tools
         self._store = store
@@ -72,25 +72,30 @@
             control,
             settings,
             self.domains.see_report,
-            self._doubt_own_links,
+            self._look_at_links,
             self._note_opened,
         )
         self.settings = settings
-        self._is_coordinator = is_coordinator
+        self._links = OwnLinks(self.domains, self._calls)
+        self._scope = scope
         self._tell = tell
         self._plans = {}
         self._unreadable = frozenset()
         self._confirmed_at = None
         self._load_limit = LoadLimit()
         self._investigated = {}
-        self._acts = False
-        self.unfit_until = 0.0
+        self._tended = frozenset()
+
+    @property
+    def unfit_until(self):
+        """Loop time until which this daemon must not coordinate."""
+        return self._links.unfit_until
 
     # What other parts tell.
 
     def look_into(self, target, epoch):
         """Ask the members of a group whose head was found silent."""
-        if not self._acts:
+        if not self._tended:
             return
         now = asyncio.get_running_loop().time()
         recent = {
@@ -103,6 +108,8 @@
             return
         recent[target, epoch] = now
         for plan in self._plans.values():
+            if plan.domain not in self._tended:
+                continue
             for group in plan.groups:
                 is_meant = group.head == target and group.epoch == epoch
                 if is_meant and not group.is_retired:
@@ -119,23 +126,34 @@
     # The loop.
 
     async def run(self):
-        """Coordinate for ever, whenever it is this daemon's turn."""
-        async for _, late_s in ticks(TICK_S, lambda: not self._acts, REST_S):
+        """Coordinate for ever, whichever domains are this daemon's turn."""
+        async for _, late_s in ticks(TICK_S, lambda: not self._tended, REST_S):
             if late_s > OWN_PAUSE_S:
                 self._confirmed_at = None
-            acts = self._is_coordinator() and self._tools.table is not None
-            if acts != self._acts:
-                log.info("coordinating" if acts else "not-coordinating")
-                self._acts = acts
-                self._confirmed_at = None
-            if acts:
+            self._take_scope()
+            if self._tended:
                 await self._tick()
 
+    def _take_scope(self):
+        """Take on the domains that this daemon keeps now."""
+        tended = frozenset(
+            name
+            for name, domain in self.domains.by_name.items()
+            if self._tools.table is not None and self._scope.tends(domain.data_centre)
+        )
+        if bool(tended) != bool(self._tended):
+            log.info("coordinating" if tended else "not-coordinating")
+        if tended - self._tended:
+            # Others may have kept them until now.
+            log.info("domains-taken", domains=",".join(sorted(tended - self._tended)))
+            self._confirmed_at = None
+        self._tended = tended
+
     async def _tick(self):
         try:
             if self._confirmed_at is None:
                 await self._read_plans()
-            for domain in sorted(self.domains.by_name):
+            for domain in sorted(self._tended):
                 if domain not in self._unreadable:
                     await self._tend(domain)
         except StoreError as error:
@@ -246,18 +264,8 @@
         if engine is not None:
             self._calls.ask(engine)
 
-    def _doubt_own_links(self):
-        """Stop to coordinate if too many engines seem silent at once."""
-        listed = [engine for engine in self.domains.engines if engine.listed]
-        silent = [engine for engine in listed if engine.silent_since is not None]
-        if len(silent) <= MOST_SILENT * len(listed):
-            return
-        loop = asyncio.get_running_loop()
-        log.warning("engines-unreachable", silent=len(silent), listed=len(listed))
-        self.unfit_until = loop.time() + UNFIT_S
-        for engine in silent:
-            if not engine.is_replaced:
-                engine.silent_since = None
+    def _look_at_links(self):
+        self._links.look(self._tended, asyncio.get_running_loop().time())
 
     def _spawn_order(self, domain, engine_id, order, models):
         engine = self.domains.engine(domain, engine_id)
@@ -283,7 +291,9 @@
             elif (
                 self._is_confirmed()
                 and not self._calls.is_busy(engine)
-                and self._load_limit.take(spec.loads_per_s, now)
+                and self._load_limit.take(
+                    spec.loads_per_s, self._scope.coordinators, now
+                )
             ):
                 engine.staging = model
                 order = EngineOrder(OrderName.STAGE, engine.order_count, model=model)
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -88,7 +88,7 @@
             self._store,
             self._control,
             settings.control,
-            self._roles.is_coordinator,
+            self._roles,
             self.tell_news,
         )
 
--- a/cowslipcourse/entry/engine_calls.py
+++ b/cowslipcourse/entry/engine_calls.py
@@ -15,10 +15,11 @@
 and a group is taken apart for it."""
 MOST_QUESTIONS = 6
 """Questions to one engine at most, where own delays say nothing about it."""
-MOST_CALLS = 24
-"""Calls under way at once. A call costs a small VM some 5 ms of its processor time, an
-answer that is read after 0.15 s counts as none: a coordinator that asked hundreds of
-engines at once called 7,855 sound ones silent in 25 s."""
+MOST_AT_ONCE = 24
+"""Questions under way at once; orders wait for none of them. A call costs a small VM
+some 5 ms of its processor time, and an answer that is read after 0.15 s counts as none:
+a coordinator that asked hundreds of engines at once called 7,855 sound ones silent in
+25 s."""
 OWN_DELAY_S = 0.05
 """A time limit that is noticed so much later: this process stood still, and an answer
 may have come that it has not read."""
@@ -47,7 +48,13 @@
         self._on_opened = on_opened
         self._busy = set()
         self._tasks = set()
-        self._places = asyncio.Semaphore(MOST_CALLS)
+        self._heard_at = float("-inf")
+        self._places = asyncio.Semaphore(MOST_AT_ONCE)
+
+    @property
+    def heard_at(self):
+        """Loop time at which an engine last answered a question."""
+        return self._heard_at
 
     def is_busy(self, engine):
         """Whether a call to an engine is under way."""
@@ -110,6 +117,7 @@
         self._on_silent()
 
     def _note_answer(self, engine, report, asked_at):
+        self._heard_at = asyncio.get_running_loop().time()
         if engine.silent_since is not None:
             log.info("engine-heard", engine=engine.id)
         if report.pace >= SLOW_PACE:
@@ -117,11 +125,7 @@
         self._on_report(engine, report, asked_at)
 
     async def _order(self, engine, order, models):
-        async with self._places:
-            sent_at = asyncio.get_running_loop().time()
-            await self._send_order(engine, order, models, sent_at)
-
-    async def _send_order(self, engine, order, models, sent_at):
+        sent_at = asyncio.get_running_loop().time()
         try:
             answer = await self._control.order(engine.entry, order)
         except TargetError as error:
--- a/cowslipcourse/entry/roles.py
+++ b/cowslipcourse/entry/roles.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.peers import order_of_registration
 
 __all__ = ["Roles", "is_settled"]
 
@@ -30,6 +31,8 @@
 class Roles:
     """Decides again and again which roles are this daemon's.
 
+    It meets :class:`~cowslipcourse.entry.scope.Scope`.
+
     :param settings: :class:`~cowslipcourse.entry.settings.EntrySettings`
     :param registry: :class:`~cowslipcourse.peers.PeerRegistry`
     :param registering: :class:`~cowslipcourse.entry.registering.Registering`
@@ -44,19 +47,29 @@
         self._knowledge = knowledge
         self._daemon = daemon
         self._is_reporter = False
+        self._firsts = {}
 
     @property
     def is_reporter(self):
         """Whether this daemon reads the store for its data centre, or stands by."""
         return self._is_reporter
 
-    def is_coordinator(self):
-        """Whether this daemon keeps the groups."""
-        if not self._is_reporter:
+    @property
+    def coordinators(self):
+        """Number of daemons that keep groups; 1 if none is known."""
+        return max(1, len(self._firsts))
+
+    def tends(self, data_centre):
+        """Whether this daemon keeps the groups of a data centre's domains.
+
+        :param data_centre: name of the data centre, or ``None`` if it is not known.
+        """
+        if not self._is_reporter or not self._firsts:
             return False
-        now = asyncio.get_running_loop().time()
-        own = self._daemon.heartbeat()
-        return self._registry.coordinator(own, now) == own.member.name
+        first = self._firsts.get(data_centre)
+        if first is None:
+            first = min(self._firsts.values(), key=order_of_registration)
+        return first.name == self._settings.name
 
     async def run(self):
         """Read the store only while this daemon speaks for its data centre."""
@@ -70,6 +83,7 @@
             own = self._daemon.heartbeat()
             reporters = self._registry.reporters(own, now)
             is_reporter = self._is_reporter = own.member.name in reporters
+            self._firsts = self._registry.first_reporters(own, now)
             # Without any reporter everybody reads. The second one reads once the first
             # is late: two at once were half of a large site's calls to the store.
             self._knowledge.follow(not reporters or self._registry.speaks(own, now))
--- a/cowslipcourse/groups/loads.py
+++ b/cowslipcourse/groups/loads.py
@@ -5,7 +5,11 @@
 WINDOW_S = 5.0
 """Window in which the platform counts loads."""
 SHARE = 0.5
-"""Share of the permitted loads that one coordinator begins; two may overlap."""
+"""Share of the permitted loads that a single coordinator begins: while another takes
+over, both may do so."""
+SHARED = 0.75
+"""Share that several coordinators begin together: while one takes over the domains of
+another, a part may be begun twice."""
 
 
 class LoadLimit:
@@ -14,14 +18,16 @@
     def __init__(self):
         self._begun_at = []
 
-    def take(self, loads_per_s, now):
+    def take(self, loads_per_s, coordinators, now):
         """Take one load and return whether it may begin now.
 
         :param loads_per_s: loads that all daemons may begin in a second.
+        :param coordinators: number of daemons that begin loads.
         :param now: loop time.
         """
         self._begun_at = [at for at in self._begun_at if now - at < WINDOW_S]
-        if len(self._begun_at) >= loads_per_s * WINDOW_S * SHARE:
+        share = SHARE if coordinators < 2 else SHARED / coordinators
+        if len(self._begun_at) >= loads_per_s * WINDOW_S * share:
             return False
         self._begun_at.append(now)
         return True
--- a/cowslipcourse/groups/shape.py
+++ b/cowslipcourse/groups/shape.py
@@ -54,7 +54,7 @@
     served = _served(plans.get(domain))
     if len(served) > 1:
         return MIXED
-    model = served.pop() if served else _most_entitled(domain, plans, places, models)
+    model = served.pop() if served else _assigned(domain, plans, places, models)
     return DomainShape(model, 0)
 
 
@@ -65,13 +65,28 @@
     return {group.model for group in plan.groups if not group.is_retired}
 
 
-def _most_entitled(domain, plans, places, models):
+def _assigned(domain, plans, places, models):
+    """Return the model of a domain that serves none yet.
+
+    All such domains are gone through in the order of their names, so that coordinators
+    that begin at the same time divide them as one would.
+    """
     taken = {model.name: [] for model in models}
     for other, plan in plans.items():
         for model in _served(plan):
-            if other != domain and model in taken:
+            if model in taken:
                 taken[model].append(places.get(other))
+    for other in sorted(places):
+        if _served(plans.get(other)):
+            continue
+        model = _most_entitled(other, taken, places, models)
+        if other == domain:
+            return model
+        taken[model].append(places[other])
+    raise ValueError(f"{domain} is not among the domains")
+
 
+def _most_entitled(domain, taken, places, models):
     def claim(model):
         divisor = len(taken[model.name]) + HALF_DOMAIN
         factor = SAME_PLACE if places[domain] in taken[model.name] else 1.0
--- a/cowslipcourse/peers/__init__.py
+++ b/cowslipcourse/peers/__init__.py
@@ -16,7 +16,7 @@
     decode_registration,
     encode_registration,
 )
-from cowslipcourse.peers.registry import PeerRegistry
+from cowslipcourse.peers.registry import PeerRegistry, order_of_registration
 from cowslipcourse.peers.splitting import split_changes
 from cowslipcourse.peers.state import PeerState, decode_state, encode_state
 
@@ -37,5 +37,6 @@
     "encode",
     "encode_registration",
     "encode_state",
+    "order_of_registration",
     "split_changes",
 ]
--- a/cowslipcourse/peers/registry.py
+++ b/cowslipcourse/peers/registry.py
@@ -11,7 +11,7 @@
 from cowslipcourse.peers.messages import Digest, Heartbeat
 from cowslipcourse.peers.pace import alive_s, digest_s, interval_s, listed_s
 
-__all__ = ["PeerRegistry"]
+__all__ = ["PeerRegistry", "order_of_registration"]
 
 LARGE_DATA_CENTRE = 8
 """Daemons beyond which a data centre has two reporters: more depend on them."""
@@ -41,6 +41,11 @@
     return "data centre", data_centre
 
 
+def order_of_registration(member):
+    """Return the key by which those that registered first come first."""
+    return member.registration, member.name
+
+
 class PeerRegistry:
     """Newest heartbeats and digests, and decisions that rest on them.
 
@@ -255,7 +260,7 @@
         """
         near = [own, *self.near(now)]
         able = [h.member for h in near if h.member.registration and h.is_fit]
-        able.sort(key=lambda member: (member.registration, member.name))
+        able.sort(key=order_of_registration)
         number = 2 if len(near) > LARGE_DATA_CENTRE else 1
         return [member.name for member in able[:number]]
 
@@ -273,22 +278,25 @@
                 return False
         return False
 
-    def coordinator(self, own, now):
-        """Return the name of the daemon that coordinates groups, or ``None``.
-
-        It is the reporter that registered first, over all data centres.
+    def first_reporters(self, own, now):
+        """Return the reporter of each data centre that registered first.
 
         :param own: this daemon's own :class:`~cowslipcourse.peers.Heartbeat`.
+        :returns: :class:`Member` by data centre; none where no reporter is heard.
         """
         first = self.reporters(own, now)[:1]
-        near = [own, *self.near(now)]
-        able = [h.member for h in near if h.member.name in first]
+        able = [h.member for h in (own, *self.near(now)) if h.member.name in first]
         # A large data centre has two reporters, and either may have spoken last.
-        able += [heard.message.reporter for heard in self._fresh_digests(now)]
-        able = [member for member in able if member.registration]
-        if not able:
-            return None
-        return min(able, key=lambda member: (member.registration, member.name)).name
+        able += [
+            heard.message.reporter
+            for heard in self._fresh_digests(now)
+            if heard.message.reporter.data_centre != self._data_centre
+        ]
+        found = {}
+        for member in sorted(able, key=order_of_registration):
+            if member.registration:
+                found.setdefault(member.data_centre, member)
+        return found
 
     def ready(self, own_name, now):
         """Return the :class:`Member` list of daemons to which callers may be sent.
--- a/features/group_plans/duel_variants.feature
+++ b/features/group_plans/duel_variants.feature
@@ -13,8 +13,8 @@
       | engines taken out of groups they have not left  | mixed   | 5     |
       | engines taken out of groups they have not left  | divided | 3     |
       | epochs used twice                               | mixed   | 1     |
-      | epochs used twice                               | divided | 82    |
+      | epochs used twice                               | divided | 185   |
       | members freed by the silence of their head      | mixed   | 11    |
       | members freed by the silence of their head      | divided | 2     |
       | evidence from before a group's end              | divided | 47    |
-      | groups dropped for the silence of their members | mixed overloaded | 15 |
+      | groups dropped for the silence of their members | mixed overloaded | 25 |
--- a/features/group_plans/questions.feature
+++ b/features/group_plans/questions.feature
@@ -12,6 +12,16 @@
     When it asks them all at once, with no limit on the calls under way
     Then more than 500 seem silent
 
+  Scenario: A coordinator one of whose two domains goes dark does not doubt itself
+    Given a coordinator that keeps 2 of 6 domains of 8 engines
+    When one of its domains goes dark, and it asks that domain's engines for 4 s
+    Then it goes on coordinating, and those 8 engines are silent
+
+  Scenario: A coordinator that reaches no engine leaves its domains to others
+    Given a coordinator that keeps 2 of 6 domains of 8 engines
+    When it reaches no engine, and asks those of its domains for 4 s
+    Then it stops to coordinate within 2.5 s, and calls no engine of its domains silent
+
   Scenario: An engine that does not answer is silent after two questions
     Given an engine that never answers
     When it is asked
--- a/features/group_plans/shape.feature
+++ b/features/group_plans/shape.feature
@@ -14,6 +14,12 @@
     When each domain in turn is given its models
     Then every domain serves any model and keeps 2 spares
 
+  Scenario: Coordinators that begin at the same time divide the domains as one would
+    Given 5 domains in each of 3 data centres
+    And the models large with 0.67 of the work and small with 0.33
+    When each domain is given its models while no other one has any yet
+    Then the domains have the models that they get one after the other
+
   Scenario: A domain keeps the model that its groups serve
     Given 2 domains in each of 3 data centres
     And the models large with 0.67 of the work and small with 0.33
--- a/features/knowledge/knowledge.feature
+++ b/features/knowledge/knowledge.feature
@@ -63,6 +63,14 @@
     When a2 does not reach the store
     Then a1 reports for north, and a1 coordinates
 
+  Scenario: Each data centre's first reporter keeps the groups of its domains
+    Given daemons a1 a2 in north and b1 in south, registered in the order b1 a2 a1
+    Then a2 keeps the groups of north, and b1 those of south
+    When b1 is silent
+    Then a2 keeps the groups of north, and of all others without a reporter
+    When a2 does not reach the store
+    Then a1 keeps the groups of north, and of all others without a reporter
+
   Scenario: The oldest reporter coordinates, whichever reporter of its data centre spoke last
     Given a1 in north, and two reporters b1 and b2 in south, registered in the order b1 a1 b2
     Then b1 coordinates in the view of a1
--- a/features/knowledge/size.feature
+++ b/features/knowledge/size.feature
@@ -35,13 +35,18 @@
     daemons of the large site took one at the same moment.
     When 195 daemons of 5 data centres start within 1 s, losing 10 in 100 datagrams
     Then no data centre ever has more than 3 reporters, and 2 from 3 s on
-    And at most one daemon coordinates at any time, and one from 3 s on
+    And at most 2 daemons keep the groups of one data centre, and 1 from 3 s on
 
   Scenario: One daemon of each data centre reads the store, and is followed within a second
     Two did before, each with four calls a second.
     When 3 data centres of 12 daemons start, and those that read the store go silent after 4 s
     Then one daemon of each data centre reads the store after 4 s, and after 5 s another one
 
+  Scenario: A data centre's groups are kept by its own reporter, or by the first of all
+    When 3 data centres of 12 daemons start, and one data centre goes silent after 4 s
+    Then each data centre's groups are kept by one of its own daemons after 4 s
+    And those of the silent one by one daemon elsewhere 1.5 s later
+
   Scenario: Roles that are taken before the others are heard are found out
     When they start, losing 60 in 100, and take roles once registered
     Then some data centre has more than 3 reporters
--- a/features/steps/life_steps.py
+++ b/features/steps/life_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from cowslipcourse.emulator import Faults, World
+from cowslipcourse.emulator import Faults, WholeSite, World
 from cowslipcourse.emulator.clock import run_paused
 from cowslipcourse.entry.coordinator import GROUPS_TABLE, Coordinator
 from cowslipcourse.entry.engine_calls import EngineCalls
@@ -210,7 +210,7 @@
         None,
         _Silent(),
         ControlSettings(),
-        lambda: True,
+        WholeSite(lambda: True),
         lambda news: None,
     )
 
@@ -252,7 +252,7 @@
             world,
             world,
             ControlSettings(),
-            lambda: True,
+            WholeSite(lambda: True),
             lambda news: None,
         )
         coordinator.domains.see_entries(world.entries())
--- a/features/steps/practice_steps.py
+++ b/features/steps/practice_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from cowslipcourse.emulator import Faults, World, run_paused
+from cowslipcourse.emulator import Faults, WholeSite, World, run_paused
 from cowslipcourse.emulator.policies import in_force
 from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.settings import ControlSettings
@@ -147,7 +147,12 @@
     for _ in range(9):
         world.add_engine("d1", ("large",))
     coordinator = Coordinator(
-        _Tools(), world, world, ControlSettings(), lambda: True, lambda news: None
+        _Tools(),
+        world,
+        world,
+        ControlSettings(),
+        WholeSite(lambda: True),
+        lambda news: None,
     )
     running = coordinator.run(), world.run(), _list(world, coordinator)
     tasks = [asyncio.create_task(coroutine) for coroutine in running]
--- a/features/steps/question_steps.py
+++ b/features/steps/question_steps.py
@@ -8,6 +8,7 @@
 from cowslipcourse.emulator.clock import run_paused
 from cowslipcourse.entry import engine_calls
 from cowslipcourse.entry.engine_calls import EngineCalls
+from cowslipcourse.entry.own_links import OwnLinks
 from cowslipcourse.entry.settings import ControlSettings
 from cowslipcourse.exceptions import TargetUnreachable
 from cowslipcourse.groups import EngineKnowledge
@@ -95,7 +96,7 @@
 
 @when("it asks them all at once, with no limit on the calls under way")
 def step_ask_unlimited(context):
-    with mock.patch.object(engine_calls, "MOST_CALLS", 10_000):
+    with mock.patch.object(engine_calls, "MOST_AT_ONCE", 10_000):
         _ask_all(context, lambda: _SlowProcess(context.call_s), 8)
 
 
@@ -110,6 +111,101 @@
     assert len(_silent(context)) > number, len(_silent(context))
 
 
+class _Domain:
+    def __init__(self, engines):
+        self.engines = {engine.id: engine for engine in engines}
+
+
+class _Domains:
+    def __init__(self, by_name):
+        self.by_name = by_name
+
+
+class _Reach:
+    """A control that reaches the engines which a scenario leaves it."""
+
+    def __init__(self, unreached):
+        self._unreached = unreached
+
+    async def report(self, entry):
+        if entry.id in self._unreached:
+            await asyncio.sleep(SETTINGS.report_timeout_s)
+            raise TargetUnreachable("no answer")
+        await asyncio.sleep(TRIP_S)
+        return EngineReport(1, None, ())
+
+
+@given("a coordinator that keeps {own:d} of {all_:d} domains of {size:d} engines")
+def step_keeps(context, own, all_, size):
+    by_name = {
+        f"d{number}": _Domain(_engine(number * size + each) for each in range(size))
+        for number in range(all_)
+    }
+    context.domains = _Domains(by_name)
+    context.tended = [f"d{number}" for number in range(own)]
+
+
+def _ask_domains(context, asked, unreached):
+    context.doubted_at = None
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+
+        def look():
+            links.look(context.tended, loop.time())
+            if links.unfit_until and context.doubted_at is None:
+                context.doubted_at = loop.time() - begun
+
+        def heard(engine, report, asked_at):
+            engine.silent_since = None
+
+        calls = EngineCalls(_Reach(unreached), SETTINGS, heard, look, None)
+        links = OwnLinks(context.domains, calls)
+        for _ in range(4):
+            for engine in asked:
+                calls.ask(engine)
+            await asyncio.sleep(1.0)
+            context.silent = {
+                engine.id
+                for name in context.tended
+                for engine in context.domains.by_name[name].engines.values()
+                if engine.silent_since is not None
+            }
+            if context.doubted_at is not None:
+                return
+
+    run_paused(run())
+
+
+@when("one of its domains goes dark, and it asks that domain's engines for 4 s")
+def step_dark_domain(context):
+    dark = context.domains.by_name["d0"].engines
+    _ask_domains(context, list(dark.values()), set(dark))
+
+
+@when("it reaches no engine, and asks those of its domains for 4 s")
+def step_reaches_none(context):
+    domains = context.domains.by_name
+    own = [e for name in context.tended for e in domains[name].engines.values()]
+    everyone = {each for domain in domains.values() for each in domain.engines}
+    _ask_domains(context, own, everyone)
+
+
+@then("it goes on coordinating, and those {number:d} engines are silent")
+def step_goes_on(context, number):
+    assert context.doubted_at is None and len(context.silent) == number
+
+
+@then(
+    "it stops to coordinate within {seconds:f} s, and calls no engine of its domains "
+    "silent"
+)
+def step_stops(context, seconds):
+    assert context.doubted_at is not None and context.doubted_at <= seconds
+    assert not context.silent, context.silent
+
+
 @given("an engine that never answers")
 def step_deaf(context):
     context.engines, context.pause_s = [_engine(1)], 0.0
--- a/features/steps/shape_steps.py
+++ b/features/steps/shape_steps.py
@@ -54,6 +54,22 @@
             _plan_group(context, domain, shape.model)
 
 
+@when("each domain is given its models while no other one has any yet")
+def step_choose_at_once(context):
+    context.at_once = {
+        domain: choose_shape(domain, {}, context.places, context.models).model
+        for domain in context.places
+    }
+
+
+@then("the domains have the models that they get one after the other")
+def step_as_one(context):
+    for domain in sorted(context.places):
+        shape = choose_shape(domain, context.plans, context.places, context.models)
+        _plan_group(context, domain, shape.model)
+        assert shape.model == context.at_once[domain], (domain, context.at_once)
+
+
 def _domains_of(context, model):
     return [domain for domain, s in context.shapes.items() if s.model == model]
 
--- a/features/support/coordinator_runs.py
+++ b/features/support/coordinator_runs.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 from unittest import mock
 
-from cowslipcourse.emulator import Engine, Faults, World
+from cowslipcourse.emulator import Engine, Faults, WholeSite, World
 from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.settings import ControlSettings
 from cowslipcourse.exceptions import TargetUnreachable
@@ -230,7 +230,7 @@
             world,
             links,
             settings,
-            lambda number=number: duel.acting[number],
+            WholeSite(lambda number=number: duel.acting[number]),
             lambda news: None,
         )
         running += [coordinator.run(), _list(world, coordinator, rng, site)]
--- a/features/support/daemon_network.py
+++ b/features/support/daemon_network.py
@@ -250,7 +250,7 @@
         :param seconds: time for which they are watched.
         :param then: coroutine function that is run afterwards, while they live on.
         :returns: list of ``(seconds since the first start, reporters by data centre,
-            number of coordinators)``
+            most daemons that keep the groups of a data centre)``
         """
         store = _Store(self.daemons)
         for daemon in self.daemons:
@@ -276,4 +276,16 @@
             if daemon.roles.is_reporter:
                 place = daemon.settings.data_centre
                 reporters[place] = reporters.get(place, 0) + 1
-        return reporters, sum(daemon.roles.is_coordinator() for daemon in self.daemons)
+        return reporters, max(len(keepers) for keepers in self.keepers().values())
+
+    def keepers(self):
+        """Return the names of those that keep groups, by data centre of the groups."""
+        places = sorted({d.settings.data_centre for d in self.daemons})
+        return {
+            place: [
+                daemon.settings.name
+                for daemon in self.daemons
+                if not daemon.is_down and daemon.roles.tends(place)
+            ]
+            for place in places
+        }
