--- a/cowslipcourse/emulator/__init__.py
+++ b/cowslipcourse/emulator/__init__.py
@@ -7,6 +7,7 @@
 
 from cowslipcourse.emulator.clock import PausedLoop, run_paused
 from cowslipcourse.emulator.daemons import WholeSite
-from cowslipcourse.emulator.engines import Engine, Faults, World
+from cowslipcourse.emulator.engines import Engine
+from cowslipcourse.emulator.world import Faults, World
 
 __all__ = ["Engine", "Faults", "PausedLoop", "WholeSite", "World", "run_paused"]
--- a/cowslipcourse/emulator/site.py
+++ b/cowslipcourse/emulator/site.py
@@ -8,7 +8,8 @@
 from cowslipcourse.emulator.callers import Callers, CallRecord
 from cowslipcourse.emulator.connections import LINK_S, Heads
 from cowslipcourse.emulator.daemons import EmulatedDaemon
-from cowslipcourse.emulator.engines import OPEN_S, SERVICE, Faults, World
+from cowslipcourse.emulator.engines import OPEN_S, SERVICE
+from cowslipcourse.emulator.world import Faults, World
 from cowslipcourse.routes import (
     CallerLimits,
     EngineModel,
--- /dev/null
+++ b/cowslipcourse/emulator/world.py
@@ -0,0 +1,248 @@
+"""A store and engines in fake time, with an oracle that watches the groups.
+
+The oracle knows two rules only. A group must not run a request unless every member
+has been ready under its name, epoch and list. An engine must not take a join of another
+group while the head of its own is open, or stands still and is not broken yet.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from cowslipcourse.emulator.engines import Engine
+from cowslipcourse.exceptions import (
+    ConditionFailed,
+    ReplyLost,
+    StoreUnavailable,
+    TargetUnreachable,
+)
+from cowslipcourse.ports import OrderAnswer, RowChanges, StoredRow
+
+__all__ = ["Faults", "World"]
+
+BORN_MS = 1_790_000_000_000
+"""Time of day at which the first engine starts; each life has a number of its own."""
+
+
+class Faults(NamedTuple):
+    """How often things go wrong.
+
+    :param late: share of orders carried out 2 to 12 s later, without an answer.
+    :param lost: share of orders that are lost.
+    :param unanswered: share of orders carried out without an answer.
+    :param pause: share of calls in which the caller stands still for up to 15 s.
+    :param store: share of store calls that fail or whose answer is lost.
+    :param checks_count: whether engines check the order count that orders carry.
+    """
+
+    late: float = 0.06
+    lost: float = 0.03
+    unanswered: float = 0.03
+    pause: float = 0.01
+    store: float = 0.05
+    checks_count: bool = True
+
+
+class World:
+    """Store, engines and faults; meets ``RowStore`` and ``EngineControl``.
+
+    :param rng: :class:`random.Random`
+    :param faults: :class:`Faults`
+    :param models: :class:`~cowslipcourse.routes.EngineModel` list that they serve.
+    :param data_centres: data centre by domain; one for all if it is left out.
+    :param remembers_models: whether an engine joins quickly, too, if it has left its
+        last group of the model. The users' engines do; the duels' runs began without.
+    """
+
+    def __init__(self, rng, faults, models, data_centres=None, remembers_models=False):
+        self.models = {model.name: model for model in models}
+        self.rng = rng
+        self.faults = faults
+        self.engines = {}
+        self.violations = []
+        self.served = set()
+        self._rows = {}
+        self._version = 0
+        self._ready = set()
+        self._data_centres = data_centres or {}
+        self.remembers_models = remembers_models
+        self.tells_lives = True
+        self._born = 0
+        self._lives = 0
+        self.past_entries = []
+
+    def data_centre_of(self, domain):
+        """Return the data centre that a domain is in."""
+        return self._data_centres.get(domain, "dc")
+
+    def add_engine(self, domain, staged=()):
+        """Start an engine and return it."""
+        self._born += 1
+        return self._start(f"e{self._born}", domain, staged)
+
+    def _start(self, engine_id, domain, staged, address=None):
+        self._lives += 1
+        born = BORN_MS + self._lives
+        address = address or f"{engine_id}:1"
+        engine = Engine(self, engine_id, domain, staged, born, address)
+        self.engines[engine_id] = engine
+        return engine
+
+    def rename(self, engine):
+        """Start an engine again at its address under another id."""
+        self.past_entries.append(engine.entry())
+        self.engines.pop(engine.id, None)
+        self._born += 1
+        new_id = f"e{self._born}"
+        return self._start(new_id, engine.domain, engine.staged, engine.address)
+
+    def _at(self, address):
+        """Return the engine that answers at an address, or ``None``."""
+        for engine in self.engines.values():
+            if engine.address == address and not engine.is_dark:
+                return engine
+        return None
+
+    def restart(self, engine):
+        """Start an engine again under its id: its host keeps the weights, no more."""
+        self.past_entries.append(engine.entry())
+        return self._start(engine.id, engine.domain, engine.staged)
+
+    def entries(self):
+        """Return the platform's list: engines that are not dark."""
+        return [e.entry() for e in self.engines.values() if not e.is_dark]
+
+    async def run(self):
+        """Let requests come to every open group, for ever."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(0.02)
+            for engine in list(self.engines.values()):
+                engine.look(loop.time())
+                engine.note_report(loop.time())
+
+    # The oracle.
+
+    def note_ready(self, engine):
+        """Remember that an engine was ready in its group."""
+        found = engine.membership
+        life = engine.id, engine.incarnation
+        self._ready.add((life, found.group, found.epoch, engine.members))
+
+    def lives_of(self, members):
+        """Return the present lives of engines by id; those that are gone have none."""
+        return {m: self.engines[m].incarnation for m in members if m in self.engines}
+
+    def is_whole(self, head):
+        """Whether a head and all members are in their group and live.
+
+        A member that has started again since the head opened is lost to the group, even
+        if a late order to its earlier life joins it again: nothing moves then.
+        """
+        found = head.membership
+        if self.lives_of(head.members) != head.opened_lives:
+            return False
+        engines = [self.engines.get(member) for member in head.members]
+        return all(
+            engine is not None and engine._is_in(found.group, found.epoch)
+            for engine in engines
+        )
+
+    def check_whole(self, head):
+        """Check a group that runs a request."""
+        found = head.membership
+        size = self.models[found.model].size
+        lives = [(m, self.engines[m].incarnation) for m in head.members]
+        ready = all(
+            (life, found.group, found.epoch, head.members) in self._ready
+            for life in lives
+        )
+        if len(set(head.members)) != size or not ready:
+            self.violations.append(f"partial: {found} {head.members}")
+        self.served.add((found.group, found.epoch))
+
+    def check_join(self, engine, order):
+        """Check an engine that is about to take a join."""
+        found = engine.membership
+        if found is None or found.group == order.group:
+            return
+        head = self.engines.get(engine.members[0])
+        if (
+            head is not None
+            and head.is_open_head
+            and (head.membership.group, head.membership.epoch)
+            == (found.group, found.epoch)
+        ):
+            self.violations.append(f"two: {engine.id} {found} {order}")
+
+    # The store.
+
+    async def read_table(self, table):
+        """See :class:`~cowslipcourse.ports.RowStore`."""
+        await self._store_call()
+        rows = [row for (name, _), row in self._rows.items() if name == table]
+        return RowChanges(tuple(rows), self._version)
+
+    async def write(self, row_write):
+        """See :class:`~cowslipcourse.ports.RowStore`."""
+        await self._store_call()
+        key = row_write.table, row_write.key
+        known = self._rows[key].version if key in self._rows else 0
+        if row_write.expected is not None and row_write.expected != known:
+            raise ConditionFailed([row_write.key])
+        self._version += 1
+        self._rows[key] = StoredRow(row_write.key, row_write.value, self._version)
+        version = self._version
+        if self.rng.random() < self.faults.store:
+            raise ReplyLost("the answer was lost")
+        await self._pause()
+        return version
+
+    async def _store_call(self):
+        await asyncio.sleep(0.004)
+        await self._pause()
+        if self.rng.random() < self.faults.store:
+            raise StoreUnavailable("busy")
+
+    async def _pause(self):
+        if self.rng.random() < self.faults.pause:
+            await asyncio.sleep(self.rng.uniform(0.5, 15.0))
+
+    # Control of engines.
+
+    async def report(self, entry):
+        """See :class:`~cowslipcourse.ports.EngineControl`."""
+        await asyncio.sleep(0.003)
+        # Whoever has the address answers: a report does not say whose it is.
+        engine = self._at(entry.address)
+        if engine is None:
+            await asyncio.sleep(0.15)
+            raise TargetUnreachable("dark")
+        report = engine.lagging_report()
+        await self._pause()
+        return report
+
+    async def order(self, entry, order):
+        """See :class:`~cowslipcourse.ports.EngineControl`."""
+        await self._pause()
+        await asyncio.sleep(0.003)
+        luck = self.rng.random()
+        if luck < self.faults.late:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.rng.uniform(2, 12), self._carry_out, entry, order)
+            raise TargetUnreachable("no answer")
+        if luck < self.faults.late + self.faults.lost:
+            raise TargetUnreachable("lost")
+        answer = self._carry_out(entry, order)
+        unanswered = self.rng.random() < self.faults.unanswered
+        if answer is None or unanswered:
+            raise TargetUnreachable("no answer")
+        await self._pause()
+        return answer
+
+    def _carry_out(self, entry, order):
+        engine = self._at(entry.address)
+        if engine is None:
+            return None
+        if engine.id != entry.id:
+            return OrderAnswer.OTHER_ENGINE
+        return engine.take(order)
--- a/cowslipcourse/peers/registry.py
+++ b/cowslipcourse/peers/registry.py
@@ -165,20 +165,22 @@
 
     def near(self, now):
         """Return the heartbeats of the daemons of the own data centre that live."""
-        return [
-            heard.message
-            for heard in self._heartbeats.values()
-            if now - heard.at < alive_s(self._settings, heard.message)
-            and heard.message.member.data_centre == self._data_centre
-        ]
+        return self._heard_within(alive_s, now)
 
     def listed(self, now):
         """Return the heartbeats of those near daemons that callers may be sent to."""
+        return self._heard_within(listed_s, now)
+
+    def _heard_within(self, longest_s, now):
+        """Return the near heartbeats whose silence is shorter than a limit.
+
+        :param longest_s: function of the settings and a heartbeat.
+        """
         return [
             heard.message
             for heard in self._heartbeats.values()
-            if now - heard.at < listed_s(self._settings, heard.message)
-            and heard.message.member.data_centre == self._data_centre
+            if heard.message.member.data_centre == self._data_centre
+            and now - heard.at < longest_s(self._settings, heard.message)
         ]
 
     def is_large(self, now):
