A digest without members says nothing of who lives before a list was heard

Cause: by reading: a daemon that starts between two lists of members, 2 s apart, would take the first digest for an empty list and send callers to other data centres alone. Ruled out: far digests, whose members nobody else tells. Before: 0 of 9 daemons on the list for callers; after: 9.

--- a/cowslipcourse/peers/registry.py
+++ b/cowslipcourse/peers/registry.py
@@ -119,6 +119,9 @@
         data_centre = digest.reporter.data_centre
         if digest.members is None:
             known = self._contents.get(data_centre)
+            if known is None and data_centre == self._data_centre:
+                # It would say that no other daemon lives; heartbeats tell until then.
+                return
             digest = digest._replace(members=known.message.members if known else ())
         self._contents[data_centre] = _Heard(digest, now)
         for member in digest.members:
--- a/features/knowledge/size.feature
+++ b/features/knowledge/size.feature
@@ -23,6 +23,10 @@
     When 6 daemons of 2 data centres of 39 go silent
     Then no daemon sends callers to them 1.5 s later, and all send callers to all others
 
+  Scenario: A daemon that has missed the list of members goes by heartbeats
+    Given a daemon that has heard others' heartbeats and a digest without members
+    Then it sends callers to those that it has heard
+
   Scenario: The second reporter speaks once the first is late
     Given two reporters r1 and r2 of a large data centre, registered in this order
     When both have just been heard
--- a/features/steps/size_steps.py
+++ b/features/steps/size_steps.py
@@ -12,6 +12,7 @@
 from cowslipcourse.entry.settings import PeerSettings
 from cowslipcourse.exceptions import MalformedAnswer
 from cowslipcourse.peers import (
+    Digest,
     PeerRegistry,
     TargetChanges,
     decode_state,
@@ -21,7 +22,12 @@
 from cowslipcourse.peers.packing import pack, unpack
 from cowslipcourse.ports import RowChanges, StoredRow
 from features.support.daemon_network import DaemonNetwork, Shape
-from features.support.knowledge import FlakyStore, heartbeat, make_knowledge
+from features.support.knowledge import (
+    FlakyStore,
+    heartbeat,
+    make_knowledge,
+    member,
+)
 from features.support.wire import entry_content
 
 LOOK_S = 0.05
@@ -258,6 +264,20 @@
         assert ready == context.live - {name}, (name, ready ^ context.live)
 
 
+@given("a daemon that has heard others' heartbeats and a digest without members")
+def step_no_members(context):
+    context.registry = PeerRegistry(PeerSettings(), "north")
+    for number in range(9):
+        context.registry.note_heartbeat(heartbeat(f"d{number}", 20 + number), 50.0)
+    digest = Digest(member("d0", 20), 7, None, {"i-1": 2}, {})
+    context.registry.note_digest(digest, 50.0)
+
+
+@then("it sends callers to those that it has heard")
+def step_by_heartbeats(context):
+    assert len(context.registry.ready("own", 50.1)) == 9
+
+
 @given("two reporters r1 and r2 of a large data centre, registered in this order")
 def step_reporters(context):
     context.now = 50.0
