Names: an engine needs a report

Cause: read as a newcomer, is_watched said nothing of what follows from it. Ruled out: - (a rename). Before and after: features/group_plans/evidence and lives pass. Conclusion: kept.

--- a/cowslipcourse/groups/knowledge.py
+++ b/cowslipcourse/groups/knowledge.py
@@ -140,7 +140,7 @@
         self.away_from = None
 
     @property
-    def is_watched(self):
+    def needs_report(self):
         """Whether a report is wanted that is new enough to be evidence."""
         return self.reported_at is None or self.reported_at < self._watched_from
 
--- a/cowslipcourse/groups/orders.py
+++ b/cowslipcourse/groups/orders.py
@@ -41,7 +41,7 @@
         elif all(is_present(group, member, engines) for member in group.members):
             steps += _form(group, engines, models, now)
     steps += _free_strays(plan, engines)
-    steps += _ask_watched(plan, engines)
+    steps += _ask_for_evidence(plan, engines)
     return [step for step in steps if now >= engines[step.engine].ask_from]
 
 
@@ -215,13 +215,13 @@
     return steps
 
 
-def _ask_watched(plan, engines):
+def _ask_for_evidence(plan, engines):
     """Ask engines that no plan holds and that may be free: only a report proves it."""
     return [
         Step(StepKind.ASK, engine.id)
         for engine in engines.values()
         if engine.is_live
-        and engine.is_watched
+        and engine.needs_report
         and plan.group_of(engine.id, engine.incarnation) is None
     ]
 
--- a/cowslipcourse/groups/revision.py
+++ b/cowslipcourse/groups/revision.py
@@ -26,7 +26,7 @@
     :param pace: factor on its times, as it last said; a group runs at its slowest
         member's.
     :param incarnation: life of the engine.
-    :param is_listed: whether the platform lists it, or may do so again in a moment.
+    :param is_listed: whether the platform lists it.
     """
 
     id: str
