--- a/features/knowledge/size.feature
+++ b/features/knowledge/size.feature
@@ -5,9 +5,9 @@
   Scenario: No daemon sends more than an eighth of a small VM's link
     Before, each data centre's two reporters sent whole digests four times a second, and one daemon
     handed all of them on: 1.88 MB/s. Now 0.23 MB/s.
-    When 5 data centres of 39 daemons talk for 4 s
+    When 5 data centres of 39 daemons talk for 8 s
     Then no daemon sends more than 310 KB/s
-    And 8 in 10 send no more than 8 KB/s
+    And 8 in 10 send no more than 6 KB/s
 
   Scenario: All know all, also where one datagram in fifty is lost
     When 3 data centres of 12 daemons talk for 8 s, losing 2 in 100 datagrams
@@ -37,9 +37,9 @@
   Scenario: After all daemons have lost power, roles are taken once
     Their registrations follow each other in the store, for 0.8 s. Taking a role 1.1 s after the start, 45
     daemons of the large site took one at the same moment.
-    When 195 daemons of 5 data centres start within 1 s, losing 10 in 100 datagrams
+    When 195 daemons of 5 data centres start within 1 s, losing 30 in 100 datagrams
     Then no data centre ever has more than 3 reporters, and 2 from 3 s on
-    And at most 2 daemons keep the groups of one data centre, and 1 from 3 s on
+    And at most 1 daemons keep the groups of one data centre, and 1 from 3 s on
 
   Scenario: One daemon of each data centre reads the store, and is followed within a second
     Two did before, each with four calls a second.
