Sight: tell targets that ended from connections that broke, and repeats from others

Callers of one model were hardly served for seconds while its heads ended one after the other. The logs could not tell why: an attempt's id is new with each repeat, and 'the connection ended' stands for a reset as well as for a process that is gone.

Cause of the gap: an attempt kept nothing of its run but the error. Now: each request has a fingerprint (BLAKE2b of path, workspace and body, 16 bytes), attempt-failed shows it with what the run had reached, and a target whose host refuses connections although it is listed and does not leave is logged as ended, once for all requests that it took down. Ruled out: entries of the list as evidence; they tell of an end 3 s to 4 s later. Conclusion: no decision has changed; hypotheses can be told apart.

--- a/cowslipcourse/emulator/callers.py
+++ b/cowslipcourse/emulator/callers.py
@@ -151,6 +151,7 @@
             path=b"/",
             headers=(),
             body=b"",
+            fingerprint=b"",
             fields=CallerFields(
                 budget_s=left_s, model=kind.model, last_event=seen.last_event or None
             ),
--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -30,6 +30,10 @@
         self._spec = spec
         self._batches = {}
 
+    async def refuses(self, address):
+        """Whether the host of an address lives, and nobody listens there."""
+        return False
+
     def now(self):
         """Return the time of the loop."""
         return asyncio.get_running_loop().time()
@@ -114,8 +118,9 @@
         self._heads = heads
 
     @asynccontextmanager
-    async def open(self, call, entry, last_event=None):
+    async def open(self, call, run, last_event=None):
         """See :class:`~cowslipcourse.entry.attempts.Attempts`."""
+        entry = run.entry
         self._fleet.started(entry.id)
         connection = None
         try:
--- a/cowslipcourse/emulator/daemons.py
+++ b/cowslipcourse/emulator/daemons.py
@@ -9,6 +9,7 @@
 from cowslipcourse.entry.forwarding import Forwarder
 from cowslipcourse.entry.settings import EntrySettings
 from cowslipcourse.entry.silence import SilenceWatch
+from cowslipcourse.entry.target_ends import TargetEnds
 from cowslipcourse.entry.tools import EntryTools
 
 __all__ = ["EmulatedDaemon", "WholeSite"]
@@ -62,6 +63,7 @@
             EmulatedAttempts(self.fleet, heads),
             SharedRetryBudget(settings.retries),
             self._silence,
+            TargetEnds(self.fleet, heads.refuses),
             random.Random(seed),
         )
         tools.table = table
--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -9,7 +9,7 @@
 from cowslipcourse.exchange import ConnectionPool, TargetRequest
 from cowslipcourse.platform.edge import attempt_header, target_headers
 
-__all__ = ["Attempt", "Attempts"]
+__all__ = ["Attempt", "Attempts", "TargetRun"]
 
 CONNECT_TIMEOUT_S = 0.4
 """A sound target accepts within some ms; a dropped packet costs a second or more."""
@@ -28,6 +28,22 @@
     sent_at: float
 
 
+class TargetRun:
+    """What this daemon sees of one run of a request at a target.
+
+    :param entry: :class:`~cowslipcourse.ports.TargetEntry`
+    """
+
+    def __init__(self, entry):
+        self.entry = entry
+        self.has_begun = False
+        """Whether the head of an answer has come."""
+        self.events = 0
+        """Events of a stream that were passed on."""
+        self.ended_by_target = False
+        """Whether the target closed or reset the connection under it."""
+
+
 class Attempts:
     """Makes attempts and counts them in flight.
 
@@ -39,15 +55,16 @@
         self._pool = ConnectionPool(CONNECT_TIMEOUT_S)
 
     @asynccontextmanager
-    async def open(self, call, entry, last_event=None):
+    async def open(self, call, run, last_event=None):
         """Send a request to a target and yield the :class:`Attempt`.
 
         :param call: :class:`~cowslipcourse.entry.calls.Call`
-        :param entry: target.
+        :param run: :class:`TargetRun` at the target.
         :param last_event: id of the last event of a stream that is resumed.
         :raises TargetUnreachable: ``sent`` tells whether it may run.
         """
         loop = asyncio.get_running_loop()
+        entry = run.entry
         fresh = not call.route.may_repeat
         key = _connection_key(entry)
         self._fleet.started(entry.id)
@@ -64,6 +81,7 @@
         finally:
             self._fleet.ended(entry.id)
             if connection is not None:
+                run.ended_by_target = connection.ended_by_target
                 self._pool.release(key, connection)
 
     def sweep(self):
--- a/cowslipcourse/entry/calls.py
+++ b/cowslipcourse/entry/calls.py
@@ -11,6 +11,7 @@
     NoConfiguration,
 )
 from cowslipcourse.platform.edge import header_bytes, read_caller_fields
+from cowslipcourse.quarantine import fingerprint
 
 __all__ = ["Call", "Responder", "read_call"]
 
@@ -27,6 +28,7 @@
     :param path: path and query as sent.
     :param headers: ``(lower-case name, value)`` pairs as sent.
     :param body: whole body.
+    :param fingerprint: what it has in common with its repeats, as bytes.
     :param fields: :class:`~cowslipcourse.platform.edge.CallerFields`
     :param route: :class:`~cowslipcourse.routes.Route`
     :param workspace: :class:`~cowslipcourse.routes.Workspace` or ``None``.
@@ -39,6 +41,7 @@
     path: bytes
     headers: tuple
     body: bytes
+    fingerprint: bytes
     fields: object
     route: object
     workspace: object
@@ -75,13 +78,16 @@
     workspace = table.workspace(route, fields.key)
     body = await _read_body(receive, table.limits.body_bytes)
     query = scope["query_string"]
+    path = raw_path + b"?" + query if query else raw_path
+    name = None if workspace is None else workspace.name
     budget_s = NO_BUDGET_S if fields.budget_s is None else fields.budget_s
     return Call(
         id=fields.attempt_id.decode("latin-1"),
         method=scope["method"],
-        path=raw_path + b"?" + query if query else raw_path,
+        path=path,
         headers=headers,
         body=body,
+        fingerprint=fingerprint(name, path, body),
         fields=fields,
         route=route,
         workspace=workspace,
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -22,6 +22,7 @@
 from cowslipcourse.entry.roles import Roles
 from cowslipcourse.entry.side_apps import metrics_app, peer_app
 from cowslipcourse.entry.silence import SilenceWatch
+from cowslipcourse.entry.target_ends import TargetEnds
 from cowslipcourse.entry.tools import EntryTools
 from cowslipcourse.peers import Heartbeat, Member, PeerRegistry
 from cowslipcourse.platform import (
@@ -73,7 +74,10 @@
         attempts = Attempts(self._fleet)
         budget = SharedRetryBudget(settings.retries)
         silence = SilenceWatch(self._fleet, self._on_suspect)
-        self._tools = EntryTools(settings, self._fleet, attempts, budget, silence, rng)
+        ends = TargetEnds(self._fleet)
+        self._tools = EntryTools(
+            settings, self._fleet, attempts, budget, silence, ends, rng
+        )
         self._front = FrontApp(self._tools, Forwarder(self._tools), self._metrics)
         self._registry = PeerRegistry(settings.peers, settings.data_centre)
         self._fleet.note_peers(self._registry.in_flight)
--- a/cowslipcourse/entry/plain.py
+++ b/cowslipcourse/entry/plain.py
@@ -29,9 +29,9 @@
         async def choose(tried):
             return self._target(service, tried)
 
-        async def attempt(entry, is_last):
+        async def attempt(run, is_last):
             nonlocal head
-            head, body = await self._attempt(call, entry, is_last)
+            head, body = await self._attempt(call, run, is_last)
             await responder.start(head.status, answer_headers(head.headers))
             await responder.finish(body)
 
@@ -45,10 +45,11 @@
         place = choose_target(places, tried, self._tools.data_centre, self._tools.rng)
         return None if place is None else place.entry
 
-    async def _attempt(self, call, entry, is_last):
-        async with self._tools.attempts.open(call, entry) as attempt:
+    async def _attempt(self, call, run, is_last):
+        async with self._tools.attempts.open(call, run) as attempt:
             try:
                 head = await attempt.connection.head()
+                run.has_begun = True
                 if failed_unexecuted(head):
                     raise TargetRefused(f"answered {head.status}")
                 body = await attempt.connection.read_all()
--- a/cowslipcourse/entry/retrying.py
+++ b/cowslipcourse/entry/retrying.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.entry.attempts import TargetRun
 from cowslipcourse.entry.outcomes import failure, may_have_run, may_try_again
 from cowslipcourse.exceptions import TargetError, TargetUnreachable
 
@@ -19,8 +20,9 @@
     :param service: name of the service.
     :param choose: coroutine function that takes the ids tried and returns an entry,
         or ``None`` if there is none.
-    :param attempt: coroutine function that takes the entry and whether this is the
-        last attempt allowed; raises :class:`~cowslipcourse.exceptions.TargetError`.
+    :param attempt: coroutine function that takes the
+        :class:`~cowslipcourse.entry.attempts.TargetRun` and whether this is the last
+        attempt allowed; raises :class:`~cowslipcourse.exceptions.TargetError`.
     :returns: ``(entry that answered, number of attempts)``
     :raises RequestError: no attempt succeeded.
     """
@@ -31,11 +33,12 @@
         if entry is None:
             raise failure(runs)
         tried.add(entry.id)
+        run = TargetRun(entry)
         try:
-            await attempt(entry, runs + 1 >= call.route.max_attempts)
+            await attempt(run, runs + 1 >= call.route.max_attempts)
         except TargetError as error:
             runs += may_have_run(error)
-            _note_failed(tools, call, entry, error, loop.time())
+            _note_failed(tools, call, run, error, loop.time())
             again = may_try_again(call.route, runs, error)
             if not again or not tools.budget.take(service, loop.time()):
                 raise failure(runs) from error
@@ -43,14 +46,20 @@
         return entry, len(tried)
 
 
-def _note_failed(tools, call, entry, error, now):
+def _note_failed(tools, call, run, error, now):
     if isinstance(error, TargetUnreachable):
-        tools.fleet.suspect(entry.id, now)
+        tools.fleet.suspect(run.entry.id, now)
     log.info(
         "attempt-failed",
         request=call.id,
-        target=entry.id,
+        fingerprint=call.fingerprint.hex(),
+        target=run.entry.id,
         error=error.code,
         detail=error,
         may_have_run=may_have_run(error),
+        begun=run.has_begun,
+        events=run.events,
+        ended_by_target=run.ended_by_target,
     )
+    if run.ended_by_target:
+        tools.target_ends.look_into(run.entry)
--- a/cowslipcourse/entry/streaming.py
+++ b/cowslipcourse/entry/streaming.py
@@ -66,8 +66,8 @@
         async def choose(tried):
             return await self._place(call, service, tried)
 
-        async def attempt(entry, is_last):
-            await self._run(progress, entry)
+        async def attempt(run, is_last):
+            await self._run(progress, run)
 
         entry, attempts = await try_targets(self._tools, call, service, choose, attempt)
         _note_done(progress, entry, attempts)
@@ -94,24 +94,25 @@
             places = self._tools.fleet.service_places(service, now)
         return choose_group(places, tried, self._tools.rng)
 
-    async def _run(self, progress, entry):
+    async def _run(self, progress, run):
         call = progress.call
         async with self._tools.attempts.open(
-            call, entry, progress.resume_after
+            call, run, progress.resume_after
         ) as attempt:
             stream = WatchedStream(attempt, call.id)
             self._tools.silence.add(stream)
             try:
-                await self._relay(progress, attempt, stream)
+                await self._relay(progress, run, attempt, stream)
             except (TargetError, asyncio.CancelledError):
                 attempt.connection.abort()
                 raise
             finally:
                 self._tools.silence.remove(stream)
 
-    async def _relay(self, progress, attempt, stream):
+    async def _relay(self, progress, run, attempt, stream):
         responder = progress.responder
         head = await attempt.connection.head()
+        run.has_begun = True
         if failed_unexecuted(head):
             raise TargetRefused(f"answered {head.status}")
         if head.status != 200:
@@ -123,15 +124,17 @@
             if not events:
                 continue
             stream.has_begun = True
-            await self._pass_on(progress, head, events)
+            await self._pass_on(progress, run, head, events)
         if splitter.has_rest:
             raise AnswerBroken("the stream ended inside an event")
         if not responder.started:
             await responder.start(200, _stream_headers(head))
         await responder.finish()
 
-    async def _pass_on(self, progress, head, events):
+    async def _pass_on(self, progress, run, head, events):
+        passed = progress.position.passed
         content, fault = progress.position.take(events)
+        run.events += progress.position.passed - passed
         if content:
             progress.note_events(asyncio.get_running_loop().time())
             if not progress.responder.started:
--- /dev/null
+++ b/cowslipcourse/entry/target_ends.py
@@ -0,0 +1,93 @@
+"""Tell whether a target has ended, after it closed connections under requests.
+
+A connection that breaks says little: it may have been reset on the way, or the target
+may have dropped it. A process that has ended leaves nobody who listens, so its host
+refuses the next connection. A host that is lost or cut off refuses nothing, and a
+target that was about to leave has ended as planned: neither says anything about the
+requests that it ran.
+"""
+
+import asyncio
+from collections import OrderedDict
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.exceptions import TargetUnreachable
+from cowslipcourse.exchange import TargetConnection
+
+__all__ = ["TargetEnds", "refuses_connections"]
+
+CONNECT_TIMEOUT_S = 0.4
+"""A host that lives answers within some ms; a lost packet is sent again in a second."""
+MOST_CHECKS = 3
+"""Connections that are tried while there is neither an answer nor a refusal."""
+MOST_REMEMBERED = 1_000
+"""Lives whose end is remembered, about 200 KB: requests learn of one end together."""
+
+log = get_logger(__name__)
+
+
+async def refuses_connections(address):
+    """Whether the host of an address lives, and nobody listens there.
+
+    :param address: ``ip:port``
+    """
+    for _ in range(MOST_CHECKS):
+        try:
+            connection = await TargetConnection.connect(address, CONNECT_TIMEOUT_S)
+        except TargetUnreachable as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return True
+            continue
+        connection.abort()
+        return False
+    return False
+
+
+class TargetEnds:
+    """Looks into broken connections, once for all requests that they broke under.
+
+    :param fleet: :class:`~cowslipcourse.entry.fleet.FleetView`
+    :param refuses: coroutine function like :func:`refuses_connections`.
+    """
+
+    def __init__(self, fleet, refuses=refuses_connections):
+        self._fleet = fleet
+        self._refuses = refuses
+        self._checks = {}
+        self._ended = OrderedDict()
+
+    def look_into(self, entry):
+        """Return a task that tells whether this life of a target has ended by itself.
+
+        :param entry: :class:`~cowslipcourse.ports.TargetEntry`
+        """
+        life = entry.id, entry.incarnation
+        check = self._checks.get(life)
+        if check is None:
+            check = asyncio.create_task(self._has_ended(entry))
+            self._checks[life] = check
+            check.add_done_callback(lambda done: self._checks.pop(life, None))
+        return check
+
+    async def _has_ended(self, entry):
+        life = entry.id, entry.incarnation
+        if life in self._ended:
+            return True
+        if not self._is_expected_to_run(entry):
+            return False
+        if not await self._refuses(entry.address):
+            return False
+        self._ended[life] = None
+        if len(self._ended) > MOST_REMEMBERED:
+            self._ended.popitem(last=False)
+        log.warning("target-ended", target=entry.id, incarnation=entry.incarnation)
+        return True
+
+    def _is_expected_to_run(self, entry):
+        """Whether the target is listed and not about to leave."""
+        listed = self._fleet.entries.get(entry.id)
+        return (
+            listed is not None
+            and listed.incarnation == entry.incarnation
+            and not listed.is_leaving
+        )
--- a/cowslipcourse/entry/tools.py
+++ b/cowslipcourse/entry/tools.py
@@ -11,15 +11,17 @@
     :param attempts: :class:`~cowslipcourse.entry.attempts.Attempts`
     :param budget: :class:`~cowslipcourse.admission.SharedRetryBudget`
     :param silence: :class:`~cowslipcourse.entry.silence.SilenceWatch`
+    :param target_ends: :class:`~cowslipcourse.entry.target_ends.TargetEnds`
     :param rng: :class:`random.Random`
     """
 
-    def __init__(self, settings, fleet, attempts, budget, silence, rng):
+    def __init__(self, settings, fleet, attempts, budget, silence, target_ends, rng):
         self.data_centre = settings.data_centre
         self.fleet = fleet
         self.attempts = attempts
         self.budget = budget
         self.silence = silence
+        self.target_ends = target_ends
         self.rng = rng
         self.table = None
 
--- a/cowslipcourse/exchange/connection.py
+++ b/cowslipcourse/exchange/connection.py
@@ -71,6 +71,8 @@
         self._method = ""
         self._error = None
         self._closed = False
+        self._aborted = False
+        self._ended_by_target = False
         self._dirty = False
         self._said_close = False
         self._waiter = None
@@ -106,6 +108,11 @@
             or self._transport.get_write_buffer_size()
         )
 
+    @property
+    def ended_by_target(self):
+        """Whether the other side closed or reset it, and not this one."""
+        return self._ended_by_target
+
     def send(self, request):
         """Send a request; the connection must be reusable.
 
@@ -168,9 +175,13 @@
         if error is not None and self._error is None:
             self._error = error
         self._closed = True
-        self._transport.abort()
+        self._abort_transport()
         self._wake()
 
+    def _abort_transport(self):
+        self._aborted = True
+        self._transport.abort()
+
     async def _wait(self):
         self._waiter = self._loop.create_future()
         try:
@@ -194,7 +205,7 @@
         if self._parser is None or (self._answer is not None and self._answer.complete):
             # Bytes that belong to no request.
             self._dirty = True
-            self._transport.abort()
+            self._abort_transport()
             return
         try:
             self._parser.feed_data(data)
@@ -215,6 +226,7 @@
     def connection_lost(self, error):
         """See :class:`asyncio.Protocol`."""
         self._closed = True
+        self._ended_by_target = not self._aborted
         self._wake()
 
     # Called by the parser.
