--- a/cowslipcourse/emulator/batches.py
+++ b/cowslipcourse/emulator/batches.py
@@ -12,12 +12,14 @@
 from cowslipcourse.exceptions import AnswerBroken
 from cowslipcourse.ports import GroupState
 
-__all__ = ["BatchedRequest", "GroupBatch"]
+__all__ = ["CRASH_S", "BatchedRequest", "GroupBatch"]
 
 QUEUE_FACTOR = 1.0
 """Requests that wait at a head, as a factor on what it runs at once."""
 LOOK_S = 0.05
 """Interval at which a group that stands still is looked at."""
+CRASH_S = 0.08
+"""Time for which an engine still runs after a request that ends it has begun."""
 
 
 class BatchedRequest:
@@ -29,10 +31,18 @@
     :param urgency: from 0, the most urgent.
     :param deliver: called with the number of each event and whether it is the last.
     :param break_off: called with an error if the request is cut off.
+    :param on_crash: called when it begins to run, if it ends the engine that runs it.
     """
 
     def __init__(
-        self, prompt_tokens, first_event, last_event, urgency, deliver, break_off
+        self,
+        prompt_tokens,
+        first_event,
+        last_event,
+        urgency,
+        deliver,
+        break_off,
+        on_crash=None,
     ):
         self.unread_tokens = prompt_tokens
         self.next_event = first_event
@@ -40,6 +50,7 @@
         self.urgency = urgency
         self.deliver = deliver
         self.break_off = break_off
+        self.on_crash = on_crash
         self.is_cancelled = False
 
 
@@ -62,6 +73,7 @@
         self._running = []
         self._numbers = itertools.count()
         self._task = None
+        self._is_crashing = False
 
     @property
     def is_full(self):
@@ -124,12 +136,27 @@
         for request in list(self._running):
             if request.unread_tokens or request.is_cancelled:
                 continue
+            if request.on_crash is not None:
+                self._begin_to_crash(request)
+                continue
             is_last = request.next_event >= request.last_event
             request.deliver(request.next_event, is_last)
             request.next_event += 1
             if is_last:
                 self._running.remove(request)
 
+    def _begin_to_crash(self, request):
+        """Let a request that ends its engine write nothing until it does."""
+        if not self._is_crashing:
+            self._is_crashing = True
+            request.on_crash()
+            asyncio.get_running_loop().call_later(CRASH_S, self._crash)
+
+    def _crash(self):
+        if self._is_serving():
+            self._world.crash(self._engine)
+            self._break_off()
+
     def _break_off(self):
         for request in self._running + [request for _, _, request in self._waiting]:
             if not request.is_cancelled:
--- a/cowslipcourse/emulator/callers.py
+++ b/cowslipcourse/emulator/callers.py
@@ -1,6 +1,7 @@
 """Callers of emulated daemons, and what they get."""
 
 import asyncio
+import itertools
 import math
 import random
 from typing import NamedTuple
@@ -9,6 +10,7 @@
 from cowslipcourse.entry.calls import Call
 from cowslipcourse.exceptions import RequestError
 from cowslipcourse.platform.edge import CallerFields
+from cowslipcourse.quarantine import fingerprint
 from cowslipcourse.routes import RequestKind, Route
 
 __all__ = ["CallRecord", "Callers", "Outcome"]
@@ -46,6 +48,7 @@
     prompt_tokens: int
     events: int
     event_tokens: int
+    ends_targets: bool = False
 
 
 class _SizedCall:
@@ -101,6 +104,7 @@
         self._bursts = bursts
         self._rng = rng
         self._tasks = set()
+        self._numbers = itertools.count()
         self.records = []
 
     async def run(self, seconds):
@@ -110,6 +114,22 @@
         while self._tasks:
             await asyncio.wait(self._tasks)
 
+    def crash(self, fault):
+        """Let a request that ends its targets come at several daemons at once.
+
+        :param fault: :class:`~cowslipcourse.emulator.site_file.FaultSettings`
+        """
+        kinds = [k for k in self._settings.kinds if fault.request in ("", k.name)]
+        size = self._size(kinds[0], self._rng)._replace(ends_targets=True)
+        content = f"{fault.kind} {fault.at_s}".encode()
+        for _ in range(fault.count):
+            self._begin(self._request(kinds[0], size, None, content))
+
+    def _begin(self, request):
+        task = asyncio.create_task(request)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _arrive(self, kind: KindSettings, seconds):
         loop = asyncio.get_running_loop()
         began_at = loop.time()
@@ -121,27 +141,27 @@
             at_s = loop.time() - began_at
             if at_s >= seconds:
                 return
-            size = self._size(kind, luck)
-            task = asyncio.create_task(self._request(kind, size, at_s))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            content = b"%d" % next(self._numbers)
+            self._begin(self._request(kind, self._size(kind, luck), at_s, content))
 
-    async def _request(self, kind, size, at_s):
+    async def _request(self, kind, size, at_s, content):
+        """Send a request until it is answered; only those with a time are recorded."""
         loop = asyncio.get_running_loop()
         arrived_at = loop.time()
         deadline = arrived_at + kind.deadline_s
         seen, tries, outcome = _Responder(), 0, Outcome.FAILED
         while tries <= kind.retries and loop.time() < deadline:
             tries += 1
-            outcome, wait_s = await self._try(kind, size, seen, deadline)
+            outcome, wait_s = await self._try(kind, size, seen, deadline, content)
             if outcome is None:
                 outcome = _punctuality(kind, seen, arrived_at)
                 break
             left_s = deadline - loop.time()
             await asyncio.sleep(max(0.0, min(wait_s, left_s * PATIENCE_SHARE)))
-        self.records.append(CallRecord(kind.name, at_s, outcome, tries))
+        if at_s is not None:
+            self.records.append(CallRecord(kind.name, at_s, outcome, tries))
 
-    async def _try(self, kind, size, seen, deadline):
+    async def _try(self, kind, size, seen, deadline, content):
         """Return ``(None, 0)`` after a whole answer, else the outcome and a wait."""
         loop = asyncio.get_running_loop()
         left_s = deadline - loop.time()
@@ -150,8 +170,8 @@
             method="POST",
             path=b"/",
             headers=(),
-            body=b"",
-            fingerprint=b"",
+            body=content,
+            fingerprint=fingerprint(None, b"/", content),
             fields=CallerFields(
                 budget_s=left_s, model=kind.model, last_event=seen.last_event or None
             ),
--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -4,7 +4,8 @@
 from collections import deque
 from contextlib import asynccontextmanager
 
-from cowslipcourse.emulator.batches import BatchedRequest, GroupBatch
+from cowslipcourse.emulator.batches import CRASH_S, BatchedRequest, GroupBatch
+from cowslipcourse.emulator.crashes import CrashOracle
 from cowslipcourse.entry.attempts import CONNECT_TIMEOUT_S, Attempt
 from cowslipcourse.entry.urgency import urgency
 from cowslipcourse.exceptions import TargetUnreachable
@@ -27,12 +28,14 @@
 
     def __init__(self, world, spec):
         self.world = world
+        self.crashing = CrashOracle()
         self._spec = spec
         self._batches = {}
 
     async def refuses(self, address):
         """Whether the host of an address lives, and nobody listens there."""
-        return False
+        await asyncio.sleep(2 * LINK_S)
+        return address in self.world.crashed
 
     def now(self):
         """Return the time of the loop."""
@@ -58,14 +61,25 @@
         self._chunks = deque()
         self._is_complete = False
         self._error = None
+        self._has_begun = False
         self._changed = asyncio.Event()
 
+    @property
+    def ended_by_target(self):
+        """Whether the engine broke it off."""
+        return self._error is not None
+
     async def head(self):
-        """Return the head; that of a stream comes with its first event."""
-        while self._head.status == 200 and not self._chunks:
+        """Return the head; that of a stream comes when the request begins to run."""
+        while self._head.status == 200 and not (self._chunks or self._has_begun):
             await self._wait()
         return self._head
 
+    def begin(self):
+        """Let the head come before the first event."""
+        self._has_begun = True
+        self._changed.set()
+
     async def read(self):
         """Return the next bytes; empty at the end."""
         while not self._chunks:
@@ -109,11 +123,13 @@
 class EmulatedAttempts:
     """Meets :class:`~cowslipcourse.entry.attempts.Attempts`.
 
+    :param name: name of the daemon.
     :param fleet: :class:`~cowslipcourse.entry.fleet.FleetView` of the daemon.
     :param heads: :class:`Heads`
     """
 
-    def __init__(self, fleet, heads):
+    def __init__(self, name, fleet, heads):
+        self._name = name
         self._fleet = fleet
         self._heads = heads
 
@@ -125,6 +141,9 @@
         connection = None
         try:
             engine = self._heads.world.engines.get(entry.id)
+            if engine is None and entry.address in self._heads.world.crashed:
+                await asyncio.sleep(2 * LINK_S)
+                raise TargetUnreachable("refused", sent=False)
             if engine is None or engine.is_dark:
                 await asyncio.sleep(CONNECT_TIMEOUT_S)
                 raise TargetUnreachable("dark", sent=False)
@@ -134,6 +153,7 @@
         finally:
             self._fleet.ended(entry.id)
             if connection is not None and connection.request is not None:
+                run.ended_by_target = connection.ended_by_target
                 connection.request.is_cancelled = True
 
     def _send(self, call, engine, last_event):
@@ -142,6 +162,8 @@
         batch = self._heads.batch(engine)
         if batch.is_full:
             return _EmulatedConnection(unexecuted_head(FULL))
+        if call.size.ends_targets:
+            self._heads.crashing.note_arrival(call.fingerprint, self._name)
         waited_s = asyncio.get_running_loop().time() - call.arrived_at
         connection = _EmulatedConnection(AnswerHead(200, ()))
         passed = last_event or call.fields.last_event or 0
@@ -152,6 +174,16 @@
             urgency(call.route, call.workspace, call.fields.budget_s, waited_s),
             connection.deliver,
             connection.break_off,
+            self._crash(call, connection) if call.size.ends_targets else None,
         )
         batch.submit(connection.request)
         return connection
+
+    def _crash(self, call, connection):
+        """Return what happens when a request begins that ends its engine."""
+
+        def begin():
+            connection.begin()
+            self._heads.crashing.note_end(call.fingerprint, CRASH_S)
+
+        return begin
--- a/cowslipcourse/emulator/daemons.py
+++ b/cowslipcourse/emulator/daemons.py
@@ -60,7 +60,7 @@
         tools = EntryTools(
             settings,
             self.fleet,
-            EmulatedAttempts(self.fleet, heads),
+            EmulatedAttempts(name, self.fleet, heads),
             SharedRetryBudget(settings.retries),
             self._silence,
             TargetEnds(self.fleet, heads.refuses),
--- a/cowslipcourse/emulator/site.py
+++ b/cowslipcourse/emulator/site.py
@@ -7,6 +7,7 @@
 
 from cowslipcourse.emulator.callers import Callers, CallRecord
 from cowslipcourse.emulator.connections import LINK_S, Heads
+from cowslipcourse.emulator.crashes import CrashFigures
 from cowslipcourse.emulator.daemons import EmulatedDaemon
 from cowslipcourse.emulator.engines import OPEN_S, SERVICE
 from cowslipcourse.emulator.world import Faults, World
@@ -37,12 +38,15 @@
     :param idle_engine_s: seconds that live engines spent in no open group.
     :param open_groups: mean number of open groups by model.
     :param violations: what the oracle of the groups saw, as texts.
+    :param crashes: :class:`~cowslipcourse.emulator.crashes.CrashFigures` list, one for
+        each request that ended engines.
     """
 
     records: list[CallRecord]
     idle_engine_s: float
     open_groups: dict[str, float]
     violations: list[str]
+    crashes: list[CrashFigures]
 
 
 class EmulatedSite:
@@ -87,6 +91,7 @@
         for daemon in self._daemons:
             daemon.coordinator_of_all = self._daemons[0].coordinator
         self._caller_luck = caller_luck
+        self._callers = None
         self._gone_at = {}
         self._began_at = None
         self._idle_engine_s = 0.0
@@ -104,6 +109,7 @@
         tasks += [asyncio.create_task(self._strike(f)) for f in self._settings.faults]
         site = self._settings.site
         callers = Callers(self._daemons, site, self._burst_factor, self._caller_luck)
+        self._callers = callers
         await callers.run(self._settings.seconds)
         for task in tasks:
             task.cancel()
@@ -112,7 +118,13 @@
                 raise result
         means = {m: sum(n) / max(1, len(n)) for m, n in self._open_groups.items()}
         records = callers.records
-        return SiteResult(records, self._idle_engine_s, means, self._world.violations)
+        return SiteResult(
+            records,
+            self._idle_engine_s,
+            means,
+            self._world.violations,
+            self._heads.crashing.figures(),
+        )
 
     # What travels.
 
@@ -220,6 +232,9 @@
         for _ in range(fault.count):
             self._world.add_engine(domain)
 
+    def _crash(self, fault):
+        self._callers.crash(fault)
+
     def _burst(self, fault):
         """Nothing is to be done when a burst begins: callers ask for the factor."""
 
--- a/cowslipcourse/emulator/site_file.py
+++ b/cowslipcourse/emulator/site_file.py
@@ -74,18 +74,19 @@
     """Something that happens, once or again and again.
 
     :param kind: ``lose`` engines of groups for good, make them ``restart`` under their
-        ids, darken a whole ``domain`` for a while, ``add`` empty engines, or let a
-        ``burst`` of requests come.
+        ids, darken a whole ``domain`` for a while, ``add`` empty engines, let a
+        ``burst`` of requests come, or ``crash`` engines by one request: the same one
+        comes at ``count`` daemons each time.
     :param at_s: first time, from the start of the traffic.
     :param every_s: time between two; 0 for once.
     :param until_s: no more after that.
     :param count: engines that are struck or added.
     :param for_s: how long it lasts, where it lasts.
     :param factor: of a burst.
-    :param request: kind of request of a burst; empty for all.
+    :param request: kind of request of a burst or crash; empty for all or the first.
     """
 
-    kind: Literal["lose", "restart", "domain", "add", "burst"]
+    kind: Literal["lose", "restart", "domain", "add", "burst", "crash"]
     at_s: float = Field(ge=0)
     every_s: float = Field(default=0.0, ge=0)
     until_s: float = Field(default=0.0, ge=0)
--- a/cowslipcourse/emulator/world.py
+++ b/cowslipcourse/emulator/world.py
@@ -19,6 +19,9 @@
 
 __all__ = ["Faults", "World"]
 
+CRASH_RESTART_S = 3.2
+"""Time from the end of an engine's process until its next life is listed."""
+
 BORN_MS = 1_790_000_000_000
 """Time of day at which the first engine starts; each life has a number of its own."""
 
@@ -69,6 +72,7 @@
         self._born = 0
         self._lives = 0
         self.past_entries = []
+        self.crashed = set()
 
     def data_centre_of(self, domain):
         """Return the data centre that a domain is in."""
@@ -107,6 +111,17 @@
         self.past_entries.append(engine.entry())
         return self._start(engine.id, engine.domain, engine.staged)
 
+    def crash(self, engine):
+        """End an engine's process; another life comes to its host after a while."""
+        self.engines.pop(engine.id, None)
+        self.crashed.add(engine.address)
+        loop = asyncio.get_running_loop()
+        loop.call_later(CRASH_RESTART_S, self._come_back, engine)
+
+    def _come_back(self, engine):
+        self.crashed.discard(engine.address)
+        self.rename(engine)
+
     def entries(self):
         """Return the platform's list: engines that are not dark."""
         return [e.entry() for e in self.engines.values() if not e.is_dark]
