A request that ends the targets which run it is quarantined by all daemons

Callers of one model were hardly served for seconds: one request, repeated at any daemon, ended 17 and 23 heads of its groups.

Cause: a daemon forgot what a request had done to its target when the attempt ended, and told nobody. The class: what a request does to what it meets was kept no longer than the attempt.

The mend: a target that closes a run before its answer is whole, though it is listed and does not leave, and whose host refuses connections, has ended under its requests. What each run had reached goes to eight daemons chosen by a hash of request and address; three ends at which it came no further convict it. All daemons are told, once more 0.3 s later, and every second by the daemon that speaks for its data centre; a row of the store keeps it for a start of all. It is refused at once, runs of it under way are broken off, and after an hour one daemon tries it once (the row says who).

Why it holds: evidence is keyed by the life that ended, so it may come twice, late and at any judge; no step depends on one daemon or on the store.

Ruled out: counting at each daemon for itself (8 daemons would allow 24 ends); the list of targets as evidence (3 s to 4 s late); a limit on repeats (no attempt makes more than two sends).

--- a/cowslipcourse/emulator/callers.py
+++ b/cowslipcourse/emulator/callers.py
@@ -8,7 +8,7 @@
 
 from cowslipcourse.emulator.site_file import KindSettings
 from cowslipcourse.entry.calls import Call
-from cowslipcourse.exceptions import RequestError
+from cowslipcourse.exceptions import RequestError, RequestQuarantined
 from cowslipcourse.platform.edge import CallerFields
 from cowslipcourse.quarantine import fingerprint
 from cowslipcourse.routes import RequestKind, Route
@@ -106,6 +106,7 @@
         self._tasks = set()
         self._numbers = itertools.count()
         self.records = []
+        self.wrongly_quarantined = 0
 
     async def run(self, seconds):
         """Let requests come for a time, and wait for the last answers."""
@@ -183,6 +184,9 @@
         daemon = self._rng.choice(self._daemons)
         try:
             await daemon.forwarder.forward(_SizedCall(call, size), seen)
+        except RequestQuarantined as error:
+            self.wrongly_quarantined += not size.ends_targets
+            return Outcome.REFUSED, error.retry_after_s or 0.0
         except RequestError as error:
             refused = error.outcome == "not_run"
             outcome = Outcome.REFUSED if refused else Outcome.FAILED
--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -62,13 +62,9 @@
         self._is_complete = False
         self._error = None
         self._has_begun = False
+        self.ended_by_target = False
         self._changed = asyncio.Event()
 
-    @property
-    def ended_by_target(self):
-        """Whether the engine broke it off."""
-        return self._error is not None
-
     async def head(self):
         """Return the head; that of a stream comes when the request begins to run."""
         while self._head.status == 200 and not (self._chunks or self._has_begun):
@@ -97,7 +93,7 @@
         if self.request is not None:
             self.request.is_cancelled = True
         if error is not None:
-            self.break_off(error)
+            self._fail(error)
 
     def deliver(self, number, is_last):
         """Take an event from the engine."""
@@ -107,6 +103,11 @@
         self._changed.set()
 
     def break_off(self, error):
+        """Take it from the engine that the answer ends here."""
+        self.ended_by_target = True
+        self._fail(error)
+
+    def _fail(self, error):
         """Let whoever reads get an error."""
         self._error = self._error or error
         self._changed.set()
@@ -148,7 +149,7 @@
                 await asyncio.sleep(CONNECT_TIMEOUT_S)
                 raise TargetUnreachable("dark", sent=False)
             await asyncio.sleep(LINK_S)
-            connection = self._send(call, engine, last_event)
+            connection = run.connection = self._send(call, engine, last_event)
             yield Attempt(entry, connection, asyncio.get_running_loop().time())
         finally:
             self._fleet.ended(entry.id)
--- a/cowslipcourse/emulator/daemons.py
+++ b/cowslipcourse/emulator/daemons.py
@@ -7,10 +7,12 @@
 from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.fleet import FleetView
 from cowslipcourse.entry.forwarding import Forwarder
+from cowslipcourse.entry.quarantining import Quarantine
 from cowslipcourse.entry.settings import EntrySettings
 from cowslipcourse.entry.silence import SilenceWatch
 from cowslipcourse.entry.target_ends import TargetEnds
 from cowslipcourse.entry.tools import EntryTools
+from cowslipcourse.quarantine import KeptVerdicts
 
 __all__ = ["EmulatedDaemon", "WholeSite"]
 
@@ -47,12 +49,13 @@
     :param data_centre: where it runs.
     :param table: :class:`~cowslipcourse.routes.RouteTable`
     :param heads: :class:`~cowslipcourse.emulator.connections.Heads`
+    :param network: :class:`~cowslipcourse.emulator.messages.MessageNetwork`
     :param tell: called with news for all daemons.
     :param acts: whether it is the coordinator.
     :param seed: of its choices.
     """
 
-    def __init__(self, name, data_centre, table, heads, tell, acts, seed):
+    def __init__(self, name, data_centre, table, heads, network, tell, acts, seed):
         settings = _settings(name, data_centre)
         self.fleet = FleetView()
         self.coordinator_of_all = None
@@ -63,11 +66,15 @@
             EmulatedAttempts(name, self.fleet, heads),
             SharedRetryBudget(settings.retries),
             self._silence,
-            TargetEnds(self.fleet, heads.refuses),
+            None,
             random.Random(seed),
         )
         tools.table = table
+        self.name = name
+        self._tools = tools
+        self._network = network
         self._heads = heads
+        self.forget()
         self.forwarder = Forwarder(tools)
         self.coordinator = Coordinator(
             tools,
@@ -79,6 +86,15 @@
         )
         self._acts = acts
 
+    def forget(self):
+        """Lose what it knows of requests that end engines, as in a new start."""
+        heads = self._heads
+        peers = self._network.peers(self.name)
+        ends = TargetEnds(self.fleet, heads.refuses)
+        kept = KeptVerdicts(heads.world, heads.now)
+        self._tools.quarantine = Quarantine(peers, ends, kept)
+        self._network.attach(self.name, self._tools.quarantine)
+
     def coroutines(self):
         """Return the coroutines that keep it going."""
         acting = (self.coordinator.run(),) if self._acts else ()
--- a/cowslipcourse/emulator/site.py
+++ b/cowslipcourse/emulator/site.py
@@ -10,6 +10,7 @@
 from cowslipcourse.emulator.crashes import CrashFigures
 from cowslipcourse.emulator.daemons import EmulatedDaemon
 from cowslipcourse.emulator.engines import OPEN_S, SERVICE
+from cowslipcourse.emulator.messages import MessageNetwork
 from cowslipcourse.emulator.world import Faults, World
 from cowslipcourse.routes import (
     CallerLimits,
@@ -40,6 +41,7 @@
     :param violations: what the oracle of the groups saw, as texts.
     :param crashes: :class:`~cowslipcourse.emulator.crashes.CrashFigures` list, one for
         each request that ended engines.
+    :param wrongly_quarantined: refusals of requests that end no engine, as if they did.
     """
 
     records: list[CallRecord]
@@ -47,6 +49,7 @@
     open_groups: dict[str, float]
     violations: list[str]
     crashes: list[CrashFigures]
+    wrongly_quarantined: int
 
 
 class EmulatedSite:
@@ -76,12 +79,15 @@
         table = RouteTable(1, (), (spec,), CallerLimits(), {})
         self._heads = Heads(self._world, spec)
         places = sorted(set(site.domains.values()))
+        message_luck = random.Random(f"messages-{seed}")
+        self._network = MessageNetwork(site, message_luck)
         self._daemons = [
             EmulatedDaemon(
                 f"daemon-{number}",
                 places[number % len(places)],
                 table,
                 self._heads,
+                self._network,
                 self._tell,
                 number == 0,
                 daemon_luck.random(),
@@ -102,6 +108,7 @@
         running = [self._world.run(), self._list(), self._heartbeats(), self._count()]
         for daemon in self._daemons:
             running += daemon.coroutines()
+        running.append(self._network.run())
         tasks = [asyncio.create_task(coroutine) for coroutine in running]
         await asyncio.sleep(self._settings.site.lead_s)
         self._world.models = self._models
@@ -124,6 +131,7 @@
             means,
             self._world.violations,
             self._heads.crashing.figures(),
+            callers.wrongly_quarantined,
         )
 
     # What travels.
@@ -235,6 +243,18 @@
     def _crash(self, fault):
         self._callers.crash(fault)
 
+    def _silence(self, fault):
+        """Cut some daemons off from the others for a while."""
+        for daemon in self._fault_luck.sample(self._daemons, fault.count):
+            self._network.cut(daemon.name, fault.for_s)
+            self._heads.crashing.note_disturbance(daemon.name, fault.for_s)
+
+    def _forget(self, fault):
+        """Start some daemons anew, as far as others' messages go."""
+        for daemon in self._fault_luck.sample(self._daemons, fault.count):
+            daemon.forget()
+            self._heads.crashing.note_disturbance(daemon.name, 0.0)
+
     def _burst(self, fault):
         """Nothing is to be done when a burst begins: callers ask for the factor."""
 
--- a/cowslipcourse/emulator/site_file.py
+++ b/cowslipcourse/emulator/site_file.py
@@ -50,6 +50,8 @@
     :param engines_a_domain: engines in each at the start.
     :param list_lag_s: age of the list of targets when daemons read it.
     :param lapse_s: silence after which an engine is dropped from the list.
+    :param message_loss: share of messages between daemons that are lost.
+    :param message_late_s: longest time that one takes.
     :param lead_s: seconds before the traffic starts; loads take a tenth then.
     """
 
@@ -65,6 +67,8 @@
     loads_per_s: float = Field(default=4.5, gt=0)
     list_lag_s: float = Field(default=0.8, ge=0)
     lapse_s: Seconds = 3.6
+    message_loss: float = Field(default=0.0, ge=0, lt=1)
+    message_late_s: float = Field(default=0.003, ge=0)
     lead_s: Seconds = 12.0
     models: tuple[ModelSettings, ...]
     kinds: tuple[KindSettings, ...]
@@ -75,8 +79,9 @@
 
     :param kind: ``lose`` engines of groups for good, make them ``restart`` under their
         ids, darken a whole ``domain`` for a while, ``add`` empty engines, let a
-        ``burst`` of requests come, or ``crash`` engines by one request: the same one
-        comes at ``count`` daemons each time.
+        ``burst`` of requests come, ``crash`` engines by one request that comes at
+        ``count`` daemons each time, ``silence`` daemons towards the others, or let them
+        ``forget`` what they know of such requests, as in a new start.
     :param at_s: first time, from the start of the traffic.
     :param every_s: time between two; 0 for once.
     :param until_s: no more after that.
@@ -86,7 +91,9 @@
     :param request: kind of request of a burst or crash; empty for all or the first.
     """
 
-    kind: Literal["lose", "restart", "domain", "add", "burst", "crash"]
+    kind: Literal[
+        "lose", "restart", "domain", "add", "burst", "crash", "silence", "forget"
+    ]
     at_s: float = Field(ge=0)
     every_s: float = Field(default=0.0, ge=0)
     until_s: float = Field(default=0.0, ge=0)
--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -36,12 +36,23 @@
 
     def __init__(self, entry):
         self.entry = entry
+        self.connection = None
+        """:class:`~cowslipcourse.exchange.TargetConnection` that it was sent on."""
         self.has_begun = False
         """Whether the head of an answer has come."""
         self.events = 0
         """Events of a stream that were passed on."""
+        self.reached = 0
+        """Number of the last event that the caller has; 0 for none."""
         self.ended_by_target = False
         """Whether the target closed or reset the connection under it."""
+        self.succeeded = False
+        """Whether the target has answered whole, and with success."""
+
+    def stop(self, error):
+        """Break it off; whoever reads the answer gets the error."""
+        if self.connection is not None:
+            self.connection.abort(error)
 
 
 class Attempts:
@@ -77,6 +88,7 @@
             waited_s = loop.time() - call.arrived_at
             request = _target_request(call, entry, left_s, waited_s, last_event)
             connection.send(request)
+            run.connection = connection
             yield Attempt(entry, connection, loop.time())
         finally:
             self._fleet.ended(entry.id)
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -17,6 +17,7 @@
 from cowslipcourse.entry.knowledge import Knowledge
 from cowslipcourse.entry.metrics import EntryMetrics
 from cowslipcourse.entry.peer_link import PeerLink
+from cowslipcourse.entry.quarantining import Quarantine
 from cowslipcourse.entry.registering import Registering
 from cowslipcourse.entry.reloading import SettingsWatch
 from cowslipcourse.entry.roles import Roles
@@ -31,6 +32,7 @@
     directory_app,
     ready_app,
 )
+from cowslipcourse.quarantine import KeptVerdicts
 
 __all__ = ["Entry"]
 
@@ -74,14 +76,16 @@
         attempts = Attempts(self._fleet)
         budget = SharedRetryBudget(settings.retries)
         silence = SilenceWatch(self._fleet, self._on_suspect)
+        self._registry = PeerRegistry(settings.peers, settings.data_centre)
+        self._fleet.note_peers(self._registry.in_flight)
+        self._link = PeerLink(settings, self._registry, self)
         ends = TargetEnds(self._fleet)
+        kept = KeptVerdicts(self._store, time.time)
+        self.quarantine = Quarantine(self._link, ends, kept)
         self._tools = EntryTools(
-            settings, self._fleet, attempts, budget, silence, ends, rng
+            settings, self._fleet, attempts, budget, silence, self.quarantine, rng
         )
         self._front = FrontApp(self._tools, Forwarder(self._tools), self._metrics)
-        self._registry = PeerRegistry(settings.peers, settings.data_centre)
-        self._fleet.note_peers(self._registry.in_flight)
-        self._link = PeerLink(settings, self._registry, self)
         self._registering = Registering(settings, self._store, self._learn)
         self.knowledge = Knowledge(settings, self._store, self._registry, rng, self)
         self._roles = Roles(
@@ -118,6 +122,7 @@
             self._link.run(),
             *self.knowledge.coroutines(),
             self._tools.silence.run(),
+            self.quarantine.run(),
             self._coordinator.run(),
             self._registering.run(),
             self._roles.run(),
@@ -274,6 +279,7 @@
             self._count_daemons(asyncio.get_running_loop().time())
             self._tools.attempts.sweep()
             self._metrics.state("in_flight", self._front.in_flight)
+            self._metrics.state("quarantined", self.quarantine.size)
 
 
 def _exit_on_failure(task):
--- a/cowslipcourse/entry/forwarding.py
+++ b/cowslipcourse/entry/forwarding.py
@@ -38,8 +38,13 @@
         forwarder = self._streams if is_stream else self._plain
         try:
             async with asyncio.timeout_at(call.deadline):
+                # Repeats of a request that ends its targets come at any daemon. When
+                # each was sent to two targets, 17 and 23 ended under two requests.
+                await self._tools.quarantine.admit(call)
                 await forwarder.forward(call, service, responder)
         except TimeoutError as error:
             waited_s = round(loop.time() - call.arrived_at, 3)
             log.info("deadline", request=call.id, seconds=waited_s)
             raise DeadlineWhileRunning("no answer in time") from error
+        finally:
+            self._tools.quarantine.note_over(call)
--- a/cowslipcourse/entry/peer_link.py
+++ b/cowslipcourse/entry/peer_link.py
@@ -5,9 +5,12 @@
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.exceptions import MalformedAnswer
 from cowslipcourse.peers import (
+    CrashReports,
     DigestWriter,
     GroupNews,
     Heartbeat,
+    QuarantineNews,
+    RequestCleared,
     TargetChanges,
     decode,
     encode,
@@ -38,7 +41,7 @@
     :param settings: :class:`~cowslipcourse.entry.settings.EntrySettings`
     :param registry: :class:`~cowslipcourse.peers.PeerRegistry`
     :param daemon: has ``heartbeat()``, ``heartbeat_interval_s()``, ``heard(message)``,
-        ``take_news(news)`` and ``knowledge``.
+        ``take_news(news)``, ``knowledge`` and ``quarantine``.
     """
 
     def __init__(self, settings, registry, daemon):
@@ -108,6 +111,34 @@
         now = asyncio.get_running_loop().time()
         self._send(encode(news), self._registry.all_addresses(now))
 
+    @property
+    def address(self):
+        """This daemon's own address among its peers."""
+        return self._settings.listen.peer
+
+    def living(self):
+        """Return the addresses of the other daemons that live."""
+        return self._registry.living_addresses(asyncio.get_running_loop().time())
+
+    def all(self):
+        """Return the addresses of all other daemons that are known."""
+        return self._registry.all_addresses(asyncio.get_running_loop().time())
+
+    def spoken_to(self):
+        """Return the addresses that this daemon speaks to for its data centre.
+
+        They are those of its own data centre and the reporters elsewhere; none if
+        another daemon speaks.
+        """
+        now = asyncio.get_running_loop().time()
+        if not self._registry.speaks(self._daemon.heartbeat(), now):
+            return []
+        return self._registry.near_addresses(now) + self._registry.far_addresses(now)
+
+    def send(self, message, addresses):
+        """Send a message to some daemons, once; a datagram may be lost."""
+        self._send(encode(message), addresses)
+
     def push(self, changes):
         """Send changes of targets to the own data centre."""
         content = encode(changes)
@@ -137,6 +168,8 @@
             self._daemon.knowledge.take_push(message)
         elif isinstance(message, GroupNews):
             self._daemon.take_news(message)
+        elif isinstance(message, CrashReports | QuarantineNews | RequestCleared):
+            self._daemon.quarantine.take(message)
         elif isinstance(message, Heartbeat):
             if message.member.name != self._settings.name:
                 self._take_heartbeat(message, now)
--- a/cowslipcourse/entry/plain.py
+++ b/cowslipcourse/entry/plain.py
@@ -11,6 +11,8 @@
 
 __all__ = ["PlainForwarder"]
 
+FAILURE_STATUS = 300
+
 log = get_logger(__name__)
 
 
@@ -47,9 +49,10 @@
 
     async def _attempt(self, call, run, is_last):
         async with self._tools.attempts.open(call, run) as attempt:
+            # A plain target says nothing before its answer, so it may be at work.
+            run.has_begun = True
             try:
                 head = await attempt.connection.head()
-                run.has_begun = True
                 if failed_unexecuted(head):
                     raise TargetRefused(f"answered {head.status}")
                 body = await attempt.connection.read_all()
@@ -60,6 +63,7 @@
             raise AnswerBroken(f"answered {head.status}")
         if head.status in NOT_RUN_STATUSES:
             raise AnswerBroken(f"answered {head.status} without proof")
+        run.succeeded = head.status < FAILURE_STATUS
         return head, body
 
 
--- /dev/null
+++ b/cowslipcourse/entry/quarantining.py
@@ -0,0 +1,421 @@
+"""A daemon's part in keeping requests from targets that they would end.
+
+What a target's end says about a request goes to a few daemons, its judges: those that
+come first by a hash of request and address. They are the same whoever asks, so three
+ends that three daemons saw are counted together. The judge that convicts a request
+tells all daemons; one daemon of each data centre repeats that every second, for those
+that missed it, were cut off or have just started. A row of the store keeps it for when
+all daemons start anew.
+"""
+
+import asyncio
+import contextlib
+import hashlib
+from typing import Protocol
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.exceptions import (
+    AnswerBroken,
+    MalformedAnswer,
+    RequestQuarantined,
+    StoreError,
+)
+from cowslipcourse.peers import CrashReports, QuarantineNews, RequestCleared
+from cowslipcourse.quarantine import CrashReport, Suspects, Verdict, Verdicts
+from cowslipcourse.quarantine.judging import TERM_S, is_telling
+from cowslipcourse.quarantine.kept import KEPT_AFTER_S
+
+__all__ = ["Quarantine", "QuarantinePeers"]
+
+JUDGES = 8
+"""Daemons that judge a request: on the smallest sites all of them. On larger ones a few
+may differ from daemon to daemon while one starts or ends."""
+HASH_BYTES = 8
+TICK_S = 0.1
+REPORT_AGAIN_S = 0.4
+"""When a report is sent once more, if its request has not been answered meanwhile. Most
+requests that were only beside an end have been, and bytes between data centres are paid
+for."""
+NEWS_AGAIN_S = 0.3
+"""When news is sent once more: a datagram may be lost."""
+MOST_REPORTS = 64
+"""Reports in one datagram, 5 KB; many targets may end at the same moment."""
+REPEAT_S = 1.0
+"""Interval at which verdicts are repeated; all daemons are to know within 3 s."""
+MOST_REPEATED = 32
+"""Verdicts in one repetition, 1 KB; the others follow in the next ones."""
+READ_AGAIN_S = 0.5
+
+log = get_logger(__name__)
+
+
+class QuarantinePeers(Protocol):
+    """How a daemon reaches the others."""
+
+    @property
+    def address(self) -> str:
+        """This daemon's own address."""
+
+    def living(self) -> list[str]:
+        """Return the addresses of the other daemons that live."""
+
+    def all(self) -> list[str]:
+        """Return the addresses of all other daemons that are known."""
+
+    def spoken_to(self) -> list[str]:
+        """Return the addresses that this daemon repeats verdicts to, if it does."""
+
+    def send(self, message, addresses) -> None:
+        """Send a message to some daemons, once; it may be lost."""
+
+
+class Quarantine:
+    """Reports ends of targets, judges requests, and knows which ones to refuse.
+
+    :param peers: :class:`QuarantinePeers`
+    :param target_ends: :class:`~cowslipcourse.entry.target_ends.TargetEnds`
+    :param kept: :class:`~cowslipcourse.quarantine.KeptVerdicts`
+    """
+
+    def __init__(self, peers, target_ends, kept):
+        self._peers = peers
+        self._target_ends = target_ends
+        self._kept = kept
+        self._suspects = Suspects()
+        self._verdicts = Verdicts()
+        self._not_kept = set()
+        self._reports = []
+        self._again = []
+        self._on_trial = {}
+        self._runs = {}
+        self._tasks = set()
+        self._repeated = 0
+        self._repeat_at = 0.0
+
+    @property
+    def size(self):
+        """Number of requests that are not sent to targets."""
+        return len(self._verdicts)
+
+    # Requests.
+
+    def is_quarantined(self, call):
+        """Whether a request must not be sent to a target.
+
+        :param call: :class:`~cowslipcourse.entry.calls.Call`
+        """
+        if self._verdicts.get(call.fingerprint) is None:
+            return False
+        return self._on_trial.get(call.fingerprint) is not call
+
+    async def admit(self, call):
+        """Let a request pass, or refuse it at once.
+
+        :param call: :class:`~cowslipcourse.entry.calls.Call`
+        :raises RequestQuarantined: it has not run.
+        """
+        if not self.is_quarantined(call):
+            return
+        if self._verdicts.get(call.fingerprint).until <= _now():
+            await self._try_again(call)
+        if self.is_quarantined(call):
+            raise self.refusal(call)
+
+    def refusal(self, call):
+        """Return the error that the caller of a quarantined request gets.
+
+        It says when the request may be tried again, as nothing is sent before.
+        """
+        left_s = self._verdicts.get(call.fingerprint).until - _now()
+        return RequestQuarantined(
+            "this request has ended each target that began to run it",
+            left_s if left_s > 0 else None,
+        )
+
+    async def _try_again(self, call):
+        """Put a request on trial unless another daemon does; it may run well by now."""
+        fingerprint = call.fingerprint
+        try:
+            trial = await self._kept.begin_trial(fingerprint)
+        except (StoreError, MalformedAnswer) as error:
+            log.warning("trial-not-begun", request=call.id, error=error.code)
+            return
+        if trial.verdict is None:
+            if fingerprint not in self._not_kept:
+                # Another daemon's trial went well, and its news did not arrive.
+                self._verdicts.drop(fingerprint)
+            return
+        self._note(trial.verdict._replace(until=_now() + trial.verdict.until))
+        if trial.is_begun:
+            self._on_trial[fingerprint] = call
+            self._tell(QuarantineNews((trial.verdict,)))
+            log.warning("trial-begun", request=call.id, fingerprint=fingerprint.hex())
+
+    def note_over(self, call):
+        """Note that a request is over, whatever became of it."""
+        if self._on_trial.get(call.fingerprint) is call:
+            del self._on_trial[call.fingerprint]
+
+    @contextlib.contextmanager
+    def watching(self, call, run):
+        """Break a run off if its request is quarantined meanwhile.
+
+        Repeats come at several daemons at once. Those that wait at targets when the
+        first ones have ended three would each end another one.
+
+        :param call: :class:`~cowslipcourse.entry.calls.Call`
+        :param run: :class:`~cowslipcourse.entry.attempts.TargetRun`
+        """
+        runs = self._runs.setdefault(call.fingerprint, set())
+        runs.add(run)
+        try:
+            yield
+        finally:
+            runs.discard(run)
+            if not runs:
+                self._runs.pop(call.fingerprint, None)
+
+    def _stop_runs(self, fingerprint):
+        for run in list(self._runs.get(fingerprint, ())):
+            log.info("run-stopped", target=run.entry.id, fingerprint=fingerprint.hex())
+            run.stop(AnswerBroken("the request is quarantined"))
+
+    def note_answered(self, call):
+        """Note that a target has answered a request whole: it does not end targets."""
+        fingerprint = call.fingerprint
+        was_suspected = self._suspects.note_answered(fingerprint, _now())
+        if self._verdicts.get(fingerprint) is not None:
+            self._clear(fingerprint)
+        elif was_suspected:
+            log.info("suspect-cleared", fingerprint=fingerprint.hex())
+
+    def _clear(self, fingerprint):
+        """Tell all daemons that a quarantined request was answered whole."""
+        log.warning("quarantine-lifted", fingerprint=fingerprint.hex())
+        self._verdicts.drop(fingerprint)
+        self._spawn(self._remove_kept(fingerprint))
+        self._tell(RequestCleared(fingerprint))
+
+    def note_failed(self, call, run):
+        """Take note of a run that failed; look into it if the target broke it off.
+
+        :param call: :class:`~cowslipcourse.entry.calls.Call`
+        :param run: :class:`~cowslipcourse.entry.attempts.TargetRun`
+        """
+        # A trial is one run.
+        self.note_over(call)
+        if not run.ended_by_target:
+            return
+        entry = run.entry
+        report = CrashReport(
+            call.fingerprint,
+            entry.id,
+            entry.incarnation,
+            run.has_begun,
+            run.events,
+            run.reached,
+        )
+        self._spawn(self._look_into(call.id, entry, report))
+
+    async def _look_into(self, request, entry, report):
+        if not await self._target_ends.look_into(entry):
+            return
+        is_cleared = self._suspects.was_answered(report.fingerprint, _now())
+        log.info(
+            "ended-under",
+            request=request,
+            fingerprint=report.fingerprint.hex(),
+            target=report.target,
+            begun=report.has_begun,
+            events=report.events,
+            answered_before=is_cleared,
+        )
+        if is_cleared:
+            return
+        if not self._reports:
+            # All requests that were at the target learn of its end in one turn.
+            asyncio.get_running_loop().call_soon(self._send_reports)
+        self._reports.append(report)
+
+    def _send_reports(self):
+        reports, self._reports = self._reports, []
+        by_judge = {}
+        for report in reports:
+            for judge in self._judges(report.fingerprint):
+                by_judge.setdefault(judge, []).append(report)
+        for report in by_judge.pop(self._peers.address, ()):
+            self._judge(report)
+        for judge, found in by_judge.items():
+            self._send_to_judge(judge, [each for each in found if is_telling(each)])
+
+    def _send_to_judge(self, judge, reports, is_again=False):
+        """Send reports, and once more those whose requests are not answered by then."""
+        if is_again:
+            now = _now()
+            answered = self._suspects.was_answered
+            reports = [r for r in reports if not answered(r.fingerprint, now)]
+        for first in range(0, len(reports), MOST_REPORTS):
+            part = tuple(reports[first : first + MOST_REPORTS])
+            self._peers.send(CrashReports(part), [judge])
+        if reports and not is_again:
+            self._later(REPORT_AGAIN_S, self._send_to_judge, judge, reports, True)
+
+    def _judges(self, fingerprint):
+        """Return the addresses of the daemons that judge a request, the first first."""
+        addresses = [self._peers.address, *self._peers.living()]
+        return sorted(addresses, key=lambda each: _rank(fingerprint, each))[:JUDGES]
+
+    # Verdicts.
+
+    def _judge(self, report):
+        fingerprint = report.fingerprint
+        if self._verdicts.get(fingerprint) is not None:
+            return
+        if not self._suspects.note(report, _now()):
+            return
+        lives = self._suspects.lives(fingerprint)
+        log.warning(
+            "quarantined",
+            fingerprint=fingerprint.hex(),
+            targets=",".join(target for target, _ in lives),
+            term_s=TERM_S,
+        )
+        self._note(Verdict(fingerprint, _now() + TERM_S))
+        self._not_kept.add(fingerprint)
+        self._tell(QuarantineNews((Verdict(fingerprint, TERM_S),)))
+        self._keep()
+
+    def _note(self, verdict):
+        """Take a verdict in loop time; return whether it was news."""
+        fingerprint = verdict.fingerprint
+        if self._suspects.was_answered(fingerprint, _now()):
+            # Of judges that did not know, or of one that has missed that it was lifted.
+            if self._suspects.was_answered_here(fingerprint):
+                self._clear(fingerprint)
+            return False
+        self._suspects.drop(fingerprint)
+        if not self._verdicts.note(verdict):
+            return False
+        self._stop_runs(fingerprint)
+        return True
+
+    def take(self, message):
+        """Take in what another daemon tells.
+
+        :param message: :class:`~cowslipcourse.peers.CrashReports`,
+            :class:`~cowslipcourse.peers.QuarantineNews` or
+            :class:`~cowslipcourse.peers.RequestCleared`
+        """
+        if isinstance(message, CrashReports):
+            for report in message.reports:
+                self._judge(report)
+        elif isinstance(message, QuarantineNews):
+            self._learn(message.verdicts, "peer")
+        else:
+            self._suspects.note_answered(message.fingerprint, _now(), here=False)
+            if self._verdicts.drop(message.fingerprint):
+                log.info("quarantine-lifted", fingerprint=message.fingerprint.hex())
+
+    def _learn(self, verdicts, source):
+        now = _now()
+        for verdict in verdicts:
+            if self._note(verdict._replace(until=now + verdict.until)):
+                log.info(
+                    "quarantine-learnt",
+                    fingerprint=verdict.fingerprint.hex(),
+                    source=source,
+                    left_s=round(verdict.until, 1),
+                )
+
+    # What is sent again, and what is kept.
+
+    async def run(self):
+        """Read what is kept, and repeat what others may have missed, for ever."""
+        self._spawn(self._read_kept())
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = _now()
+            due = [each for each in self._again if each[0] <= now]
+            self._again = [each for each in self._again if each[0] > now]
+            for _, act, arguments in due:
+                act(*arguments)
+            if now >= self._repeat_at:
+                self._repeat_at = now + REPEAT_S
+                self._repeat(now)
+
+    def _repeat(self, now):
+        for verdict in self._verdicts:
+            if now > verdict.until + KEPT_AFTER_S:
+                self._verdicts.drop(verdict.fingerprint)
+        self._keep()
+        addresses = self._peers.spoken_to() if len(self._verdicts) else ()
+        if not addresses:
+            return
+        known = sorted(self._verdicts)
+        first = self._repeated % len(known)
+        part = (known[first:] + known[:first])[:MOST_REPEATED]
+        self._repeated = first + len(part)
+        told = tuple(verdict._replace(until=verdict.until - now) for verdict in part)
+        self._peers.send(QuarantineNews(told), addresses)
+
+    def _tell(self, message):
+        addresses = self._peers.all()
+        self._peers.send(message, addresses)
+        self._later(NEWS_AGAIN_S, self._peers.send, message, addresses)
+
+    def _later(self, in_s, act, *arguments):
+        self._again.append((_now() + in_s, act, arguments))
+
+    def _keep(self):
+        """Have what is not kept yet written by the first judge."""
+        for fingerprint in list(self._not_kept):
+            verdict = self._verdicts.get(fingerprint)
+            if verdict is None:
+                self._not_kept.discard(fingerprint)
+            elif self._judges(fingerprint)[0] == self._peers.address:
+                self._not_kept.discard(fingerprint)
+                self._spawn(self._write(verdict))
+
+    async def _write(self, verdict):
+        now = _now()
+        # All of them: the row may have been spoiled by another writer.
+        known = [each._replace(until=each.until - now) for each in self._verdicts]
+        try:
+            await self._kept.add(known)
+        except StoreError as error:
+            log.warning("verdict-not-kept", error=error.code, why=error)
+            self._not_kept.add(verdict.fingerprint)
+
+    async def _remove_kept(self, fingerprint):
+        try:
+            await self._kept.remove(fingerprint)
+        except (StoreError, MalformedAnswer) as error:
+            # Its next trial is later than without this one; it is tried then.
+            log.warning("verdict-not-removed", error=error.code, why=error)
+
+    async def _read_kept(self):
+        while True:
+            try:
+                self._learn(await self._kept.read(), "store")
+                return
+            except StoreError as error:
+                log.info("verdicts-not-read", error=error.code, why=error)
+            except MalformedAnswer as error:
+                log.warning("verdicts-unreadable", why=error)
+                return
+            await asyncio.sleep(READ_AGAIN_S)
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _rank(fingerprint, address):
+    return hashlib.blake2b(
+        fingerprint + address.encode(), digest_size=HASH_BYTES
+    ).digest()
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- a/cowslipcourse/entry/retrying.py
+++ b/cowslipcourse/entry/retrying.py
@@ -29,13 +29,18 @@
     loop = asyncio.get_running_loop()
     tried, runs = set(), 0
     while True:
+        _check_quarantine(tools, call, runs)
         entry = await choose(tried)
         if entry is None:
             raise failure(runs)
+        # The verdict may have come while the request waited for a place.
+        _check_quarantine(tools, call, runs)
         tried.add(entry.id)
         run = TargetRun(entry)
+        is_last = runs + 1 >= call.route.max_attempts
         try:
-            await attempt(run, runs + 1 >= call.route.max_attempts)
+            with tools.quarantine.watching(call, run):
+                await attempt(run, is_last)
         except TargetError as error:
             runs += may_have_run(error)
             _note_failed(tools, call, run, error, loop.time())
@@ -43,9 +48,20 @@
             if not again or not tools.budget.take(service, loop.time()):
                 raise failure(runs) from error
             continue
+        if run.succeeded:
+            tools.quarantine.note_answered(call)
         return entry, len(tried)
 
 
+def _check_quarantine(tools, call, runs):
+    """Stop a request that ends targets, before it is sent to another one.
+
+    :param runs: attempts in which it may have run, by which the caller is told.
+    """
+    if tools.quarantine.is_quarantined(call):
+        raise failure(runs) if runs else tools.quarantine.refusal(call)
+
+
 def _note_failed(tools, call, run, error, now):
     if isinstance(error, TargetUnreachable):
         tools.fleet.suspect(run.entry.id, now)
@@ -61,5 +77,4 @@
         events=run.events,
         ended_by_target=run.ended_by_target,
     )
-    if run.ended_by_target:
-        tools.target_ends.look_into(run.entry)
+    tools.quarantine.note_failed(call, run)
--- a/cowslipcourse/entry/streaming.py
+++ b/cowslipcourse/entry/streaming.py
@@ -96,6 +96,7 @@
 
     async def _run(self, progress, run):
         call = progress.call
+        run.reached = progress.position.last or 0
         async with self._tools.attempts.open(
             call, run, progress.resume_after
         ) as attempt:
@@ -127,6 +128,7 @@
             await self._pass_on(progress, run, head, events)
         if splitter.has_rest:
             raise AnswerBroken("the stream ended inside an event")
+        run.succeeded = True
         if not responder.started:
             await responder.start(200, _stream_headers(head))
         await responder.finish()
@@ -135,6 +137,7 @@
         passed = progress.position.passed
         content, fault = progress.position.take(events)
         run.events += progress.position.passed - passed
+        run.reached = progress.position.last or 0
         if content:
             progress.note_events(asyncio.get_running_loop().time())
             if not progress.responder.started:
--- a/cowslipcourse/entry/tools.py
+++ b/cowslipcourse/entry/tools.py
@@ -11,17 +11,17 @@
     :param attempts: :class:`~cowslipcourse.entry.attempts.Attempts`
     :param budget: :class:`~cowslipcourse.admission.SharedRetryBudget`
     :param silence: :class:`~cowslipcourse.entry.silence.SilenceWatch`
-    :param target_ends: :class:`~cowslipcourse.entry.target_ends.TargetEnds`
+    :param quarantine: :class:`~cowslipcourse.entry.quarantining.Quarantine`
     :param rng: :class:`random.Random`
     """
 
-    def __init__(self, settings, fleet, attempts, budget, silence, target_ends, rng):
+    def __init__(self, settings, fleet, attempts, budget, silence, quarantine, rng):
         self.data_centre = settings.data_centre
         self.fleet = fleet
         self.attempts = attempts
         self.budget = budget
         self.silence = silence
-        self.target_ends = target_ends
+        self.quarantine = quarantine
         self.rng = rng
         self.table = None
 
--- a/cowslipcourse/exceptions.py
+++ b/cowslipcourse/exceptions.py
@@ -39,6 +39,7 @@
     "ReplyLost",
     "RequestError",
     "RequestFailed",
+    "RequestQuarantined",
     "SelectorError",
     "SettingsError",
     "StoreError",
@@ -351,6 +352,12 @@
     code = "no-target-available"
 
 
+class RequestQuarantined(AdmissionError):
+    """The same request has ended each target that began to run it."""
+
+    code = "request-quarantined"
+
+
 class WorkspaceOverShare(AdmissionError):
     """The workspace uses more than its share while others wait."""
 
--- a/cowslipcourse/exchange/connection.py
+++ b/cowslipcourse/exchange/connection.py
@@ -110,7 +110,7 @@
 
     @property
     def ended_by_target(self):
-        """Whether the other side closed or reset it, and not this one."""
+        """Whether the other side closed or reset it before its answer was whole."""
         return self._ended_by_target
 
     def send(self, request):
@@ -226,7 +226,8 @@
     def connection_lost(self, error):
         """See :class:`asyncio.Protocol`."""
         self._closed = True
-        self._ended_by_target = not self._aborted
+        is_whole = self._answer is not None and self._answer.complete
+        self._ended_by_target = not (self._aborted or is_whole)
         self._wake()
 
     # Called by the parser.
--- a/cowslipcourse/peers/__init__.py
+++ b/cowslipcourse/peers/__init__.py
@@ -2,11 +2,14 @@
 
 from cowslipcourse.peers.digests import DigestWriter
 from cowslipcourse.peers.messages import (
+    CrashReports,
     Digest,
     GroupNews,
     Heartbeat,
     Member,
     OpenedHead,
+    QuarantineNews,
+    RequestCleared,
     TargetChanges,
     decode,
     encode,
@@ -21,6 +24,7 @@
 from cowslipcourse.peers.state import PeerState, decode_state, encode_state
 
 __all__ = [
+    "CrashReports",
     "Digest",
     "DigestWriter",
     "GroupNews",
@@ -29,7 +33,9 @@
     "OpenedHead",
     "PeerRegistry",
     "PeerState",
+    "QuarantineNews",
     "Registration",
+    "RequestCleared",
     "TargetChanges",
     "decode",
     "decode_registration",
--- a/cowslipcourse/peers/messages.py
+++ b/cowslipcourse/peers/messages.py
@@ -8,13 +8,17 @@
 from cowslipcourse.exceptions import MalformedAnswer
 from cowslipcourse.peers.packing import pack, unpack
 from cowslipcourse.ports.addresses import Address
+from cowslipcourse.quarantine import CrashReport, Verdict
 
 __all__ = [
+    "CrashReports",
     "Digest",
     "GroupNews",
     "Heartbeat",
     "Member",
     "OpenedHead",
+    "QuarantineNews",
+    "RequestCleared",
     "TargetChanges",
     "decode",
     "encode",
@@ -133,7 +137,42 @@
     serves_in_s: Annotated[float, msgspec.Meta(ge=0, le=60)]
 
 
-_KINDS = {b"H": Heartbeat, b"D": Digest, b"T": TargetChanges, b"G": GroupNews}
+class CrashReports(NamedTuple):
+    """Targets that ended under requests, for those daemons that judge the requests.
+
+    :param reports: of any number of requests.
+    """
+
+    reports: tuple[CrashReport, ...]
+
+
+class QuarantineNews(NamedTuple):
+    """Requests that are not to be sent to targets, for all daemons.
+
+    :param verdicts: their times are seconds from now on.
+    """
+
+    verdicts: tuple[Verdict, ...]
+
+
+class RequestCleared(NamedTuple):
+    """A target has answered a request whole that is suspected or quarantined.
+
+    :param fingerprint: of the request.
+    """
+
+    fingerprint: bytes
+
+
+_KINDS = {
+    b"C": CrashReports,
+    b"D": Digest,
+    b"G": GroupNews,
+    b"H": Heartbeat,
+    b"Q": QuarantineNews,
+    b"R": RequestCleared,
+    b"T": TargetChanges,
+}
 _LETTERS = {kind: letter for letter, kind in _KINDS.items()}
 _encoder = msgspec.msgpack.Encoder()
 _decoders = {letter: msgspec.msgpack.Decoder(kind) for letter, kind in _KINDS.items()}
--- a/cowslipcourse/peers/registry.py
+++ b/cowslipcourse/peers/registry.py
@@ -233,6 +233,12 @@
         self._forget(now)
         return list(self._addresses)
 
+    def living_addresses(self, now):
+        """Return the addresses of the other daemons that live, in all data centres."""
+        members = [heartbeat.member for heartbeat in self.near(now)]
+        members += [member for d in self.digests(now) for member in d.members]
+        return sorted({member.peer_address for member in members})
+
     def far_addresses(self, now):
         """Return the addresses that a digest goes to: reporters elsewhere.
 
--- a/cowslipcourse/quarantine/__init__.py
+++ b/cowslipcourse/quarantine/__init__.py
@@ -1,5 +1,14 @@
 """Requests that end the targets which run them: how they are told and kept away."""
 
 from cowslipcourse.quarantine.fingerprints import fingerprint
+from cowslipcourse.quarantine.judging import CrashReport, Suspects, Verdict, Verdicts
+from cowslipcourse.quarantine.kept import KeptVerdicts
 
-__all__ = ["fingerprint"]
+__all__ = [
+    "CrashReport",
+    "KeptVerdicts",
+    "Suspects",
+    "Verdict",
+    "Verdicts",
+    "fingerprint",
+]
