Quarantine: one wake-up a second, one write for all verdicts that are not kept yet

A daemon without any verdict woke ten times a second to look for messages to be sent again. They are timers now, and one write keeps all verdicts whose first judge a daemon is.

--- a/cowslipcourse/entry/quarantining.py
+++ b/cowslipcourse/entry/quarantining.py
@@ -31,7 +31,6 @@
 """Daemons that judge a request: on the smallest sites all of them. On larger ones a few
 may differ from daemon to daemon while one starts or ends."""
 HASH_BYTES = 8
-TICK_S = 0.1
 REPORT_AGAIN_S = 0.4
 """When a report is sent once more, if its request has not been answered meanwhile. Most
 requests that were only beside an end have been, and bytes between data centres are paid
@@ -44,7 +43,8 @@
 """Interval at which verdicts are repeated; all daemons are to know within 3 s."""
 MOST_REPEATED = 32
 """Verdicts in one repetition, 1 KB; the others follow in the next ones."""
-READ_AGAIN_S = 0.5
+READ_AGAIN_S = 2.0
+"""Pause after the store has not told what is kept; others repeat it meanwhile."""
 
 log = get_logger(__name__)
 
@@ -85,12 +85,10 @@
         self._verdicts = Verdicts()
         self._not_kept = set()
         self._reports = []
-        self._again = []
         self._on_trial = {}
         self._runs = {}
         self._tasks = set()
         self._repeated = 0
-        self._repeat_at = 0.0
 
     @property
     def size(self):
@@ -258,7 +256,8 @@
             part = tuple(reports[first : first + MOST_REPORTS])
             self._peers.send(CrashReports(part), [judge])
         if reports and not is_again:
-            self._later(REPORT_AGAIN_S, self._send_to_judge, judge, reports, True)
+            loop = asyncio.get_running_loop()
+            loop.call_later(REPORT_AGAIN_S, self._send_to_judge, judge, reports, True)
 
     def _judges(self, fingerprint):
         """Return the addresses of the daemons that judge a request, the first first."""
@@ -333,15 +332,8 @@
         """Read what is kept, and repeat what others may have missed, for ever."""
         self._spawn(self._read_kept())
         while True:
-            await asyncio.sleep(TICK_S)
-            now = _now()
-            due = [each for each in self._again if each[0] <= now]
-            self._again = [each for each in self._again if each[0] > now]
-            for _, act, arguments in due:
-                act(*arguments)
-            if now >= self._repeat_at:
-                self._repeat_at = now + REPEAT_S
-                self._repeat(now)
+            await asyncio.sleep(REPEAT_S)
+            self._repeat(_now())
 
     def _repeat(self, now):
         for verdict in self._verdicts:
@@ -361,22 +353,19 @@
     def _tell(self, message):
         addresses = self._peers.all()
         self._peers.send(message, addresses)
-        self._later(NEWS_AGAIN_S, self._peers.send, message, addresses)
-
-    def _later(self, in_s, act, *arguments):
-        self._again.append((_now() + in_s, act, arguments))
+        loop = asyncio.get_running_loop()
+        loop.call_later(NEWS_AGAIN_S, self._peers.send, message, addresses)
 
     def _keep(self):
-        """Have what is not kept yet written by the first judge."""
-        for fingerprint in list(self._not_kept):
-            verdict = self._verdicts.get(fingerprint)
-            if verdict is None:
-                self._not_kept.discard(fingerprint)
-            elif self._judges(fingerprint)[0] == self._peers.address:
-                self._not_kept.discard(fingerprint)
-                self._spawn(self._write(verdict))
-
-    async def _write(self, verdict):
+        """Write what is not kept yet, if this daemon is the first judge of it."""
+        known = {each for each in self._not_kept if self._verdicts.get(each)}
+        own = self._peers.address
+        due = {each for each in known if self._judges(each)[0] == own}
+        self._not_kept = known - due
+        if due:
+            self._spawn(self._write(due))
+
+    async def _write(self, due):
         now = _now()
         # All of them: the row may have been spoiled by another writer.
         known = [each._replace(until=each.until - now) for each in self._verdicts]
@@ -384,7 +373,7 @@
             await self._kept.add(known)
         except StoreError as error:
             log.warning("verdict-not-kept", error=error.code, why=error)
-            self._not_kept.add(verdict.fingerprint)
+            self._not_kept |= due
 
     async def _remove_kept(self, fingerprint):
         try:
