Real processes and the soak get requests that end their targets

Stand-in engines and plain targets whose process ends under such a request: their host refuses connections, and another life listens 2 s later.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -82,12 +82,24 @@
     "end"
 )
 def step_bound(context, most, seconds):
+    if "platform" in context:
+        _check_arrivals(context.platform, most, seconds)
+        return
     crashes = context.result.crashes
     assert crashes and all(each.ended >= COUNTED_ENDS for each in crashes), crashes
     assert all(each.later <= most for each in crashes), crashes
     assert not context.result.violations, context.result.violations
 
 
+def _check_arrivals(platform, most, seconds):
+    """Check what real targets have seen of a request that ends them."""
+    ends = sorted(end.at for end in platform.ends)
+    assert len(ends) >= COUNTED_ENDS, ends
+    due_at = ends[COUNTED_ENDS - 1] + seconds
+    later = [arrival for arrival in platform.arrivals if arrival.at > due_at]
+    assert len(later) <= most, (len(ends), len(later))
+
+
 @then(
     "it reaches more than {most:d} targets later than {seconds:d} s after the third end"
 )
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import functools
+import itertools
 import json
 import os
 import random
@@ -28,7 +29,7 @@
 from features.support.wire import entry_content, entry_fields
 from harness.ports import free_ports
 
-__all__ = ["HOST", "KEY", "PlatformSite", "stream_events"]
+__all__ = ["ENDS", "HOST", "KEY", "Arrival", "PlatformSite", "stream_events"]
 
 HOST = "north.example"
 KEY = "key-1"
@@ -36,6 +37,14 @@
 EVENT_S = 0.02
 PLAIN_S = 0.01
 EVENTS = 25
+ENDS = "end-"
+"""Requests whose last part of the path begins so end each target that runs them."""
+END_S = 0.08
+"""Time for which a target still runs such a request."""
+BACK_S = 2.0
+"""Time from the end of a target until its next life listens."""
+LAPSE_S = 1.0
+"""Time for which the list still has the entry of a target that has ended."""
 QUICK = (
     LARGE._replace(load_s=1.0, warm_s=0.3),
     SMALL._replace(load_s=1.0, warm_s=0.3),
@@ -48,6 +57,19 @@
 }
 
 
+class Arrival(NamedTuple):
+    """A request that ends targets, at a target.
+
+    :param name: last part of its path.
+    :param attempt: the caller's attempt id.
+    :param at: loop time at which it came.
+    """
+
+    name: str
+    attempt: str
+    at: float
+
+
 class PlainRun(NamedTuple):
     """A request that a plain target ran.
 
@@ -104,6 +126,11 @@
         self._servers = []
         self._addresses = {}
         self._listed = {}
+        self._lapsing = {}
+        self._target_servers = {}
+        self._names = itertools.count(1)
+        self.arrivals = []
+        self.ends = []
         self._tasks = []
 
     async def start(self):
@@ -176,10 +203,13 @@
         server = WebServer(app, address)
         await server.start()
         self._servers.append(server)
+        return server
 
     async def add_engine(self, domain):
         """Start an engine."""
-        engine = self.world.add_engine(domain)
+        await self._serve_engine(self.world.add_engine(domain))
+
+    async def _serve_engine(self, engine):
         address = f"127.0.0.1:{free_ports(1)[0]}"
         self._addresses[engine.id] = await self.published_address(address)
         report, order, stream = (
@@ -191,13 +221,53 @@
             Route("/order", order, methods=["POST"]),
             Route("/draft/{name}", stream, methods=["POST"]),
         ]
-        await self._serve(Starlette(routes=routes), address)
+        server = await self._serve(Starlette(routes=routes), address)
+        self._target_servers[engine.id] = server
+
+    async def _run_to_the_end(self, name, attempt, target):
+        """Run a request that ends its target, for as long as the target lasts."""
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(Arrival(name, attempt, now))
+        await asyncio.sleep(END_S)
+        if target in self._target_servers:
+            self.ends.append(Arrival(name, attempt, now + END_S))
+            self._end_target(target)
+        raise ConnectionResetError("the target has ended")
+
+    def _end_target(self, target):
+        """End the process of a target; its next life comes after a while."""
+        server = self._target_servers.pop(target)
+        self.stop_listening(target, server)
+        engine = self.world.engines.pop(target, None)
+        coming = self._come_back(target, engine)
+        self._tasks.append(asyncio.create_task(coming))
+
+    def stop_listening(self, target, server):
+        """Let a target's host refuse connections, and reset those that are open."""
+        for listening in server._server.servers:
+            listening.close()
+        for connection in list(server._server.server_state.connections):
+            connection.transport.abort()
+
+    async def _come_back(self, target, engine):
+        if engine is None:
+            await asyncio.sleep(LAPSE_S)
+            self.store.drop("servers", target)
+            await asyncio.sleep(BACK_S - LAPSE_S)
+            await self._add_plain(f"{target}-{next(self._names)}")
+            return
+        self._lapsing[target] = asyncio.get_running_loop().time() + LAPSE_S
+        await asyncio.sleep(BACK_S)
+        await self._serve_engine(self.world.rename(engine))
 
     async def _add_plain(self, name):
         address = f"127.0.0.1:{free_ports(1)[0]}"
 
         async def run(request):
             attempt = request.headers["x-attempt-id"]
+            path_name = request.path_params["name"]
+            if path_name.startswith(ENDS):
+                await self._run_to_the_end(path_name, attempt, name)
             now = asyncio.get_running_loop().time()
             self.runs.append(PlainRun(attempt, request.url.path, name, now))
             await asyncio.sleep(PLAIN_S)
@@ -205,7 +275,8 @@
             return Response(b"done", headers=headers)
 
         path = Route("/{kind}/{name}", run, methods=["GET", "POST"])
-        await self._serve(Starlette(routes=[path]), address)
+        server = await self._serve(Starlette(routes=[path]), address)
+        self._target_servers[name] = server
         self.list_plain(name, await self.published_address(address))
 
     def list_plain(self, name, address, state="ready"):
@@ -255,7 +326,10 @@
                 if self._listed.get(engine_id) != entry:
                     self._listed[engine_id] = entry
                     self.store.put("servers", engine_id, json.dumps(entry).encode())
+            now = asyncio.get_running_loop().time()
             for engine_id in set(self._listed) - set(live):
+                if now < self._lapsing.get(engine_id, now):
+                    continue
                 del self._listed[engine_id]
                 self.store.drop("servers", engine_id)
 
@@ -290,10 +364,14 @@
         if not engine.is_open_head:
             return Response(status_code=421, headers=headers)
         after = int(request.headers.get("last-event-id", 0))
-        events = stream_events(request.path_params["name"])[after:]
+        name = request.path_params["name"]
+        events = stream_events(name)[after:]
         headers["x-response-seal"] = engine.id
 
         async def produce():
+            if name.startswith(ENDS):
+                attempt = headers["x-attempt-id"]
+                await self._run_to_the_end(name, attempt, engine_id)
             for event in events:
                 await asyncio.sleep(EVENT_S)
                 while engine.membership is None or not self._serves(engine):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -64,10 +64,21 @@
             return None
         return names[self._rng.choice(addresses)]
 
-    async def call(self, session, daemon, kind):
+    async def call_ending(self, name):
+        """Let a request that ends its targets come at all daemons at once.
+
+        :param name: last part of its path.
+        """
+        async with aiohttp.ClientSession() as session:
+            daemons = list(self._site.fronts)
+            calls = [self.call(session, d, CallKind.STREAM, name) for d in daemons]
+            await asyncio.gather(*calls)
+
+    async def call(self, session, daemon, kind, name=None):
         """Make a call, note it and return its :class:`~soak.history.CallRecord`."""
         site, loop = self._site, asyncio.get_running_loop()
         number = next(self._numbers)
+        name = name or f"n{number}"
         turn = None
         if kind == CallKind.LOOKUP and self._rng.random() < TURN_SHARE:
             turn = self._rng.randint(0, max(site.history.configured_at, default=0))
@@ -80,11 +91,11 @@
             "Authorization": f"Bearer {key}",
         }
         run, began_at = site.history.run_of(daemon), loop.time()
-        answer = await self._send(session, daemon, f"/{kind}/n{number}", headers)
+        answer = await self._send(session, daemon, f"/{kind}/{name}", headers)
         status, body, was_sent = answer
         record = CallRecord(
             kind,
-            f"n{number}",
+            name,
             f"c{number}",
             daemon,
             run if run == site.history.run_of(daemon) else None,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -12,6 +12,9 @@
 APPLY_S = 2.0
 LEAVE_S = 2.0
 """Bounds of configurations and of targets that leave, as on the users' platform."""
+ENDS_ALLOWED = 3
+LATER_ALLOWED = 3
+"""Targets that a request may end, and may reach once that has been known in time."""
 LOOP_MARGIN_S = 0.5
 """The observer's own loop is late at times; times are taken on both sides."""
 
@@ -32,6 +35,7 @@
         *_planned(history),
         *_keys(history),
         *_leaving(site),
+        *_ending(site),
     ]
 
 
@@ -123,3 +127,24 @@
         span = left_at, run.at, CONTACT_S
         if all(history.is_calm(each, *span) for each in (call.daemon, "store")):
             yield f"sent to a target that left {run.at - left_at:.1f} s ago: {call}"
+
+
+def _ending(site):
+    """Check that a request which ends its targets is kept from them in time."""
+    history = site.history
+    calls = {call.attempt: call for call in history.calls}
+    for name in {end.name for end in site.ends}:
+        ends = sorted(end.at for end in site.ends if end.name == name)
+        if len(ends) < ENDS_ALLOWED:
+            continue
+        due_at = ends[ENDS_ALLOWED - 1] + CONTACT_S + LOOP_MARGIN_S
+        later = []
+        for arrival in site.arrivals:
+            call = calls.get(arrival.attempt)
+            if arrival.name != name or arrival.at < due_at or call is None:
+                continue
+            span = arrival.at, arrival.at, CONTACT_S
+            if all(history.is_calm(each, *span) for each in (call.daemon, "store")):
+                later.append(arrival)
+        if len(later) > LATER_ALLOWED:
+            yield f"ended {len(ends)} targets, {len(later)} later arrivals: {name}"
--- a/soak/run.py
+++ b/soak/run.py
@@ -54,6 +54,7 @@
     rng = random.Random(seed)
     site = SoakSite(rng)
     callers = Callers(site, rng)
+    site.call_ending = callers.call_ending
     calling = None
     try:
         await site.start()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -38,6 +38,7 @@
     KEY_CHANGES = "key-changes"
     ENGINE_STARTS_AGAIN = "engine-starts-again"
     ENTRY_SPOILED = "entry-spoiled"
+    TARGETS_ENDED = "targets-ended"
 
 
 K = FaultKind
@@ -57,6 +58,8 @@
 LATER_KINDS = frozenset((K.ENGINE_STARTS_AGAIN, K.ENTRY_SPOILED))
 LATER_KINDS_FROM = 1000
 """First seed that draws the kinds added later: earlier seeds stay as they are."""
+ENDED_FROM = 2000
+"""The same for the kind that came after those."""
 _WEIGHTS = dict.fromkeys(FaultKind, 2.0) | {
     K.KILL_ALL: 0.3,
     K.ENGINE_LOST: 5,
@@ -65,6 +68,7 @@
     K.KEY_CHANGES: 4,
     K.ENGINE_STARTS_AGAIN: 6,
     K.ENTRY_SPOILED: 4,
+    K.TARGETS_ENDED: 10,
 }
 
 
@@ -90,7 +94,9 @@
     :param duration_s: seconds within which faults begin and end.
     :param seed: decides which kinds are drawn.
     """
-    left_out = LATER_KINDS if seed < LATER_KINDS_FROM else frozenset()
+    left_out = set(LATER_KINDS) if seed < LATER_KINDS_FROM else set()
+    if seed < ENDED_FROM:
+        left_out.add(K.TARGETS_ENDED)
     drawn = {kind: w for kind, w in _WEIGHTS.items() if kind not in left_out}
     kinds, weights = zip(*drawn.items(), strict=True)
     faults, at_s, kind = [], 0.0, None
--- a/soak/site.py
+++ b/soak/site.py
@@ -4,7 +4,7 @@
 import signal
 from pathlib import Path
 
-from features.support.platform_site import KEY, PlatformSite
+from features.support.platform_site import ENDS, KEY, PlatformSite
 from harness.ports import free_ports
 from soak.history import SiteHistory
 from soak.proxy import LinkState, LoopbackProxy
@@ -22,6 +22,9 @@
 """An entry as another writer may leave it."""
 """A daemon's own settings allow it this long to stop."""
 RESET_AGAIN_S = 0.1
+ENDING_REQUESTS = 2
+"""Different requests that end their targets, in one run."""
+ENDING_AGAIN_S = 0.5
 HANDLED = ("SigIgn:", "SigCgt:")
 """Lines of a process's status that say which signals it ignores or catches."""
 MOST_ENGINES_LOST = 4
@@ -48,6 +51,7 @@
         self._lost = 0
         self._turn = 0
         self._deeds = set()
+        self.call_ending = None
 
     async def start(self):
         """Start everything and keep ended daemons starting again."""
@@ -259,6 +263,26 @@
         if engine is not None:
             self.world.restart(engine)
 
+    def stop_listening(self, target, server):
+        """Let the target's proxy refuse connections too."""
+        super().stop_listening(target, server)
+        address = self._addresses.get(target) or self._plain[target]
+        proxy = self._target_proxies.pop(address)
+        self._begin(proxy.stop())
+
+    async def _do_targets_ended(self, fault):
+        """Let one request that ends its targets come again and again.
+
+        The same few come in all faults of this kind, so that they come long after
+        they have ended three targets.
+        """
+        name = f"{ENDS}{int(fault.luck * ENDING_REQUESTS)}"
+        loop = asyncio.get_running_loop()
+        until = loop.time() + fault.for_s
+        while loop.time() < until:
+            await self.call_ending(name)
+            await asyncio.sleep(ENDING_AGAIN_S)
+
     async def _do_entry_spoiled(self, fault):
         """Let another writer replace an engine's entry until its next own one."""
         engine = self._some_engine(fault)
