--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -10,6 +10,10 @@
     When the soak runs seeds 1001 to 1002 with 6 s of faults each
     Then no promise was broken
 
+  Scenario: Requests end the targets that run them
+    When the soak runs seeds 2001 to 2001 with 6 s of faults each
+    Then no promise was broken
+
   Scenario Outline: A broken promise is noticed
     Given a soak's history in which <what happened>
     Then the checks say "<finding>"
@@ -26,6 +30,7 @@
       | a daemon takes an old key after a newer one            | went back to an older           |
       | a target gets a request 4 s after it began to leave    | sent to a target that left      |
       | a process ended by itself                              | process ended by itself         |
+      | a request reaches 4 targets 4 s after it ended three   | 4 later arrivals                |
 
   Scenario Outline: What faults explain is no finding
     Given a soak's history in which <what happened>
@@ -36,3 +41,4 @@
       | a killed daemon cut a stream                           |
       | a key is served 4 s after it was taken away, without the store |
       | a target gets a request 1 s after it began to leave    |
+      | a request reaches 3 targets 4 s after it ended three   |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from features.support.platform_site import PlainRun, stream_events
+from features.support.platform_site import Arrival, PlainRun, stream_events
 from soak.checks import check
 from soak.history import CallKind, CallRecord, SiteHistory
 from soak.run import soak_run
@@ -88,6 +88,16 @@
     context.site.runs.append(_RUN)
 
 
+def _end_targets(context, arrivals, after_s):
+    site = context.site
+    site.ends = [Arrival("end-1", f"c{n}", 2.0) for n in range(3)]
+    later = [f"c{n}" for n in range(10, 10 + arrivals)]
+    site.arrivals = [Arrival("end-1", each, 2.0 + after_s) for each in later]
+    broken = _STREAM._replace(body=None, status=502)
+    site.history.calls += [broken._replace(attempt=each) for each in later]
+    _disturb(context, "targets", 10.0, False)
+
+
 def _serve_old_key_without_store(context):
     _disturb(context, "store", 8.0, False)
     _serve_old_key(context)
@@ -117,6 +127,12 @@
     "a daemon takes an old key after a newer one": _go_back,
     "a target gets a request 4 s after it began to leave": lambda c: _leave(c, 6.2),
     "a target gets a request 1 s after it began to leave": lambda c: _leave(c, 9.2),
+    "a request reaches 4 targets 4 s after it ended three": lambda c: _end_targets(
+        c, 4, 4.0
+    ),
+    "a request reaches 3 targets 4 s after it ended three": lambda c: _end_targets(
+        c, 3, 4.0
+    ),
     "a process ended by itself": lambda c: c.site.history.own_ends.append(("a1", 70)),
 }
 
@@ -127,6 +143,8 @@
     context.site = SimpleNamespace(
         history=SiteHistory(context.clock.time),
         runs=[],
+        ends=[],
+        arrivals=[],
         world=SimpleNamespace(violations=[]),
     )
     _HISTORIES[what](context)
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -29,7 +29,15 @@
 from features.support.wire import entry_content, entry_fields
 from harness.ports import free_ports
 
-__all__ = ["ENDS", "HOST", "KEY", "Arrival", "PlatformSite", "stream_events"]
+__all__ = [
+    "ENDS",
+    "HOST",
+    "KEY",
+    "Arrival",
+    "PlainRun",
+    "PlatformSite",
+    "stream_events",
+]
 
 HOST = "north.example"
 KEY = "key-1"
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,6 +21,8 @@
 SETTLE_S = 20.0
 """Time for a loaded machine to start the site, and to serve again after the faults."""
 LOOK_S = 0.2
+LATE_REPEATS = 2
+CALM_S = 2.0
 SOUND_LOOKS = 3
 """Rounds in a row in which all daemons must serve everything."""
 
@@ -45,6 +47,14 @@
     return False
 
 
+async def _repeat_ending(site, callers):
+    """Repeat what has ended targets once nothing disturbs the daemons any more."""
+    for _ in range(LATE_REPEATS):
+        await asyncio.sleep(CALM_S)
+        for name in sorted({end.name for end in site.ends}):
+            await callers.call_ending(name)
+
+
 async def soak_run(seed, duration_s):
     """Make one run and return ``(violations, site)``.
 
@@ -70,6 +80,8 @@
         await asyncio.sleep(max(0.0, began_at + duration_s - now))
         await site.faults_over()
         recovered = await _serves(site, callers)
+        if site.ends:
+            await _repeat_ending(site, callers)
         found = [] if recovered else ["not served again after the faults"]
         return [*found, *check(site)], site
     finally:
