--- a/features/quarantine/judging.feature
+++ b/features/quarantine/judging.feature
@@ -22,7 +22,7 @@
       | begun a, begun b, 601 s, begun c                         | no        |
 
   Scenario: One that was only beside such requests is not blamed
-    What it takes is measured: 2,000 requests, each beside one that ends its targets, as long as that goes on.
+    A model with assumed chances, which the step names: 2,000 requests, each beside one that ends its targets.
     Callers try twice and daemons go on at a second target, so each runs four times at most.
     Given 2000 requests that are beside one that ends its targets, in groups of 8 places
     Then fewer than 1 in 100 of them are convicted
