Sight: the one cause of each lost request, and groups and engines by model

Cause: of a lost request the logs named neither route nor model, nor whether no group served it, all were full or all were tried; how many groups a model has was nowhere.

--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -10,6 +10,7 @@
 from cowslipcourse.adapters.web import WebServer
 from cowslipcourse.admission import SMALLEST_SITE, SharedRetryBudget
 from cowslipcourse.entry.attempts import Attempts
+from cowslipcourse.entry.census import CensusWatch
 from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.fleet import FleetView
 from cowslipcourse.entry.forwarding import Forwarder
@@ -274,12 +275,14 @@
         self._link.tell()
 
     async def _keep_house(self):
+        census = CensusWatch()
         while True:
             await asyncio.sleep(SWEEP_S)
             self._count_daemons(asyncio.get_running_loop().time())
             self._tools.attempts.sweep()
             self._metrics.state("in_flight", self._front.in_flight)
             self._metrics.state("quarantined", self.quarantine.size)
+            self._metrics.fleet(census.look(self._tools.table, self._fleet))
 
 
 def _exit_on_failure(task):
--- a/cowslipcourse/entry/front.py
+++ b/cowslipcourse/entry/front.py
@@ -5,6 +5,7 @@
 
 from cowslipcourse.adapters.answers import problem_answer
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.entry.accounting import SERVED
 from cowslipcourse.entry.calls import Responder, read_call
 from cowslipcourse.entry.stopping import RequestDurations, can_end
 from cowslipcourse.exceptions import CallerGone, GatewayDraining, RequestError
@@ -18,6 +19,15 @@
 log = get_logger(__name__)
 
 
+class _Ended:
+    """How a request ended, for the account of its route and model."""
+
+    def __init__(self):
+        self.route = ""
+        self.model = ""
+        self.cause = SERVED
+
+
 class FrontApp:
     """Serves callers.
 
@@ -53,14 +63,14 @@
         self.in_flight += 1
         started_at = time.monotonic()
         responder = Responder(send, lambda: self.is_draining)
-        outcome = "ok"
+        outcome, ended = "ok", _Ended()
         try:
-            await self._serve(scope, receive, responder)
+            await self._serve(scope, receive, responder, ended)
         except CallerGone as error:
-            outcome = error.code
+            outcome, ended.cause = error.code, error.cause
         except RequestError as error:
-            outcome = error.code
-            await self._fail(error, scope, receive, send, responder)
+            outcome, ended.cause = error.code, error.cause
+            await self._fail(error, scope, receive, send, responder, ended)
         except Exception:
             outcome = "crashed"
             log.exception("request-crashed", path=scope["path"])
@@ -68,9 +78,11 @@
         finally:
             self.in_flight -= 1
             self._metrics.request(outcome, time.monotonic() - started_at)
+            self._metrics.account(ended.route, ended.model, ended.cause)
 
-    async def _serve(self, scope, receive, responder):
+    async def _serve(self, scope, receive, responder, ended):
         call = await read_call(scope, receive, self._tools.table)
+        ended.route, ended.model = call.route.name, call.fields.model
         self._check_time_left(call)
         forwarding = asyncio.create_task(self._forwarder.forward(call, responder))
         leaving = asyncio.create_task(_wait_disconnect(receive))
@@ -79,7 +91,13 @@
                 (forwarding, leaving), return_when=asyncio.FIRST_COMPLETED
             )
             if not forwarding.done():
-                log.info("caller-left", request=call.id)
+                log.info(
+                    "caller-left",
+                    request=call.id,
+                    route=ended.route,
+                    model=ended.model,
+                    seconds=round(_now() - call.arrived_at, 3),
+                )
                 raise CallerGone("the caller left")
             forwarding.result()
             self._durations.note(call.route, _now() - call.arrived_at)
@@ -99,11 +117,14 @@
         if not can_end(left_s, self._durations.longest_s(call.route)):
             raise GatewayDraining("this daemon is about to end", GO_ELSEWHERE_S)
 
-    async def _fail(self, error, scope, receive, send, responder):
+    async def _fail(self, error, scope, receive, send, responder, ended):
         log.info(
             "request-failed",
             request=attempt_id(scope["headers"]),
+            route=ended.route,
+            model=ended.model,
             error=error.code,
+            cause=error.cause,
             status=error.status,
             outcome=error.outcome,
             retry_after_s=error.retry_after_s,
--- a/cowslipcourse/entry/metrics.py
+++ b/cowslipcourse/entry/metrics.py
@@ -7,6 +7,9 @@
 
 __all__ = ["EntryMetrics"]
 
+MOST_ROUTES = 200
+"""Routes with counters of their own; the others share one, so memory is bounded."""
+OTHER_ROUTES = "other"
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0)
 
 
@@ -45,12 +48,56 @@
         self._state = Gauge(
             "cowslip_state", "State of the daemon", ["name"], registry=self._registry
         )
+        self._account = Counter(
+            "cowslip_account",
+            "Requests by route, model and the one cause of their end",
+            ["route", "model", "cause"],
+            registry=self._registry,
+        )
+        self._routes = set()
+        self._groups = Gauge(
+            "cowslip_groups",
+            "Groups that serve a model, as this daemon sees it",
+            ["model"],
+            registry=self._registry,
+        )
+        self._engines = Gauge(
+            "cowslip_engines",
+            "Listed engines by model and state of their group",
+            ["model", "state"],
+            registry=self._registry,
+        )
 
     def request(self, outcome, seconds):
         """Count a request that is over."""
         self._requests.labels(outcome).inc()
         self._seconds.observe(seconds)
 
+    def account(self, route, model, cause):
+        """Count a request that is over under the one cause of its end.
+
+        :param route: name of the route; empty if it was not found.
+        :param model: model that was asked for, or empty.
+        :param cause: ``served``, or why it was lost.
+        """
+        if route not in self._routes and len(self._routes) >= MOST_ROUTES:
+            route = OTHER_ROUTES
+        else:
+            self._routes.add(route)
+        self._account.labels(route, model, cause).inc()
+
+    def fleet(self, census):
+        """Set the numbers of groups and engines.
+
+        :param census: :class:`~cowslipcourse.entry.census.Census`
+        """
+        self._groups.clear()
+        for model, number in census.groups.items():
+            self._groups.labels(model).set(number)
+        self._engines.clear()
+        for (model, state), number in census.engines.items():
+            self._engines.labels(model, state).set(number)
+
     def event_counter(self):
         """Return a log handler that counts what is logged, by event and level."""
         return _EventCounter(self._events)
--- a/cowslipcourse/entry/outcomes.py
+++ b/cowslipcourse/entry/outcomes.py
@@ -43,11 +43,12 @@
     return route.may_repeat and runs < route.max_attempts
 
 
-def failure(runs):
+def failure(runs, cause=""):
     """Return the error that the caller gets if there are no attempts left.
 
     :param runs: attempts in which the request may have run.
+    :param cause: why there are none.
     """
     if runs:
-        return TargetFailed("no target gave a whole answer")
-    return NoTargetAvailable("no target takes the request", COME_BACK_S)
+        return TargetFailed("no target gave a whole answer", cause=cause)
+    return NoTargetAvailable("no target takes the request", COME_BACK_S, cause)
--- a/cowslipcourse/entry/plain.py
+++ b/cowslipcourse/entry/plain.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.entry.accounting import Placement, shortage
 from cowslipcourse.entry.choosing import choose_target
 from cowslipcourse.entry.outcomes import NOT_RUN_STATUSES
 from cowslipcourse.entry.retrying import try_targets
@@ -45,7 +46,9 @@
         now = asyncio.get_running_loop().time()
         places = self._tools.fleet.service_places(service, now)
         place = choose_target(places, tried, self._tools.data_centre, self._tools.rng)
-        return None if place is None else place.entry
+        if place is None:
+            return Placement(None, shortage(places, tried))
+        return Placement(place.entry)
 
     async def _attempt(self, call, run, is_last):
         async with self._tools.attempts.open(call, run) as attempt:
--- a/cowslipcourse/entry/retrying.py
+++ b/cowslipcourse/entry/retrying.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.entry.accounting import LossCause
 from cowslipcourse.entry.attempts import TargetRun
 from cowslipcourse.entry.outcomes import failure, may_have_run, may_try_again
 from cowslipcourse.exceptions import TargetError, TargetUnreachable
@@ -18,8 +19,8 @@
     :param tools: :class:`~cowslipcourse.entry.tools.EntryTools`
     :param call: :class:`~cowslipcourse.entry.calls.Call`
     :param service: name of the service.
-    :param choose: coroutine function that takes the ids tried and returns an entry,
-        or ``None`` if there is none.
+    :param choose: coroutine function that takes the ids tried and returns a
+        :class:`~cowslipcourse.entry.accounting.Placement`.
     :param attempt: coroutine function that takes the
         :class:`~cowslipcourse.entry.attempts.TargetRun` and whether this is the last
         attempt allowed; raises :class:`~cowslipcourse.exceptions.TargetError`.
@@ -30,9 +31,9 @@
     tried, runs = set(), 0
     while True:
         _check_quarantine(tools, call, runs)
-        entry = await choose(tried)
+        entry, cause = await choose(tried)
         if entry is None:
-            raise failure(runs)
+            raise failure(runs, cause)
         # The verdict may have come while the request waited for a place.
         _check_quarantine(tools, call, runs)
         tried.add(entry.id)
@@ -44,9 +45,10 @@
         except TargetError as error:
             runs += may_have_run(error)
             _note_failed(tools, call, run, error, loop.time())
-            again = may_try_again(call.route, runs, error)
-            if not again or not tools.budget.take(service, loop.time()):
-                raise failure(runs) from error
+            if not may_try_again(call.route, runs, error):
+                raise failure(runs, error.code) from error
+            if not tools.budget.take(service, loop.time()):
+                raise failure(runs, LossCause.NO_BUDGET) from error
             continue
         if run.succeeded:
             tools.quarantine.note_answered(call)
--- a/cowslipcourse/entry/streaming.py
+++ b/cowslipcourse/entry/streaming.py
@@ -3,6 +3,12 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.entry.accounting import (
+    Placement,
+    StreamTimes,
+    late_cause,
+    shortage,
+)
 from cowslipcourse.entry.choosing import choose_group
 from cowslipcourse.entry.outcomes import NOT_RUN_STATUSES
 from cowslipcourse.entry.retrying import try_targets
@@ -34,6 +40,7 @@
         self.position = StreamPosition(call.fields.last_event)
         self.first_s = None
         self.longest_pause_s = 0.0
+        self.place_s = 0.0
         self._last_at = None
 
     @property
@@ -64,7 +71,7 @@
         progress = _Progress(call, responder)
 
         async def choose(tried):
-            return await self._place(call, service, tried)
+            return await self._place(progress, service, tried)
 
         async def attempt(run, is_last):
             await self._run(progress, run)
@@ -72,27 +79,29 @@
         entry, attempts = await try_targets(self._tools, call, service, choose, attempt)
         _note_done(progress, entry, attempts)
 
-    async def _place(self, call, service, tried):
-        """Return a target with room, waiting for one for a while, or ``None``."""
-        loop = asyncio.get_running_loop()
-        give_up_at = loop.time() + (call.deadline - loop.time()) * WAIT_SHARE
+    async def _place(self, progress, service, tried):
+        """Return the :class:`Placement` with room, waiting for one for a while."""
+        call, loop = progress.call, asyncio.get_running_loop()
+        began_at = loop.time()
+        give_up_at = began_at + (call.deadline - began_at) * WAIT_SHARE
         while True:
-            place = self._choose(call, service, tried, loop.time())
+            places = self._places(call, service, loop.time())
+            place = choose_group(places, tried, self._tools.rng)
             if place is not None:
-                return place.entry
+                progress.place_s += loop.time() - began_at
+                return Placement(place.entry)
             if loop.time() >= give_up_at:
-                log.info("no-place", request=call.id, model=call.fields.model)
-                return None
+                cause = shortage(places, tried)
+                _note_no_place(call, cause, places, tried)
+                return Placement(None, cause)
             await asyncio.sleep(LOOK_AGAIN_S)
 
-    def _choose(self, call, service, tried, now):
+    def _places(self, call, service, now):
         spec = self._tools.service_spec(service)
         if spec.models:
             model = call.fields.model
-            places = self._tools.fleet.group_places(service, model, spec.slots, now)
-        else:
-            places = self._tools.fleet.service_places(service, now)
-        return choose_group(places, tried, self._tools.rng)
+            return self._tools.fleet.group_places(service, model, spec.slots, now)
+        return self._tools.fleet.service_places(service, now)
 
     async def _run(self, progress, run):
         call = progress.call
@@ -154,13 +163,31 @@
         await responder.finish(body)
 
 
+def _note_no_place(call, cause, places, tried):
+    log.info(
+        "no-place",
+        request=call.id,
+        model=call.fields.model,
+        cause=cause,
+        groups=len(places),
+        in_flight=sum(place.in_flight for place in places),
+        tried=",".join(sorted(tried)),
+    )
+
+
 def _note_done(progress, entry, attempts):
     call = progress.call
     now = asyncio.get_running_loop().time()
+    times = StreamTimes(
+        progress.place_s, progress.first_s or 0.0, progress.longest_pause_s, attempts
+    )
     log.info(
         "streamed",
         request=call.id,
         route=call.route.name,
+        model=call.fields.model,
+        late=late_cause(call.route, times),
+        place_s=round(progress.place_s, 3),
         target=entry.id,
         attempts=attempts,
         events=progress.position.passed,
--- a/cowslipcourse/exceptions.py
+++ b/cowslipcourse/exceptions.py
@@ -252,14 +252,16 @@
 
     :param detail: sentence for people.
     :param retry_after_s: seconds after which a retry makes sense, if any.
+    :param cause: what it is counted under; the code if left out.
     """
 
     status: ClassVar[int] = 500
     outcome: ClassVar[str] = "not_run"
 
-    def __init__(self, detail="", retry_after_s=None):
+    def __init__(self, detail="", retry_after_s=None, cause=""):
         super().__init__(detail)
         self.retry_after_s = retry_after_s
+        self.cause = cause or self.code
 
 
 class BadRequest(RequestError):
