Failing test: a class without groups while the engines of the other model are whole

Callers of the class get refusals for 20 s of 34. The emulator plays it: domains that go dark together, chosen by the model they serve, and come back as lives of their own; orders to close and to stage take their time; each data centre has a coordinator. Ruled out: the class alone is struck, so nothing that all requests share.

--- a/cowslipcourse/emulator/batches.py
+++ b/cowslipcourse/emulator/batches.py
@@ -81,6 +81,12 @@
         number = len(self._waiting) + len(self._running)
         return number >= self._spec.slots * (1 + QUEUE_FACTOR)
 
+    @property
+    def is_empty(self):
+        """Whether nothing runs or waits."""
+        left = self._running + [request for _, _, request in self._waiting]
+        return all(request.is_cancelled for request in left)
+
     def submit(self, request):
         """Take a request; the most urgent are admitted first."""
         entry = request.urgency, next(self._numbers), request
--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -17,6 +17,8 @@
 LINK_S = 0.001
 """One way between a daemon and an engine."""
 FULL = 503
+CLOSING_LOOK_S = 0.05
+"""Interval at which heads that close are looked at."""
 
 
 class Heads:
@@ -50,6 +52,14 @@
             self._batches[key] = GroupBatch(self.world, engine, self._spec, model.pace)
         return self._batches[key]
 
+    async def run(self):
+        """Let heads that close be ready once they have finished, for ever."""
+        while True:
+            await asyncio.sleep(CLOSING_LOOK_S)
+            for engine in list(self.world.engines.values()):
+                if engine.is_closing_head and self.batch(engine).is_empty:
+                    engine.finish_closing()
+
 
 class _EmulatedConnection:
     """Meets what streams use of :class:`~cowslipcourse.exchange.TargetConnection`."""
@@ -158,6 +168,8 @@
                 connection.request.is_cancelled = True
 
     def _send(self, call, engine, last_event):
+        if engine.is_closing_head:
+            return _EmulatedConnection(unexecuted_head(FULL))
         if not engine.is_open_head:
             return _EmulatedConnection(AnswerHead(MISDIRECTED, ()))
         batch = self._heads.batch(engine)
--- a/cowslipcourse/emulator/daemons.py
+++ b/cowslipcourse/emulator/daemons.py
@@ -14,7 +14,7 @@
 from cowslipcourse.entry.tools import EntryTools
 from cowslipcourse.quarantine import KeptVerdicts
 
-__all__ = ["EmulatedDaemon", "WholeSite"]
+__all__ = ["DataCentres", "EmulatedDaemon", "WholeSite"]
 
 ADDRESS = "127.0.0.1:1"
 
@@ -42,6 +42,22 @@
         return self._acts()
 
 
+class DataCentres:
+    """Meets :class:`~cowslipcourse.entry.scope.Scope`: a part of the site.
+
+    :param tended: names of the data centres whose groups this daemon keeps.
+    :param coordinators: number of daemons that keep groups.
+    """
+
+    def __init__(self, tended, coordinators):
+        self.tended = frozenset(tended)
+        self.coordinators = coordinators
+
+    def tends(self, data_centre):
+        """Whether this daemon keeps the groups of a data centre."""
+        return data_centre in self.tended
+
+
 class EmulatedDaemon:
     """What a daemon decides with: views, forwarder, silence watch, coordinator.
 
@@ -51,14 +67,14 @@
     :param heads: :class:`~cowslipcourse.emulator.connections.Heads`
     :param network: :class:`~cowslipcourse.emulator.messages.MessageNetwork`
     :param tell: called with news for all daemons.
-    :param acts: whether it is the coordinator.
+    :param scope: :class:`DataCentres` that it keeps the groups of.
     :param seed: of its choices.
     """
 
-    def __init__(self, name, data_centre, table, heads, network, tell, acts, seed):
+    def __init__(self, name, data_centre, table, heads, network, tell, scope, seed):
         settings = _settings(name, data_centre)
         self.fleet = FleetView()
-        self.coordinator_of_all = None
+        self.coordinators = ()
         self._silence = SilenceWatch(self.fleet, self._on_suspect)
         tools = EntryTools(
             settings,
@@ -81,10 +97,10 @@
             heads.world,
             heads.world,
             settings.control,
-            WholeSite(lambda: acts),
+            scope,
             tell,
         )
-        self._acts = acts
+        self.acts = bool(scope.tended)
 
     def forget(self):
         """Lose what it knows of requests that end engines, as in a new start."""
@@ -97,17 +113,22 @@
 
     def coroutines(self):
         """Return the coroutines that keep it going."""
-        acting = (self.coordinator.run(),) if self._acts else ()
+        acting = (self.coordinator.run(),) if self.acts else ()
         return (self._silence.run(), *acting)
 
     def see_list(self, changed, gone):
         """Take changes of the list of targets."""
         self.fleet.apply(changed, gone)
-        if self._acts:
+        if self.acts:
             self.coordinator.domains.see_entries(changed)
             self.coordinator.domains.see_gone(gone)
 
+    def take_news(self, news):
+        """Take in what a coordinator has decided about a group."""
+        self.fleet.take_news(news, self._heads.now())
+
     def _on_suspect(self):
         now = self._heads.now()
         for target, epoch in self.fleet.suspects(now).items():
-            self.coordinator_of_all.look_into(target, epoch)
+            for coordinator in self.coordinators:
+                coordinator.look_into(target, epoch)
--- a/cowslipcourse/emulator/engines.py
+++ b/cowslipcourse/emulator/engines.py
@@ -48,6 +48,7 @@
         self._served = set()
         self._turn = 0
         self._reports = deque(maxlen=50)
+        self._staged_at = {}
 
     def entry(self):
         """Return its entry in the platform's list."""
@@ -93,7 +94,7 @@
         if order.name is OrderName.JOIN:
             return self._join(order)
         if order.name is OrderName.STAGE:
-            self.staged = (order.model,)
+            self._stage(order.model)
             return self._begun()
         if not self._is_in(order.group, order.epoch):
             return OrderAnswer.DONE
@@ -101,11 +102,32 @@
             self.membership = None
             self._begun()
             return OrderAnswer.DONE
+        if order.name is OrderName.CLOSE:
+            return self._close()
         if self.membership.state is not GroupState.READY:
             return OrderAnswer.STATE_DIFFERS
         self._later(OPEN_S, self._begin_to_serve)
         return self._begun()
 
+    def _close(self):
+        if self.membership.state is not GroupState.OPEN:
+            return OrderAnswer.STATE_DIFFERS
+        self._set_state(GroupState.CLOSING)
+        return self._begun()
+
+    def _stage(self, model):
+        if not self._world.loads_take_time:
+            self.staged = (model,)
+            return
+        load_s = self._world.models[model].load_s
+        loop = asyncio.get_running_loop()
+        self._staged_at[model] = loop.time() + load_s
+        loop.call_later(load_s, self._note_staged, model)
+
+    def _note_staged(self, model):
+        self._staged_at.pop(model, None)
+        self.staged = (model,)
+
     def _begun(self):
         self.order_count += 1
         return OrderAnswer.BEGUN
@@ -118,11 +140,11 @@
         self._world.check_join(self, order)
         same = self._last_model() == order.model
         self._joined_model = order.model
-        model = self._world.models[order.model]
-        wait_s = model.warm_s if order.model in self.staged else model.load_s
+        wait_s = REJOIN_S if same else self._load_s(order.model)
         self._highest_epoch = order.epoch
         self.members = order.members
-        self.staged = (order.model,)
+        if not same:
+            self.staged = (order.model,)
         self.membership = Membership(
             order.group,
             order.epoch,
@@ -132,9 +154,20 @@
         )
         answer = self._begun()
         self._turn += 1
-        self._later(REJOIN_S if same else wait_s, self._become_ready)
+        self._later(wait_s, self._become_ready)
         return answer
 
+    def _load_s(self, name):
+        """Return the time until the weights of a model are on the engine."""
+        model = self._world.models[name]
+        if name in self.staged:
+            return model.warm_s
+        staged_at = self._staged_at.get(name)
+        if staged_at is None:
+            return model.load_s
+        left_s = staged_at - asyncio.get_running_loop().time()
+        return max(0.0, left_s) + model.warm_s
+
     def _last_model(self):
         """Return the model of its last group, or of its present one alone."""
         if self._world.remembers_models:
@@ -179,6 +212,16 @@
         """Whether it takes requests as the head of a group."""
         return self.is_head and self.membership.state is GroupState.OPEN
 
+    @property
+    def is_closing_head(self):
+        """Whether it finishes what it has as the head of a group."""
+        return self.is_head and self.membership.state is GroupState.CLOSING
+
+    def finish_closing(self):
+        """Be ready again, after the last request has ended."""
+        if self.is_closing_head:
+            self._set_state(GroupState.READY)
+
     def look(self, now):
         """Serve if the group is whole; stand still and then break if it is not."""
         if not self.is_open_head:
--- a/cowslipcourse/emulator/report.py
+++ b/cowslipcourse/emulator/report.py
@@ -4,7 +4,7 @@
 import random
 import statistics
 from collections import Counter
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 from cowslipcourse.emulator.callers import Outcome
 
@@ -37,6 +37,7 @@
     idle_engine_s: float
     open_groups: dict[str, float]
     violations: int
+    kinds: NotRequired[dict[str, float]]
 
 
 class Difference(NamedTuple):
@@ -87,6 +88,7 @@
         idle_engine_s=result.idle_engine_s,
         open_groups=result.open_groups,
         violations=len(result.violations),
+        kinds={kind: _credit(kinds, found) for kind, found in by_kind.items()},
     )
 
 
--- a/cowslipcourse/emulator/site.py
+++ b/cowslipcourse/emulator/site.py
@@ -8,7 +8,7 @@
 from cowslipcourse.emulator.callers import Callers, CallRecord
 from cowslipcourse.emulator.connections import LINK_S, Heads
 from cowslipcourse.emulator.crashes import CrashFigures
-from cowslipcourse.emulator.daemons import EmulatedDaemon
+from cowslipcourse.emulator.daemons import DataCentres, EmulatedDaemon
 from cowslipcourse.emulator.engines import OPEN_S, SERVICE
 from cowslipcourse.emulator.messages import MessageNetwork
 from cowslipcourse.emulator.world import Faults, World
@@ -71,7 +71,14 @@
         quick = [m._replace(load_s=m.load_s * LEAD_LOADS) for m in models]
         self._models = {model.name: model for model in models}
         world_luck = random.Random(f"engines-{seed}")
-        self._world = World(world_luck, NO_FAULTS, quick, site.domains, True)
+        self._world = World(
+            world_luck,
+            NO_FAULTS,
+            quick,
+            site.domains,
+            remembers_models=True,
+            loads_take_time=True,
+        )
         for domain in site.domains:
             for _ in range(site.engines_a_domain):
                 self._world.add_engine(domain)
@@ -89,13 +96,14 @@
                 self._heads,
                 self._network,
                 self._tell,
-                number == 0,
+                _scope(number, places, site.daemons),
                 daemon_luck.random(),
             )
             for number in range(site.daemons)
         ]
+        acting = tuple(d.coordinator for d in self._daemons if d.acts)
         for daemon in self._daemons:
-            daemon.coordinator_of_all = self._daemons[0].coordinator
+            daemon.coordinators = acting
         self._caller_luck = caller_luck
         self._callers = None
         self._gone_at = {}
@@ -105,7 +113,8 @@
 
     async def play(self):
         """Play the run and return its :class:`SiteResult`."""
-        running = [self._world.run(), self._list(), self._heartbeats(), self._count()]
+        running = [self._world.run(), self._heads.run(), self._list()]
+        running += [self._heartbeats(), self._count()]
         for daemon in self._daemons:
             running += daemon.coroutines()
         tasks = [asyncio.create_task(coroutine) for coroutine in running]
@@ -139,10 +148,7 @@
     def _tell(self, news):
         loop = asyncio.get_running_loop()
         for daemon in self._daemons:
-            loop.call_later(2 * LINK_S, self._hear, daemon, news)
-
-    def _hear(self, daemon, news):
-        daemon.fleet.take_news(news, asyncio.get_running_loop().time())
+            loop.call_later(2 * LINK_S, daemon.take_news, news)
 
     async def _heartbeats(self):
         """Bring each daemon what the others had in flight a moment ago."""
@@ -192,6 +198,8 @@
             serving = dict.fromkeys(self._models, 0)
             busy = 0
             for engine in self._world.engines.values():
+                if engine.is_dark:
+                    continue
                 if engine.is_open_head and self._world.is_whole(engine):
                     serving[engine.membership.model] += 1
                     busy += len(engine.members)
@@ -233,11 +241,27 @@
             self._world.restart(engine)
 
     def _domain(self, fault):
-        domain = self._fault_luck.choice(sorted(self._settings.site.domains))
-        struck = [e for e in self._world.engines.values() if e.domain == domain]
-        for engine in struck:
-            engine.is_dark = True
-            asyncio.get_running_loop().call_later(fault.for_s, _light, engine)
+        domains = sorted(self._settings.site.domains)
+        if fault.model:
+            domains = [d for d in domains if fault.model in self._models_of(d)]
+        struck = self._fault_luck.sample(domains, min(fault.count, len(domains)))
+        for engine in list(self._world.engines.values()):
+            if engine.domain in struck:
+                engine.is_dark = True
+                loop = asyncio.get_running_loop()
+                loop.call_later(fault.for_s, self._come_back, engine)
+
+    def _models_of(self, domain):
+        """Return the models that the groups of a domain serve."""
+        return {
+            engine.membership.model
+            for engine in self._world.engines.values()
+            if engine.domain == domain and engine.is_open_head
+        }
+
+    def _come_back(self, engine):
+        if self._world.engines.get(engine.id) is engine:
+            self._world.rename(engine)
 
     def _add(self, fault):
         domain = self._fault_luck.choice(sorted(self._settings.site.domains))
@@ -272,8 +296,12 @@
         return factor
 
 
-def _light(engine):
-    engine.is_dark = False
+def _scope(number, places, daemons):
+    """Return the :class:`DataCentres` of a daemon: those whose first one it is."""
+    own = [places[number]] if number < len(places) else []
+    if number == 0:
+        own += places[daemons:]
+    return DataCentres(own, min(len(places), daemons))
 
 
 def _spec(site, models):
--- a/cowslipcourse/emulator/site_file.py
+++ b/cowslipcourse/emulator/site_file.py
@@ -79,17 +79,19 @@
 
     :param kind: ``lose`` engines of groups for good, ``end`` their processes, which
         start again after a while, make them ``restart`` under their ids, darken a whole
-        ``domain`` for a while, ``add`` empty engines, let a ``burst`` of requests come,
-        ``crash`` engines by one request that comes at ``count`` daemons each time,
-        ``silence`` daemons towards the others, or let them ``forget`` what they know of
-        such requests, as in a new start.
+        ``domain`` for a while, after which its engines come back under other ids,
+        ``add`` empty engines, let a ``burst`` of requests come, ``crash`` engines by
+        one request that comes at ``count`` daemons each time, ``silence`` daemons
+        towards the others, or let them ``forget`` what they know of such requests, as
+        in a new start.
     :param at_s: first time, from the start of the traffic.
     :param every_s: time between two; 0 for once.
     :param until_s: no more after that.
-    :param count: engines that are struck or added.
+    :param count: engines or domains that are struck, or engines that are added.
     :param for_s: how long it lasts, where it lasts.
     :param factor: of a burst.
     :param request: kind of request of a burst or crash; empty for all or the first.
+    :param model: only domains are darkened whose groups serve it; empty for any.
     """
 
     kind: Literal[
@@ -102,6 +104,7 @@
     for_s: float = Field(default=1.0, ge=0)
     factor: float = Field(default=1.0, gt=0)
     request: str = ""
+    model: str = ""
 
     def times(self):
         """Return the times at which it begins, in seconds."""
@@ -129,7 +132,12 @@
     def problems(self):
         """See :class:`~cowslipcourse.settings_file.Section`."""
         models = {model.name for model in self.site.models}
-        return [
+        wrong = [
+            ("faults.model", f"no model {fault.model!r}")
+            for fault in self.faults
+            if fault.model not in {"", *models}
+        ]
+        return wrong + [
             ("site.kinds.model", f"no model {kind.model!r}")
             for kind in self.site.kinds
             if kind.model not in models
--- a/cowslipcourse/emulator/world.py
+++ b/cowslipcourse/emulator/world.py
@@ -54,9 +54,18 @@
     :param data_centres: data centre by domain; one for all if it is left out.
     :param remembers_models: whether an engine joins quickly, too, if it has left its
         last group of the model. The users' engines do; the duels' runs began without.
+    :param loads_take_time: whether weights reach a host some time after the order.
     """
 
-    def __init__(self, rng, faults, models, data_centres=None, remembers_models=False):
+    def __init__(
+        self,
+        rng,
+        faults,
+        models,
+        data_centres=None,
+        remembers_models=False,
+        loads_take_time=False,
+    ):
         self.models = {model.name: model for model in models}
         self.rng = rng
         self.faults = faults
@@ -68,6 +77,7 @@
         self._ready = set()
         self._data_centres = data_centres or {}
         self.remembers_models = remembers_models
+        self.loads_take_time = loads_take_time
         self.tells_lives = True
         self._born = 0
         self._lives = 0
@@ -183,7 +193,7 @@
         head = self.engines.get(engine.members[0])
         if (
             head is not None
-            and head.is_open_head
+            and (head.is_open_head or head.is_closing_head)
             and (head.membership.group, head.membership.epoch)
             == (found.group, found.epoch)
         ):
--- a/measurements/class_account.py
+++ b/measurements/class_account.py
@@ -46,7 +46,7 @@
         at = line.find("event=")
         if at < 0:
             continue
-        fields = dict(_PAIR.findall(line[at:]))
+        fields = {key: value.strip('"') for key, value in _PAIR.findall(line[at:])}
         event, request = fields["event"], fields.get("request", "")
         cause = _cause(event, fields)
         if cause is not None:
