--- a/features/steps/judging_steps.py
+++ b/features/steps/judging_steps.py
@@ -12,6 +12,7 @@
 from cowslipcourse.emulator.messages import MessageNetwork
 from cowslipcourse.emulator.site_file import SiteSettings
 from cowslipcourse.emulator.world import Faults, World
+from cowslipcourse.entry.accounting import Placement
 from cowslipcourse.entry.attempts import TargetRun
 from cowslipcourse.entry.fleet import FleetView
 from cowslipcourse.entry.quarantining import Quarantine
@@ -214,7 +215,7 @@
         call = _call()
 
         async def choose(tried):
-            return _entry(len(self.sent))
+            return Placement(_entry(len(self.sent)))
 
         async def attempt(run, is_last):
             self.sent.append(run.entry.id)
