Groups change over to a model that is short of groups

Cause: a domain served one model for as long as it had a group, and no coordinator compared the groups that are left of each model; nobody with engines could act. Evidence: 1,548 of the 1,816 lost requests have the cause no-group, all for the model that had none from 5.8 s to 25.6 s; plans of other domains did not change. Why this holds: models that have under half of what their share entitles them to get groups of the one with most; the choice follows from the rows alone; hosts elsewhere hold the weights ahead, so it takes 3 s to 4 s. A change is a group given up, with all rules for that. The plan table and the balance are modules of their own; the coordinator is shorter.

--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -11,20 +11,19 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.entry.balancing import Balancing
 from cowslipcourse.entry.domains import Domains
 from cowslipcourse.entry.engine_calls import EngineCalls
 from cowslipcourse.entry.own_links import OwnLinks
 from cowslipcourse.entry.pauses import ticks
-from cowslipcourse.exceptions import ConditionFailed, MalformedAnswer, StoreError
+from cowslipcourse.entry.plan_table import PlanTable
+from cowslipcourse.exceptions import StoreError
 from cowslipcourse.groups import (
-    DomainPlan,
     LoadLimit,
     StepKind,
     broken_groups,
     choose_shape,
     choose_staging,
-    decode_plan,
-    encode_plan,
     engine_views,
     models_waiting,
     next_steps,
@@ -34,16 +33,13 @@
     wishes,
 )
 from cowslipcourse.peers import GroupNews, OpenedHead
-from cowslipcourse.ports import EngineOrder, OrderName, RowWrite
+from cowslipcourse.ports import EngineOrder, OrderName
 
-__all__ = ["GROUPS_TABLE", "Coordinator"]
+__all__ = ["Coordinator"]
 
-GROUPS_TABLE = "groups"
 TICK_S = 0.05
 REST_S = 0.2
 """Interval at which a daemon that does not coordinate looks whether it is its turn."""
-CONFIRMED_S = 2.0
-"""Age at which the rows are read again before the next order."""
 OWN_PAUSE_S = 0.5
 """A tick that comes this late: another daemon may have acted meanwhile."""
 SETTLE_S = 0.8
@@ -67,7 +63,6 @@
     def __init__(self, tools, store, control, settings, scope, tell):
         self.domains = Domains(tools)
         self._tools = tools
-        self._store = store
         self._calls = EngineCalls(
             control,
             settings,
@@ -79,9 +74,8 @@
         self._links = OwnLinks(self.domains, self._calls)
         self._scope = scope
         self._tell = tell
-        self._plans = {}
-        self._unreadable = frozenset()
-        self._confirmed_at = None
+        self._table = PlanTable(store, self.domains.see_plan)
+        self._balancing = Balancing(tools, self.domains, self._table)
         self._load_limit = LoadLimit()
         self._investigated = {}
         self._tended = frozenset()
@@ -107,7 +101,7 @@
         if (target, epoch) in recent:
             return
         recent[target, epoch] = now
-        for plan in self._plans.values():
+        for plan in self._table.plans.values():
             if plan.domain not in self._tended:
                 continue
             for group in plan.groups:
@@ -129,7 +123,7 @@
         """Coordinate for ever, whichever domains are this daemon's turn."""
         async for _, late_s in ticks(TICK_S, lambda: not self._tended, REST_S):
             if late_s > OWN_PAUSE_S:
-                self._confirmed_at = None
+                self._table.doubt()
             self._take_scope()
             if self._tended:
                 await self._tick()
@@ -146,46 +140,34 @@
         if tended - self._tended:
             # Others may have kept them until now.
             log.info("domains-taken", domains=",".join(sorted(tended - self._tended)))
-            self._confirmed_at = None
+            self._table.doubt()
         self._tended = tended
 
     async def _tick(self):
         try:
-            if self._confirmed_at is None:
-                await self._read_plans()
+            if not self._table.is_known:
+                await self._table.read()
+            await self._balance()
             for domain in sorted(self._tended):
-                if domain not in self._unreadable:
+                if self._table.is_readable(domain):
                     await self._tend(domain)
         except StoreError as error:
             log.warning("groups-not-tended", error=error.code, why=error)
-            self._confirmed_at = None
+            self._table.doubt()
             await asyncio.sleep(TICK_S)
 
-    async def _read_plans(self):
-        asked_at = asyncio.get_running_loop().time()
-        found = await self._store.read_table(GROUPS_TABLE)
-        self._plans = {}
-        unreadable = set()
-        for row in found.rows:
-            try:
-                plan = decode_plan(row.key, row.value, row.version)
-                self._take_plan(plan, is_own=False)
-            except MalformedAnswer as error:
-                # Who is in its groups is not known, so nothing is done there.
-                log.warning("plan-unreadable", domain=row.key, why=error)
-                unreadable.add(row.key)
-        self._unreadable = frozenset(unreadable)
-        self._confirmed_at = asked_at
-        log.info("plans-read", domains=len(self._plans), version=found.version)
-
-    def _take_plan(self, plan, is_own):
-        self._plans[plan.domain] = plan
-        self.domains.see_plan(plan, is_own)
+    async def _balance(self):
+        now = asyncio.get_running_loop().time()
+        for domain in sorted(self._tended):
+            spec = self._spec(self.domains.by_name[domain])
+            if spec is not None:
+                await self._balancing.look(spec, self._tended, now)
+                return
 
     async def _tend(self, domain):
         now = asyncio.get_running_loop().time()
         is_growing = self.domains.grew_s_ago(domain, now) < SETTLE_S
-        if is_growing and not self._plan(domain).groups:
+        if is_growing and not self._table.plan(domain).groups:
             return
         knowledge = self.domains.by_name[domain]
         spec = self._spec(knowledge)
@@ -193,7 +175,7 @@
             return
         shape = self._shape(domain, spec)
         await self._revise(domain, knowledge, spec, shape, now)
-        plan = self._plan(domain)
+        plan = self._table.plan(domain)
         self.domains.forget(plan)
         models = {model.name: model for model in spec.models}
         steps = next_steps(plan, knowledge.engines, models, self.settings.stall_s, now)
@@ -213,38 +195,31 @@
     def _shape(self, domain, spec):
         known = self.domains.by_name
         places = {name: domain.data_centre for name, domain in known.items()}
-        return choose_shape(domain, self._plans, places, spec.models)
-
-    def _plan(self, domain):
-        return self._plans.get(domain) or DomainPlan(domain)
+        live = [e for e in known[domain].engines.values() if e.is_live]
+        held = [model for engine in live for model in engine.held]
+        return choose_shape(domain, self._table.plans, places, spec.models, held)
 
     async def _revise(self, domain, knowledge, spec, shape, now):
-        plan = self._plan(domain)
+        plan = self._table.plan(domain)
         views = engine_views(plan, knowledge, self.settings.stall_s, now)
         sizes = {model.name: model.size for model in spec.models}
-        wanted = wishes(spec.models, self._plans.values())
+        wanted = wishes(spec.models, self._table.plans.values())
         broken = broken_groups(plan, knowledge)
-        groups = revise(plan, views, sizes, wanted, shape, broken)
+        changes = self._balancing.changes(domain, now)
+        groups = revise(plan, views, sizes, wanted, shape, broken, changes)
         if groups == plan.groups:
             return
-        write = RowWrite(GROUPS_TABLE, domain, encode_plan(groups), plan.version)
-        asked_at = asyncio.get_running_loop().time()
-        try:
-            version = await self._store.write(write)
-        except ConditionFailed:
-            log.info("plan-outdated", domain=domain, version=plan.version)
-            await self._read_plans()
+        written = await self._table.replace(plan, groups)
+        if written is None:
             return
-        self._take_plan(DomainPlan(domain, version, groups), is_own=True)
-        self._confirmed_at = asked_at
-        _log_revision(plan, groups, version)
+        _log_revision(plan, groups, written.version)
         for news in _endings(plan, groups):
             self._tell(news)
 
     def _note_opened(self, engine, order):
         """Tell which head begins to serve; the list says so up to a second later."""
         spec = self._tools.table.services.get(engine.entry.service)
-        plan = self._plans.get(engine.entry.domain)
+        plan = self._table.plans.get(engine.entry.domain)
         group = plan and plan.group_of(engine.id, engine.incarnation)
         if spec is None or not group or group.epoch != order.epoch:
             return
@@ -269,35 +244,36 @@
 
     def _spawn_order(self, domain, engine_id, order, models):
         engine = self.domains.engine(domain, engine_id)
-        if engine is not None and self._is_confirmed():
-            self._calls.order(engine, order, models)
-
-    def _is_confirmed(self):
         now = asyncio.get_running_loop().time()
-        if self._confirmed_at is None or now - self._confirmed_at > CONFIRMED_S:
-            self._confirmed_at = None
-            return False
-        return True
+        if engine is not None and self._table.is_confirmed(now):
+            self._calls.order(engine, order, models)
 
     def _stage(self, plan, knowledge, spec, shape, now):
         free = spares_of(plan, knowledge)
         waiting = models_waiting(plan, knowledge)
         models = [m for m in spec.models if shape.model in (None, m.name)]
         chosen = choose_staging(plan, free, models, waiting)
+        if not waiting:
+            chosen |= self._balancing.wanted_on_hosts(plan)
         for engine_id, model in chosen.items():
-            engine = knowledge.engines[engine_id]
-            if engine.order_count is None:
-                self._spawn_ask(plan.domain, engine_id)
-            elif (
-                self._is_confirmed()
-                and not self._calls.is_busy(engine)
-                and self._load_limit.take(
-                    spec.loads_per_s, self._scope.coordinators, now
-                )
-            ):
-                engine.staging = model
-                order = EngineOrder(OrderName.STAGE, engine.order_count, model=model)
-                self._spawn_order(plan.domain, engine_id, order, {})
+            engine = knowledge.engines.get(engine_id)
+            if engine is not None and engine.is_live:
+                self._load(plan.domain, engine, model, spec, now)
+
+    def _load(self, domain, engine, model, spec, now):
+        """Load a model onto an engine's host, unless it is there or on its way."""
+        if engine.staging is not None or model in engine.staged:
+            return
+        if engine.order_count is None:
+            self._spawn_ask(domain, engine.id)
+        elif (
+            self._table.is_confirmed(now)
+            and not self._calls.is_busy(engine)
+            and self._load_limit.take(spec.loads_per_s, self._scope.coordinators, now)
+        ):
+            engine.staging = model
+            order = EngineOrder(OrderName.STAGE, engine.order_count, model=model)
+            self._spawn_order(domain, engine.id, order, {})
 
     def _practise(self, plan, knowledge, shape, models):
         """Let spares join once, while nothing is under way in the domain."""
@@ -343,5 +319,6 @@
                 model=group.model,
                 members=",".join(group.members),
                 retired=group.is_retired,
+                successor=group.successor,
                 version=version,
             )
--- a/cowslipcourse/entry/engine_calls.py
+++ b/cowslipcourse/entry/engine_calls.py
@@ -5,7 +5,7 @@
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.exceptions import MalformedAnswer, TargetError
 from cowslipcourse.groups.orders import REJOIN_S
-from cowslipcourse.groups.revision import SLOW_PACE
+from cowslipcourse.groups.views import SLOW_PACE
 from cowslipcourse.ports import OrderAnswer, OrderName
 
 __all__ = ["EngineCalls"]
@@ -183,5 +183,7 @@
         engine.joined_model = order.model
     elif order.name is OrderName.OPEN:
         engine.opened_at[order.epoch] = sent_at
+    elif order.name is OrderName.CLOSE:
+        engine.closed_at[order.epoch] = sent_at
     elif order.name is OrderName.LEAVE:
         engine.membership = None
--- /dev/null
+++ b/cowslipcourse/groups/balance.py
@@ -0,0 +1,291 @@
+"""How the groups of all domains are balanced among the models; pure decisions.
+
+A model whose domains are lost together has no group left, however many engines serve
+the others. Groups of the model that has most for its share then change over to it, as
+many as bring it back to half of its share. A change takes a few seconds if the hosts
+of the group hold the weights already, and a load more if they do not; so some groups
+elsewhere hold, on their hosts, the weights of each model that the loss of two domains
+would leave short.
+"""
+
+import math
+from collections import Counter
+from typing import NamedTuple
+
+__all__ = ["Change", "choose_changes", "choose_standby", "group_counts", "short_models"]
+
+LEAST_RATIO = 0.5
+"""Groups of a model, over the groups that its share of the work entitles it to, from
+which it is not short: with half of them its requests still find room."""
+ENOUGH_RATIO = 0.8
+"""The same, up to which a model that was short is helped: requests that wait for its
+first groups come on top of its usual load."""
+SURPLUS_RATIO = 1.2
+"""The same, which a model keeps that gives groups to one that is not short but has not
+enough: nothing waits then, so it gives only what it does not need itself."""
+LOST_DOMAINS = 2
+"""Domains that may be lost together without leaving a model short for a load's time."""
+
+
+class Change(NamedTuple):
+    """Groups of a domain that give their engines to another model.
+
+    :param domain: name of the domain.
+    :param groups: names of the groups, in one domain.
+    :param model: model that their engines shall serve.
+    :param is_warm: whether the hosts of enough of them hold it.
+    """
+
+    domain: str
+    groups: tuple[str, ...]
+    model: str
+    is_warm: bool
+
+
+class _Donor(NamedTuple):
+    """Groups that a domain could give.
+
+    :param domain: name of the domain.
+    :param groups: tuple of :class:`~cowslipcourse.groups.PlannedGroup`
+    :param held: members whose hosts hold the model that is short.
+    :param given: groups that the domain gives already.
+    """
+
+    domain: str
+    groups: tuple
+    held: int
+    given: int
+
+
+def group_counts(plans, models):
+    """Return the number of groups by model, those that are to come included.
+
+    :param plans: iterable of :class:`~cowslipcourse.groups.DomainPlan`
+    :param models: iterable of :class:`~cowslipcourse.routes.EngineModel`
+    """
+    sizes = {model.name: model.size for model in models}
+    counts = Counter(dict.fromkeys(sizes, 0))
+    for plan in plans:
+        coming = Counter()
+        for group in plan.groups:
+            if group.successor in sizes:
+                coming[group.successor] += len(group.members)
+            elif group.model in sizes and not group.is_retired:
+                counts[group.model] += 1
+        counts.update({model: n // sizes[model] for model, n in coming.items()})
+    return counts
+
+
+def _ratios(counts, models):
+    """Return groups over those that its share entitles a model to, by model."""
+    engines = sum(counts[model.name] * model.size for model in models)
+    total = sum(model.share for model in models)
+    return {
+        m.name: counts[m.name] / max(m.share / total * engines / m.size, 1e-9)
+        for m in models
+        if m.share > 0
+    }
+
+
+def short_models(counts, models):
+    """Return the names of the models that are short, the shortest first.
+
+    :param counts: number of groups by model.
+    :param models: iterable of :class:`~cowslipcourse.routes.EngineModel`
+    """
+    if not any(counts[model.name] for model in models):
+        return []
+    ratios = _ratios(counts, models)
+    return sorted(
+        (name for name, ratio in ratios.items() if ratio < LEAST_RATIO),
+        key=lambda name: (ratios[name], name),
+    )
+
+
+def choose_changes(plans, models, is_whole, held):
+    """Return the :class:`Change` list after which no model is short, if possible.
+
+    Each change takes groups of the model that has most for its share. The outcome
+    depends on nothing but the arguments, so coordinators that know the same choose
+    the same and each makes the changes of its own domains.
+
+    :param plans: :class:`~cowslipcourse.groups.DomainPlan` by domain.
+    :param models: iterable of :class:`~cowslipcourse.routes.EngineModel`
+    :param is_whole: callable that takes a group and its domain and tells whether all
+        members live.
+    :param held: callable that takes a group, its domain and a model, and returns the
+        number of members whose hosts hold its weights.
+    """
+    models = tuple(models)
+    counts = group_counts(plans.values(), models)
+    urgent = {*short_models(counts, models), *_successors(plans)}
+    chosen, taken = [], set()
+    while lacking := _most_lacking(counts, models, urgent):
+        change = _best_change(plans, models, counts, lacking, taken, is_whole, held)
+        if change is None:
+            return chosen
+        chosen.append(change)
+        taken.update((change.domain, name) for name in change.groups)
+    if not urgent:
+        chosen = _spare_changes(plans, models, counts, is_whole, held)
+    return chosen
+
+
+def _spare_changes(plans, models, counts, is_whole, held):
+    """Return a change from surplus to a model that has not enough, in a list.
+
+    It is one at a time, and only where the hosts hold the weights.
+    """
+    lacking = _most_lacking(counts, models, {model.name for model in models})
+    if lacking is None:
+        return []
+    change = _best_change(
+        plans, models, counts, lacking, set(), is_whole, held, SURPLUS_RATIO
+    )
+    return [change] if change is not None and change.is_warm else []
+
+
+def _successors(plans):
+    """Return the models to which groups change over already."""
+    return {g.successor for plan in plans.values() for g in plan.groups if g.successor}
+
+
+def _most_lacking(counts, models, helped):
+    """Return the model among some that lacks most, ``None`` if all have enough."""
+    if not any(counts[model.name] for model in models):
+        return None
+    ratios = _ratios(counts, models)
+    lacking = [n for n in helped if n in ratios and ratios[n] < ENOUGH_RATIO]
+    return min(lacking, key=lambda name: (ratios[name], name), default=None)
+
+
+def _best_change(plans, models, counts, short, taken, is_whole, held, kept=0.0):
+    """Return one :class:`Change` and count it, or ``None`` if none helps.
+
+    :param kept: least ratio that the model must keep whose groups are taken.
+    """
+    by_name = {model.name: model for model in models}
+    wanted = by_name[short]
+    before = _ratios(counts, models)
+    for name in sorted(before, key=lambda name: (-before[name], name)):
+        if name == short:
+            continue
+        number = math.ceil(wanted.size / by_name[name].size)
+        gained = number * by_name[name].size // wanted.size
+        after = counts.copy()
+        after[name] -= number
+        after[short] += gained
+        ratios = _ratios(after, models)
+        if after[name] < 0 or min(ratios[name], ratios[short]) <= before[short]:
+            continue
+        if ratios[name] < kept:
+            continue
+        donors = _donors(plans, name, number, taken, is_whole, held, short)
+        if donors:
+            counts.update({name: -number, short: gained})
+            best = min(donors, key=lambda d: (-d.held, d.given, d.domain))
+            is_warm = best.held >= gained * wanted.size
+            groups = tuple(group.name for group in best.groups)
+            return Change(best.domain, groups, short, is_warm)
+    return None
+
+
+def _donors(plans, model, number, taken, is_whole, held, wanted):
+    """Return the :class:`_Donor` of each domain that has groups of a model to give."""
+    donors = []
+    for domain, plan in plans.items():
+        groups = [
+            group
+            for group in plan.groups
+            if group.model == model
+            and not group.is_retired
+            and (domain, group.name) not in taken
+            and is_whole(group, domain)
+        ]
+        groups.sort(key=lambda group: (-held(group, domain, wanted), group.name))
+        if len(groups) >= number:
+            best = tuple(groups[:number])
+            hosts = sum(held(group, domain, wanted) for group in best)
+            given = sum(bool(group.successor) for group in plan.groups)
+            given += sum(each == domain for each, _ in taken)
+            donors.append(_Donor(domain, best, hosts, given))
+    return donors
+
+
+def choose_standby(plans, places, models, held):
+    """Return the model that the hosts of some groups shall hold, by group name.
+
+    :param plans: :class:`~cowslipcourse.groups.DomainPlan` by domain.
+    :param places: data centre by domain.
+    :param models: iterable of :class:`~cowslipcourse.routes.EngineModel`
+    :param held: see :func:`choose_changes`.
+    """
+    models = tuple(models)
+    standby = {}
+    for model in sorted(models, key=lambda model: model.name):
+        lost = _largest_domains(plans, model.name)
+        left = {domain: plan for domain, plan in plans.items() if domain not in lost}
+        counts = group_counts(left.values(), models)
+        number = counts[model.name]
+        if not any(counts.values()) or not _is_short(number, counts, model, models):
+            continue
+        wanted = math.ceil(_entitled(counts, model, models) * ENOUGH_RATIO)
+        _assign(standby, left, places, models, model, wanted - number, held)
+    return standby
+
+
+def _largest_domains(plans, model):
+    """Return the names of the domains whose loss costs a model most."""
+    numbers = {
+        domain: sum(g.model == model and not g.is_retired for g in plan.groups)
+        for domain, plan in plans.items()
+    }
+    ranked = sorted(numbers, key=lambda domain: (-numbers[domain], domain))
+    return {domain for domain in ranked[:LOST_DOMAINS] if numbers[domain]}
+
+
+def _entitled(counts, model, models):
+    """Return the number of groups that a model's share entitles it to."""
+    engines = sum(counts[each.name] * each.size for each in models)
+    return model.share / sum(each.share for each in models) * engines / model.size
+
+
+def _is_short(number, counts, model, models):
+    return number < LEAST_RATIO * _entitled(counts, model, models)
+
+
+def _assign(standby, plans, places, models, model, wanted, held):
+    """Let groups of other models stand by for some more groups of a model.
+
+    Those whose hosts hold it go first, then those of data centres with fewest, so that
+    what stands by is not lost together.
+    """
+    sizes = {each.name: each.size for each in models}
+    near = Counter()
+    while wanted > 0:
+        free = [
+            (domain, group)
+            for domain, plan in plans.items()
+            for group in plan.groups
+            if group.model in sizes
+            and group.model != model.name
+            and not group.is_retired
+            and group.name not in standby
+        ]
+        donors = []
+        for domain, group in free:
+            number = math.ceil(model.size / sizes[group.model])
+            beside = [g for d, g in free if d == domain and g.model == group.model]
+            if len(beside) >= number:
+                hosts = held(group, domain, model.name)
+                place = places.get(domain)
+                key = (-hosts, near[place], domain, group.name)
+                donors.append((key, beside, group, number, place))
+        if not donors:
+            return
+        _, beside, group, number, place = min(donors, key=lambda donor: donor[0])
+        others = [each for each in beside if each.name != group.name]
+        chosen = [group, *others[: number - 1]]
+        standby.update((each.name, model.name) for each in chosen)
+        near[place] += 1
+        wanted -= sum(len(each.members) for each in chosen) // model.size
--- a/cowslipcourse/groups/knowledge.py
+++ b/cowslipcourse/groups/knowledge.py
@@ -34,7 +34,9 @@
         self.joined_at = {}
         self.join_s = {}
         self.opened_at = {}
+        self.closed_at = {}
         self.joined_model = None
+        self._loaded_model = None
         self.staging = None
         self.ask_from = 0.0
         self.away_from = None
@@ -58,6 +60,18 @@
         """Whether it can be given work."""
         return self.listed and not self.entry.is_leaving and self.silent_since is None
 
+    @property
+    def held(self):
+        """Models that it can join without a load: on its host, or of its last group.
+
+        What is on the host is about to be replaced while another model is loaded.
+        """
+        staged = self.staged if self.staging is None else ()
+        loaded = self._loaded_model
+        if loaded is None or loaded != self.joined_model or loaded in staged:
+            return staged
+        return (*staged, loaded)
+
     @property
     def is_leaving(self):
         """Whether it still works but takes no new work."""
@@ -155,9 +169,14 @@
             self.counted_membership = Membership(
                 order.group, order.epoch, rank, GroupState.JOINING, order.model
             )
+            # Whether what it was loading stays on its host, its reports will tell.
+            self.staging = None
         elif order.name is OrderName.OPEN and self.counted_membership is not None:
             opened = self.counted_membership._replace(state=GroupState.OPEN)
             self.counted_membership = opened
+        elif order.name is OrderName.CLOSE and self.counted_membership is not None:
+            closing = self.counted_membership._replace(state=GroupState.CLOSING)
+            self.counted_membership = closing
         elif order.name is OrderName.LEAVE:
             self.counted_membership = None
 
@@ -229,6 +248,7 @@
         if membership is not None and membership.state in _WAS_READY:
             place = membership.group, membership.epoch, membership.rank
             self._was_ready.add(place)
+            self._loaded_model = membership.model or self.joined_model
 
 
 class DomainKnowledge:
--- a/cowslipcourse/groups/orders.py
+++ b/cowslipcourse/groups/orders.py
@@ -19,6 +19,9 @@
 """Asked that much after an engine may have been away for long enough."""
 HEAD_AWAY_S = REPORT_LAG_S
 """Time for which a head's reports must say that it has left: they may be that old."""
+DRAIN_S = 2.5
+"""Time for the requests of a group that is given up for another model; most streams
+end within two seconds, and the callers of that model have no group meanwhile."""
 STALL_MARGIN_S = 0.5
 """More than the stall limit before a head counts as broken: clocks and reports lag."""
 REJOIN_S = 0.2
@@ -179,7 +182,9 @@
     """
     head = engines.get(group.head)
     if head is not None and head.silent_since is None:
-        return _leave(group, head, HEAD_AWAY_S, now)
+        if group.successor and not _is_drained(group, head, now):
+            return _drain(group, head, now)
+        return _leave(group, head, HEAD_AWAY_S, now) + _release(group, engines, now)
     away_s = stall_s + STALL_MARGIN_S
     steps = []
     for member in group.members:
@@ -189,6 +194,35 @@
     return steps
 
 
+def _release(group, engines, now):
+    """Make the others of a group leave that is to serve another model next.
+
+    Its head has left by then, or is leaving; nothing is served that they could break.
+    """
+    head = engines[group.head]
+    if not group.successor or head.state_in(group) is not None:
+        return []
+    members = (engines.get(member) for member in group.members[1:])
+    live = [engine for engine in members if engine is not None and engine.is_live]
+    return [step for engine in live for step in _leave(group, engine, 0.0, now)]
+
+
+def _is_drained(group, head, now):
+    """Whether a head has finished its requests, or had the time to."""
+    closed_at = head.closed_at.get(group.epoch)
+    if closed_at is not None and now - closed_at >= DRAIN_S:
+        return True
+    return head.state_in(group) not in (GroupState.OPEN, GroupState.CLOSING)
+
+
+def _drain(group, head, now):
+    """Let a head that serves finish what it has and take no more."""
+    if head.state_in(group) is GroupState.OPEN and group.epoch not in head.closed_at:
+        return [_order(head, OrderName.CLOSE, group)]
+    is_due = now - (head.reported_at or 0.0) >= ASK_AGAIN_S
+    return [Step(StepKind.ASK, head.id)] if is_due else []
+
+
 def _leave(group, engine, away_s, now):
     """Make an engine leave a group, and ask it when it may have been away for long."""
     if engine.state_in(group) is not None:
--- a/cowslipcourse/groups/plan.py
+++ b/cowslipcourse/groups/plan.py
@@ -31,6 +31,8 @@
         cannot be serving.
     :param incarnations: lives of the members that are meant, in their order. An engine
         that has started again since knows nothing of the group and is no member.
+    :param successor: model that its engines shall serve once they are free, if it is
+        given up for that; empty otherwise.
     """
 
     name: _Name
@@ -39,6 +41,7 @@
     members: Annotated[tuple[_Name, ...], msgspec.Meta(min_length=1)]
     is_retired: bool = False
     incarnations: tuple[int, ...] = ()
+    successor: str = ""
 
     @property
     def head(self):
--- a/cowslipcourse/groups/revision.py
+++ b/cowslipcourse/groups/revision.py
@@ -1,64 +1,17 @@
 """Which groups a fabric domain shall have: repair, forming and giving up."""
 
-from typing import NamedTuple
+import itertools
 
 from cowslipcourse.groups.plan import PlannedGroup
 
-__all__ = ["EngineView", "Wish", "revise"]
+__all__ = ["revise"]
 
 SWAP_GAIN_S = 2.0
 """A member that still loads is replaced by a free engine that holds the model only if
 the group serves this much earlier; joining again takes a few tenths of a second."""
-SLOW_PACE = 2.0
-"""Pace from which a member is replaced: at twice its times a group's pauses reach what
-callers bear, and joining again costs two seconds."""
-
-
-class EngineView(NamedTuple):
-    """An engine as the revision of a plan sees it.
-
-    :param id: id of the engine.
-    :param staged: models on its host, which a new start keeps.
-    :param is_live: whether it can be given work.
-    :param is_free: whether it is in no group, or in one that cannot be serving.
-    :param is_leaving: whether it still does its work but will leave.
-    :param ready_in_s: expected seconds until it is ready in its planned group.
-    :param pace: factor on its times, as it last said; a group runs at its slowest
-        member's.
-    :param incarnation: life of the engine.
-    :param is_listed: whether the platform lists it.
-    """
-
-    id: str
-    staged: tuple[str, ...]
-    is_live: bool
-    is_free: bool
-    is_leaving: bool = False
-    ready_in_s: float = 0.0
-    pace: float = 1.0
-    incarnation: int = 0
-    is_listed: bool = True
-
-    @property
-    def is_slow(self):
-        """Whether it would slow a group down too much."""
-        return self.pace >= SLOW_PACE
 
 
-class Wish(NamedTuple):
-    """A model that further groups are wanted of.
-
-    :param model: model name.
-    :param size: engines of a group.
-    :param urgency: larger is wanted more.
-    """
-
-    model: str
-    size: int
-    urgency: float
-
-
-def revise(plan, engines, sizes, wishes, shape, broken=frozenset()):
+def revise(plan, engines, sizes, wishes, shape, broken=frozenset(), changes=()):
     """Return the groups that a domain shall have, as a tuple.
 
     Repairs come first: what a group has formed already is kept. Groups that cannot
@@ -72,8 +25,9 @@
     :param wishes: iterable of :class:`Wish`.
     :param shape: :class:`~cowslipcourse.groups.DomainShape` of the domain.
     :param broken: names of groups that are whole but must be formed anew.
+    :param changes: iterable of :class:`~cowslipcourse.groups.Change` of the domain.
     """
-    return _Revision(plan, engines, sizes, shape, broken).make(wishes)
+    return _Revision(plan, engines, sizes, shape, broken).make(wishes, changes)
 
 
 class _Revision:
@@ -85,6 +39,7 @@
         self._sizes = sizes
         self._views = {view.id: view for view in engines}
         self._groups = {group.name: group for group in plan.groups}
+        self._cold = []
         self._free = [
             view
             for view in self._views.values()
@@ -93,7 +48,8 @@
             and plan.group_of(view.id, view.incarnation) is None
         ]
 
-    def make(self, wishes):
+    def make(self, wishes, changes):
+        self._begin(changes)
         self._drop_released()
         self._drop_dead()
         self._leave_cold_engines()
@@ -110,13 +66,58 @@
 
     def _drop_released(self):
         """Drop retired groups whose members are all free or gone."""
-        for group in list(self._groups.values()):
-            if not group.is_retired:
+        released = [group for group in self._groups.values() if self._is_over(group)]
+        for model in sorted({group.successor for group in released}):
+            ended = [group for group in released if group.successor == model]
+            freed = [v for group in ended for v in self._members(group)]
+            freed = [view for view in freed if view and view.is_live]
+            if model and self._must_wait(model, len(freed)):
                 continue
-            views = self._members(group)
-            if all(view is None or view.is_free for view in views):
+            for group in ended:
                 del self._groups[group.name]
-                self._free += [view for view in views if view and view.is_live]
+            self._free += self._succeed(model, freed) if model else freed
+
+    def _is_over(self, group):
+        views = self._members(group)
+        return group.is_retired and all(view is None or view.is_free for view in views)
+
+    def _must_wait(self, model, number):
+        """Whether engines of several groups make one of a successor, and not all left.
+
+        :param model: the successor.
+        :param number: engines that have left.
+        """
+        others = any(
+            group.successor == model and not self._is_over(group)
+            for group in self._groups.values()
+        )
+        return others and number < self._sizes.get(model, 0)
+
+    def _begin(self, changes):
+        """Give up the groups whose engines shall serve another model."""
+        for change in changes:
+            for name in change.groups if change.is_warm else ():
+                group = self._groups.get(name)
+                if group is not None and not group.is_retired:
+                    self._groups[name] = group._replace(
+                        is_retired=True, successor=change.model
+                    )
+
+    def _succeed(self, model, freed):
+        """Form groups of a successor of those who hold it; return who is left."""
+        warm = [view for view in freed if model in view.held]
+        size = self._sizes.get(model, 0)
+        number = len(warm) // size if size else 0
+        for each in range(number):
+            members = tuple(view.id for view in warm[each * size : (each + 1) * size])
+            self._add(model, members)
+        used = warm[: number * size]
+        return [view for view in freed if view not in used]
+
+    def _add(self, model, members):
+        name = self._new_name()
+        self._groups[name] = PlannedGroup(name, model, self._epoch, members)
+        self._replan(self._groups[name], members)
 
     def _members(self, group):
         """Return the views of a group's members; ``None`` for a life that is over."""
@@ -148,13 +149,14 @@
         """
         model = self._shape.model
         if any(self._holds(group, model) for group in self._groups.values()):
-            self._free = [view for view in self._free if model in view.staged]
+            self._cold = [view for view in self._free if model not in view.held]
+            self._free = [view for view in self._free if model in view.held]
 
     def _holds(self, group, model):
         """Whether all members of a group that is not given up hold a model."""
         views = self._members(group)
         return not group.is_retired and all(
-            view is not None and model in view.staged for view in views
+            view is not None and model in view.held for view in views
         )
 
     def _incomplete(self):
@@ -189,7 +191,7 @@
         lacking = self._lacking(group)
         if lacking > len(self._free):
             return
-        warm = sum(group.model in view.staged for view in self._free)
+        warm = sum(group.model in view.held for view in self._free)
         if lacking > warm and self._is_still_serving(group):
             # Loading from the weight store takes longer than the member stays.
             return
@@ -203,10 +205,14 @@
         head must have broken, 4.5 s later. Under the group's own name they need not
         wait: that is a repair like any other.
         """
-        retired = [group for group in self._groups.values() if group.is_retired]
+        retired = [
+            group
+            for group in self._groups.values()
+            if group.is_retired and not group.successor
+        ]
         for group in sorted(retired, key=self._lacking):
             held = [view for view in self._members(group) if view and view.is_live]
-            warm = sum(group.model in view.staged for view in self._free)
+            warm = sum(group.model in view.held for view in self._free)
             if held and 0 < self._lacking(group) <= warm:
                 self._groups[group.name] = group._replace(is_retired=False)
                 self._repair(self._groups[group.name])
@@ -223,7 +229,7 @@
     def _take(self, model, number):
         """Take free engines, those that hold the model first."""
         self._free.sort(
-            key=lambda view: (view.is_slow, model not in view.staged, view.id)
+            key=lambda view: (view.is_slow, model not in view.held, view.id)
         )
         taken, self._free = self._free[:number], self._free[number:]
         return tuple(view.id for view in taken)
@@ -247,7 +253,7 @@
         warm = [
             free
             for free in self._free
-            if group.model in free.staged
+            if group.model in free.held
             and not free.is_slow
             and free.id not in group.members
         ]
@@ -289,13 +295,28 @@
         wishes = [w for w in wishes if self._shape.model in (None, w.model)]
         for wish in sorted(wishes, key=lambda w: -w.urgency):
             if len(self._free) - kept >= wish.size:
-                members = self._take(wish.model, wish.size)
-                name = self._new_name()
-                group = PlannedGroup(name, wish.model, self._epoch, members)
-                self._replan(group, members)
-                return
+                self._add(wish.model, self._take(wish.model, wish.size))
+                break
+        if self._shape.model is not None and not pending:
+            self._form_of_cold()
+
+    def _form_of_cold(self):
+        """Form groups of engines that hold another model than the domain serves.
+
+        They would serve nobody for as long as they load that one.
+        """
+        cold = [v for v in self._free if self._shape.model not in v.held] + self._cold
+        for model in sorted({model for view in cold for model in view.held}):
+            size = self._sizes.get(model)
+            warm = [view for view in cold if model in view.held]
+            while size and len(warm) >= size:
+                self._add(model, tuple(view.id for view in warm[:size]))
+                cold = [view for view in cold if view not in warm[:size]]
+                warm = warm[size:]
 
     def _new_name(self):
-        # The version that is replaced makes it unique in the domain, as one group is
-        # formed at a time.
-        return f"{self._domain}-{self._epoch}"
+        # The version that is replaced makes it unique in the domain, with a number for
+        # each further group of the same revision.
+        first = f"{self._domain}-{self._epoch}"
+        names = itertools.chain((first,), (f"{first}-{n}" for n in itertools.count(2)))
+        return next(name for name in names if name not in self._groups)
--- a/cowslipcourse/groups/shape.py
+++ b/cowslipcourse/groups/shape.py
@@ -7,6 +7,7 @@
 enough.
 """
 
+from collections import Counter
 from typing import NamedTuple
 
 __all__ = ["MIXED", "DomainShape", "choose_shape"]
@@ -26,7 +27,8 @@
 class DomainShape(NamedTuple):
     """What a domain shall be used for.
 
-    :param model: the only model that it serves; ``None`` for any.
+    :param model: the model that it serves, but for groups that have changed over or
+        are formed of engines which hold another one; ``None`` for any.
     :param spares: engines to be kept free for repairs.
     """
 
@@ -37,13 +39,14 @@
 MIXED = DomainShape(None, MIXED_SPARES)
 
 
-def choose_shape(domain, plans, places, models):
+def choose_shape(domain, plans, places, models, held=()):
     """Return the :class:`DomainShape` of a domain.
 
     :param domain: name of the domain.
     :param plans: :class:`~cowslipcourse.groups.DomainPlan` by domain.
     :param places: data centre by domain, of all domains that are known.
     :param models: iterable of :class:`~cowslipcourse.routes.EngineModel`.
+    :param held: models that the domain's engines hold, once for each engine.
     """
     total = sum(model.share for model in models)
     if total <= 0 or len(models) < 2:
@@ -51,13 +54,32 @@
     number = len(places)
     if any(round(number * m.share / total) < LEAST_DOMAINS for m in models):
         return MIXED
-    served = _served(plans.get(domain))
-    if len(served) > 1:
-        return MIXED
-    model = served.pop() if served else _assigned(domain, plans, places, models)
+    model = _most_served(plans.get(domain), models) or _most_held(held, models)
+    if model is None:
+        model = _assigned(domain, plans, places, models)
     return DomainShape(model, 0)
 
 
+def _most_served(plan, models):
+    """Return the model that most engines of a plan serve, ``None`` if none does."""
+    engines = Counter()
+    for group in () if plan is None else plan.groups:
+        if not group.is_retired:
+            engines[group.model] += len(group.members)
+    return _first(engines, models)
+
+
+def _most_held(held, models):
+    """Return the model that most engines hold: a domain that was dark comes back so."""
+    return _first(Counter(held), models)
+
+
+def _first(numbers, models):
+    known = [model for model in models if numbers[model.name]]
+    best = max(known, key=lambda m: (numbers[m.name], m.share, m.name), default=None)
+    return None if best is None else best.name
+
+
 def _served(plan):
     """Return the models of a plan's active groups."""
     if plan is None:
--- a/cowslipcourse/groups/situation.py
+++ b/cowslipcourse/groups/situation.py
@@ -2,7 +2,7 @@
 
 from cowslipcourse.groups.orders import HEAD_AWAY_S, STALL_MARGIN_S, is_present
 from cowslipcourse.groups.practice import is_practice
-from cowslipcourse.groups.revision import EngineView, Wish
+from cowslipcourse.groups.views import EngineView, Wish
 from cowslipcourse.ports import GroupState
 
 __all__ = [
@@ -37,7 +37,7 @@
     return EngineView(
         id=engine.id,
         incarnation=engine.incarnation,
-        staged=engine.staged,
+        held=engine.held,
         is_live=engine.is_live,
         is_free=is_free(plan, knowledge, engine, stall_s),
         is_leaving=engine.is_leaving,
--- a/cowslipcourse/groups/staging.py
+++ b/cowslipcourse/groups/staging.py
@@ -20,7 +20,7 @@
     for group in plan.groups:
         if group.model in at_risk and not group.is_retired:
             at_risk[group.model] += len(group.members)
-    held = {engine.id: _held(engine) for engine in free}
+    held = {engine.id: _held(engine, at_risk) for engine in free}
     covering = {name: list(held.values()).count(name) for name in at_risk}
     chosen = {}
     for engine in sorted(free, key=lambda e: (held[e.id] is not None, e.id)):
@@ -37,8 +37,10 @@
     return chosen
 
 
-def _held(engine):
-    return engine.staging or (engine.staged[0] if engine.staged else None)
+def _held(engine, models):
+    """Return the model that an engine loads, or can join without a load."""
+    held = [model for model in engine.held if model in models] or engine.held
+    return engine.staging or (held[0] if held else None)
 
 
 def _most_wanted(at_risk, covering, waiting):
--- a/cowslipcourse/platform/engines.py
+++ b/cowslipcourse/platform/engines.py
@@ -7,7 +7,7 @@
 
 from cowslipcourse.exceptions import TargetUnreachable
 from cowslipcourse.platform.entries import decode_report
-from cowslipcourse.ports import OrderAnswer
+from cowslipcourse.ports import OrderAnswer, OrderName
 
 __all__ = ["HttpEngineControl"]
 
@@ -48,6 +48,9 @@
             body |= {"group": order.group, "epoch": order.epoch}
         if order.model:
             body["model"] = order.model
+        if order.name is OrderName.CLOSE:
+            # What waits at the head is still served.
+            body["closeMode"] = "queue"
         if order.members:
             body["members"] = list(order.members)
         status, _ = await self._call(
--- a/features/group_plans/duel_variants.feature
+++ b/features/group_plans/duel_variants.feature
@@ -12,8 +12,8 @@
       | heads opened before all members were seen ready | mixed   | 0     |
       | engines taken out of groups they have not left  | mixed   | 5     |
       | engines taken out of groups they have not left  | divided | 3     |
-      | epochs used twice                               | mixed   | 1     |
-      | epochs used twice                               | divided | 185   |
+      | epochs used twice                               | mixed   | 115   |
+      | epochs used twice                               | divided | 4     |
       | members freed by the silence of their head      | mixed   | 11    |
       | members freed by the silence of their head      | divided | 2     |
       | evidence from before a group's end              | divided | 47    |
--- /dev/null
+++ b/features/steps/balance_steps.py
@@ -0,0 +1,240 @@
+"""Steps over the balance of groups among models."""
+
+from behave import given, then, when
+
+from cowslipcourse.groups import (
+    DomainPlan,
+    PlannedGroup,
+    choose_changes,
+    choose_standby,
+    group_counts,
+)
+from cowslipcourse.routes import EngineModel
+
+DATA_CENTRES = ("north", "south", "west")
+ORDINALS = {"first": 0, "second": 1}
+
+
+@given(
+    "models large of {large:d} engines with {large_share:f} of the work and small of "
+    "{small:d} with {small_share:f}"
+)
+def step_models(context, large, large_share, small, small_share):
+    context.models = (
+        EngineModel("large", large, large_share, 1.0, 16.0, 1.6),
+        EngineModel("small", small, small_share, 0.6, 12.0, 1.1),
+    )
+    context.plans, context.places = {}, {}
+    context.held, context.lacking = {}, set()
+
+
+def _domain(context, model, number, groups):
+    domain = f"{model.name}-{number}"
+    context.places[domain] = DATA_CENTRES[number % len(DATA_CENTRES)]
+    planned = tuple(
+        PlannedGroup(
+            f"{domain}-g{each}",
+            model.name,
+            1,
+            tuple(f"{domain}-{each}-{rank}" for rank in range(model.size)),
+        )
+        for each in range(groups)
+    )
+    context.plans[domain] = DomainPlan(domain, 1, planned)
+
+
+@given(
+    "{large:d} domains of {large_groups:d} groups of large and {small:d} domains of "
+    "{small_groups:d} groups of small"
+)
+def step_domains(context, large, large_groups, small, small_groups):
+    for number in range(1, large + 1):
+        _domain(context, context.models[0], number, large_groups)
+    for number in range(1, small + 1):
+        _domain(context, context.models[1], number, small_groups)
+
+
+def _lose(context, names):
+    """Retire the groups of domains, as their coordinators do."""
+    for name in names:
+        plan = context.plans[name]
+        retired = tuple(group._replace(is_retired=True) for group in plan.groups)
+        context.plans[name] = plan._replace(groups=retired)
+
+
+@when("one domain of small is lost")
+def step_lose_one(context):
+    _lose(context, ["small-1"])
+
+
+@when("both domains of small are lost")
+def step_lose_small(context):
+    _lose(context, ["small-1", "small-2"])
+
+
+@when("all domains of large are lost")
+def step_lose_large(context):
+    _lose(context, [name for name in context.plans if name.startswith("large")])
+
+
+def _group(context, which, domain):
+    return context.plans[domain].groups[ORDINALS[which]].name
+
+
+@given("the hosts of the {which} group of {domain} hold small")
+@when("the hosts of the {which} group of {domain} hold small")
+def step_hold(context, which, domain):
+    context.held[_group(context, which, domain)] = "small"
+
+
+@when("the {which} group of {domain} lacks a member")
+def step_lacks(context, which, domain):
+    context.lacking.add(_group(context, which, domain))
+
+
+def _held(context):
+    def held(group, domain, model):
+        return len(group.members) * (context.held.get(group.name) == model)
+
+    return held
+
+
+def _changes(context):
+    return choose_changes(
+        context.plans,
+        context.models,
+        lambda group, domain: group.name not in context.lacking,
+        _held(context),
+    )
+
+
+def _begin(context, changes):
+    for change in changes:
+        plan = context.plans[change.domain]
+        groups = tuple(
+            group._replace(is_retired=True, successor=change.model)
+            if group.name in change.groups
+            else group
+            for group in plan.groups
+        )
+        context.plans[change.domain] = plan._replace(groups=groups)
+
+
+@when("the first of these changes has begun")
+def step_begin_first(context):
+    _begin(context, _changes(context)[:1])
+
+
+@when("the rest of these changes have begun")
+def step_begin_rest(context):
+    _begin(context, _changes(context))
+
+
+@then("no group is to change over")
+def step_none(context):
+    assert _changes(context) == [], _changes(context)
+
+
+@then("{number:d} groups of large are to change over to small, in {domains:d} domains")
+def step_number(context, number, domains):
+    changes = _changes(context)
+    assert {change.model for change in changes} == {"small"}, changes
+    assert sum(len(change.groups) for change in changes) == number, changes
+    assert len({change.domain for change in changes}) == domains, changes
+
+
+@then("the first to change over is the {which} group of {domain}, which is warm")
+def step_first(context, which, domain):
+    first = _changes(context)[0]
+    assert first.groups == (_group(context, which, domain),), first
+    assert first.is_warm, first
+
+
+@then("the others are not warm")
+def step_others(context):
+    assert not any(change.is_warm for change in _changes(context)[1:])
+
+
+@then("the {which} group of {domain} is not among those to change over")
+def step_not_among(context, which, domain):
+    name = _group(context, which, domain)
+    assert all(name not in change.groups for change in _changes(context))
+
+
+@then("2 groups of one domain are to change over to large together")
+def step_together(context):
+    first = _changes(context)[0]
+    assert first.model == "large" and len(first.groups) == 2, first
+
+
+def _standby(context):
+    return choose_standby(context.plans, context.places, context.models, _held(context))
+
+
+@then(
+    "hosts of {number:d} groups of large are to hold small, in {places:d} data centres"
+)
+def step_standby(context, number, places):
+    chosen = _standby(context)
+    names = [name for name, model in chosen.items() if model == "small"]
+    assert len(names) == number, chosen
+    found = {context.places[name.rsplit("-", 1)[0]] for name in names}
+    assert len(found) == places, chosen
+
+
+@then("no host is to hold large")
+def step_no_large(context):
+    assert "large" not in _standby(context).values(), _standby(context)
+
+
+@then("the {which} group of {domain} is among those that are to hold small")
+def step_among(context, which, domain):
+    name = _group(context, which, domain)
+    assert _standby(context).get(name) == "small", _standby(context)
+
+
+@given("3 groups of large have changed over to small")
+def step_changed(context):
+    for number in (1, 2, 3):
+        domain = f"large-{number}"
+        plan = context.plans[domain]
+        given, kept = plan.groups
+        halves = (given.members[:2], given.members[2:])
+        new = tuple(
+            PlannedGroup(f"{given.name}-{each}", "small", 2, members)
+            for each, members in enumerate(halves)
+        )
+        context.plans[domain] = plan._replace(groups=(kept, *new))
+
+
+@when("no host holds large")
+def step_no_host(context):
+    context.held = {}
+
+
+@when("the hosts of all groups of small hold large")
+def step_all_hold(context):
+    for plan in context.plans.values():
+        for group in plan.groups:
+            if group.model == "small":
+                context.held[group.name] = "large"
+
+
+@then("after all such changes {large:d} groups serve large and {small:d} serve small")
+def step_after(context, large, small):
+    while changes := _changes(context):
+        _begin(context, changes)
+        _finish(context)
+    counts = group_counts(context.plans.values(), context.models)
+    assert (counts["large"], counts["small"]) == (large, small), counts
+
+
+def _finish(context):
+    """Let the engines of groups with a successor serve it."""
+    for domain, plan in context.plans.items():
+        given = [group for group in plan.groups if group.successor]
+        if given:
+            members = tuple(m for group in given for m in group.members)
+            new = PlannedGroup(f"{domain}-new", given[0].successor, 3, members)
+            kept = tuple(group for group in plan.groups if not group.successor)
+            context.plans[domain] = plan._replace(groups=(*kept, new))
--- a/features/steps/life_steps.py
+++ b/features/steps/life_steps.py
@@ -7,8 +7,10 @@
 
 from cowslipcourse.emulator import Faults, WholeSite, World
 from cowslipcourse.emulator.clock import run_paused
-from cowslipcourse.entry.coordinator import GROUPS_TABLE, Coordinator
+from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.engine_calls import EngineCalls
+from cowslipcourse.entry.fleet import FleetView
+from cowslipcourse.entry.plan_table import GROUPS_TABLE
 from cowslipcourse.entry.settings import ControlSettings
 from cowslipcourse.groups import (
     DomainKnowledge,
@@ -195,6 +197,7 @@
 class _Tools:
     def __init__(self, table):
         self.table = table
+        self.fleet = FleetView()
 
 
 class _Silent:
--- a/features/steps/practice_steps.py
+++ b/features/steps/practice_steps.py
@@ -8,6 +8,7 @@
 from cowslipcourse.emulator import Faults, WholeSite, World, run_paused
 from cowslipcourse.emulator.policies import in_force
 from cowslipcourse.entry.coordinator import Coordinator
+from cowslipcourse.entry.fleet import FleetView
 from cowslipcourse.entry.settings import ControlSettings
 from cowslipcourse.groups import (
     DomainKnowledge,
@@ -127,6 +128,7 @@
     table = RouteTable(
         1, (), (ServiceSpec(SERVICE, models=(LARGE,), slots=13),), CallerLimits(), {}
     )
+    fleet = FleetView()
 
 
 async def _list(world, coordinator):
--- a/features/support/coordinator_runs.py
+++ b/features/support/coordinator_runs.py
@@ -8,6 +8,7 @@
 
 from cowslipcourse.emulator import Engine, Faults, WholeSite, World
 from cowslipcourse.entry.coordinator import Coordinator
+from cowslipcourse.entry.fleet import FleetView
 from cowslipcourse.entry.settings import ControlSettings
 from cowslipcourse.exceptions import TargetUnreachable
 from cowslipcourse.groups import EngineKnowledge, situation
@@ -74,6 +75,7 @@
 class _Tools:
     def __init__(self, table):
         self.table = table
+        self.fleet = FleetView()
 
 
 class _Links:
@@ -145,7 +147,7 @@
             )
 
 
-async def _list(world, coordinator, rng, site):
+async def _list(world, coordinator, fleet, rng, site):
     """Bring the list to a coordinator, late at times."""
     listed = set()
     while True:
@@ -157,6 +159,7 @@
         present = {entry.id for entry in entries}
         coordinator.domains.see_gone(listed - present)
         coordinator.domains.see_entries(entries)
+        fleet.apply(entries, listed - present)
         listed = present
         if site.restarts and world.past_entries and rng.random() < OLD_ENTRY_SHARE:
             coordinator.domains.see_entries([rng.choice(world.past_entries[-5:])])
@@ -225,15 +228,17 @@
         running.append(links.run())
         if site.overloads:
             running.append(links.overload())
+        tools = _Tools(route_table())
         coordinator = Coordinator(
-            _Tools(route_table()),
+            tools,
             world,
             links,
             settings,
             WholeSite(lambda number=number: duel.acting[number]),
             lambda news: None,
         )
-        running += [coordinator.run(), _list(world, coordinator, rng, site)]
+        listing = _list(world, coordinator, tools.fleet, rng, site)
+        running += [coordinator.run(), listing]
     tasks = [asyncio.create_task(coroutine) for coroutine in running]
     await asyncio.sleep(RUN_S)
     for task in tasks:
@@ -282,9 +287,9 @@
     """Give a repaired group its old epoch again."""
     make = group_revision._Revision.make
 
-    def keep(self, wishes):
+    def keep(self, wishes, changes):
         old = {group.name: group.epoch for group in self._groups.values()}
-        groups = make(self, wishes)
+        groups = make(self, wishes, changes)
         return tuple(
             group._replace(epoch=old.get(group.name, group.epoch)) for group in groups
         )
