--- a/cowslipcourse/emulator/report.py
+++ b/cowslipcourse/emulator/report.py
@@ -38,6 +38,7 @@
     open_groups: dict[str, float]
     violations: int
     kinds: NotRequired[dict[str, float]]
+    first_groups: NotRequired[dict[str, int]]
 
 
 class Difference(NamedTuple):
@@ -88,6 +89,7 @@
         idle_engine_s=result.idle_engine_s,
         open_groups=result.open_groups,
         violations=len(result.violations),
+        first_groups=result.first_groups,
         kinds={kind: _credit(kinds, found) for kind, found in by_kind.items()},
     )
 
--- a/cowslipcourse/emulator/site.py
+++ b/cowslipcourse/emulator/site.py
@@ -27,6 +27,8 @@
 HEARTBEAT_S = 0.25
 LEAD_LOADS = 0.1
 """Factor on the times of loads before the traffic starts."""
+SPREAD_S = 0.5
+"""Time within which all engines of a domain are listed, if they come late."""
 LOOK_S = 0.5
 """Interval at which idle engines and open groups are counted."""
 NO_FAULTS = Faults(late=0, lost=0, unanswered=0, pause=0, store=0)
@@ -38,6 +40,7 @@
     :param records: :class:`~cowslipcourse.emulator.callers.CallRecord` list.
     :param idle_engine_s: seconds that live engines spent in no open group.
     :param open_groups: mean number of open groups by model.
+    :param first_groups: number of them by model when the traffic began.
     :param violations: what the oracle of the groups saw, as texts.
     :param crashes: :class:`~cowslipcourse.emulator.crashes.CrashFigures` list, one for
         each request that ended engines.
@@ -47,6 +50,7 @@
     records: list[CallRecord]
     idle_engine_s: float
     open_groups: dict[str, float]
+    first_groups: dict[str, int]
     violations: list[str]
     crashes: list[CrashFigures]
     wrongly_quarantined: int
@@ -79,9 +83,10 @@
             remembers_models=True,
             loads_take_time=True,
         )
-        for domain in site.domains:
-            for _ in range(site.engines_a_domain):
-                self._world.add_engine(domain)
+        self._start_luck = random.Random(f"starts-{seed}")
+        if not site.register_s:
+            for domain in site.domains:
+                self._start_engines(domain)
         spec = _spec(site, models)
         table = RouteTable(1, (), (spec,), CallerLimits(), {})
         self._heads = Heads(self._world, spec)
@@ -111,8 +116,23 @@
         self._idle_engine_s = 0.0
         self._open_groups = {name: [] for name in self._models}
 
+    def _start_engines(self, domain):
+        for _ in range(self._settings.site.engines_a_domain):
+            self._world.add_engine(domain)
+
+    def _start_engines_later(self):
+        """Let the engines be listed domain by domain."""
+        site, loop = self._settings.site, asyncio.get_running_loop()
+        for domain in site.domains:
+            first = self._start_luck.uniform(0.0, site.register_s)
+            for _ in range(site.engines_a_domain):
+                later = first + self._start_luck.uniform(0.0, SPREAD_S)
+                loop.call_later(later, self._world.add_engine, domain)
+
     async def play(self):
         """Play the run and return its :class:`SiteResult`."""
+        if self._settings.site.register_s:
+            self._start_engines_later()
         running = [self._world.run(), self._heads.run(), self._list()]
         running += [self._heartbeats(), self._count()]
         for daemon in self._daemons:
@@ -138,6 +158,7 @@
             records,
             self._idle_engine_s,
             means,
+            {model: numbers[0] for model, numbers in self._open_groups.items()},
             self._world.violations,
             self._heads.crashing.figures(),
             callers.wrongly_quarantined,
--- a/cowslipcourse/emulator/site_file.py
+++ b/cowslipcourse/emulator/site_file.py
@@ -53,6 +53,7 @@
     :param message_loss: share of messages between daemons that are lost.
     :param message_late_s: longest time that one takes.
     :param lead_s: seconds before the traffic starts; loads take a tenth then.
+    :param register_s: time over which the domains' engines are listed at the start.
     """
 
     domains: dict[str, str]
@@ -70,6 +71,7 @@
     message_loss: float = Field(default=0.0, ge=0, lt=1)
     message_late_s: float = Field(default=0.003, ge=0)
     lead_s: Seconds = 12.0
+    register_s: float = Field(default=0.0, ge=0)
     models: tuple[ModelSettings, ...]
     kinds: tuple[KindSettings, ...]
 
--- a/features/steps/lost_domain_steps.py
+++ b/features/steps/lost_domain_steps.py
@@ -33,3 +33,14 @@
     for run in context.runs:
         short = {kind: c for kind, c in run["kinds"].items() if c < least}
         assert not short, (run["seed"], short)
+
+
+@then(
+    "each model has at least {least:d} groups when the traffic begins, on {engines:d} "
+    "engines"
+)
+def step_first_groups(context, least, engines):
+    site = context.settings.site
+    assert len(site.domains) * site.engines_a_domain == engines
+    for run in context.runs:
+        assert min(run["first_groups"].values()) >= least, run
