Domains are divided among the models once all are likely to be known

Cause: each coordinator divided the domains that it had heard of by the time its first one was complete, and what it chose stood for good. A domain listed 0.8 s after the others made the five known ones divide another way than all six do; the coordinators that came later saw six, and rows of the first.

--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -166,8 +166,7 @@
 
     async def _tend(self, domain):
         now = asyncio.get_running_loop().time()
-        is_growing = self.domains.grew_s_ago(domain, now) < SETTLE_S
-        if is_growing and not self._table.plan(domain).groups:
+        if not self._table.plan(domain).groups and self._is_settling(domain, now):
             return
         knowledge = self.domains.by_name[domain]
         spec = self._spec(knowledge)
@@ -185,6 +184,12 @@
         self._practise(plan, knowledge, shape, models)
         self._ask_silent(domain, knowledge, now)
 
+    def _is_settling(self, domain, now):
+        """Whether more engines, or domains to be divided with this one, may come."""
+        is_growing = self.domains.grew_s_ago(domain, now) < SETTLE_S
+        is_new = not self._table.plan(domain).version
+        return is_growing or (is_new and not self.domains.are_complete(domain, now))
+
     def _spec(self, knowledge):
         for engine in knowledge.engines.values():
             spec = self._tools.table.services.get(engine.entry.service)
--- a/cowslipcourse/entry/domains.py
+++ b/cowslipcourse/entry/domains.py
@@ -7,6 +7,11 @@
 
 __all__ = ["Domains"]
 
+OTHERS_S = 2.0
+"""Time without a new domain after which all are taken as known: they are listed up to
+that far apart."""
+MOST_WAIT_S = 4.0
+"""Time after which a domain gets groups although others keep coming."""
 log = get_logger(__name__)
 
 
@@ -20,6 +25,7 @@
         self._tools = tools
         self._domain_of = {}
         self._grown_at = {}
+        self._first_heard_at = {}
         self.by_name = {}
 
     @property
@@ -35,6 +41,7 @@
                 self.see_gone((entry.id,))
                 continue
             self._leave_other_domain(entry)
+            self._first_heard_at.setdefault(entry.domain, now)
             domain = self.by_name.setdefault(entry.domain, DomainKnowledge())
             if entry.id not in domain.engines:
                 self._grown_at[entry.domain] = now
@@ -79,6 +86,15 @@
         """Return the seconds since a domain got an engine; 0 if it never did."""
         return now - self._grown_at.get(domain, now)
 
+    def are_complete(self, domain, now):
+        """Whether all domains are likely to be known that are divided with a new one.
+
+        :param domain: name of the domain that is to get its first groups.
+        """
+        known_s = now - self._first_heard_at.get(domain, now)
+        newest_at = max(self._first_heard_at.values(), default=now)
+        return now - newest_at >= OTHERS_S or known_s >= MOST_WAIT_S
+
     def engine(self, domain, engine_id):
         """Return the :class:`~cowslipcourse.groups.EngineKnowledge`, or ``None``."""
         known = self.by_name.get(domain)
--- a/cowslipcourse/groups/balance.py
+++ b/cowslipcourse/groups/balance.py
@@ -20,7 +20,7 @@
 ENOUGH_RATIO = 0.8
 """The same, up to which a model that was short is helped: requests that wait for its
 first groups come on top of its usual load."""
-SURPLUS_RATIO = 1.2
+SURPLUS_RATIO = 1.0
 """The same, which a model keeps that gives groups to one that is not short but has not
 enough: nothing waits then, so it gives only what it does not need itself."""
 LOST_DOMAINS = 2
