Engines that are too few for a group hold up no change of other groups

What callers would see: a model that is short stays so for good once some domain has two or three free engines and no group, as groups do not change over while engines are about to form some. Cause: nothing bounded how long that is waited for. Now three seconds after the domain's last new engine; the scenario fails without the bound (1 of 11).

--- a/cowslipcourse/entry/balancing.py
+++ b/cowslipcourse/entry/balancing.py
@@ -17,6 +17,8 @@
 """Age of the other coordinators' plans up to which a change is begun."""
 READ_AGAIN_S = 2.0
 """Interval at which they are read while a model is short and nothing else changes."""
+FORMING_S = 3.0
+"""Time after its last new engine within which a domain forms its groups, if it can."""
 STANDBY_LOOK_S = 1.0
 """Interval at which it is chosen which groups stand by."""
 
@@ -53,10 +55,10 @@
         self._looked_at = now
         if self._must_read(spec, now):
             await self._table.read()
-        before, self._changes = self._changes, self._choose(spec)
+        before, self._changes = self._changes, self._choose(spec, now)
         if self._can_begin(tended) and self._table.age_s(now) > FRESH_S:
             await self._table.read()
-            self._changes = self._choose(spec)
+            self._changes = self._choose(spec, now)
         if self._changes and self._changes != before:
             self._log(spec, now)
         if now - self._standby_at >= STANDBY_LOOK_S:
@@ -66,10 +68,12 @@
                 self._table.plans, places, spec.models, self._held
             )
 
-    def _choose(self, spec):
+    def _choose(self, spec, now):
         plans = self._table.plans
         chosen = choose_changes(plans, spec.models, self._is_whole, self._held)
-        return () if chosen and self._has_unused_engines(spec) else tuple(chosen)
+        if chosen and self._has_unused_engines(spec, now):
+            return ()
+        return tuple(chosen)
 
     def _can_begin(self, tended):
         """Whether a change in this daemon's own domains waits for nothing."""
@@ -127,14 +131,15 @@
             for model in spec.models
         }
 
-    def _has_unused_engines(self, spec):
-        """Whether a domain has engines enough for a group, and no group yet.
+    def _has_unused_engines(self, spec, now):
+        """Whether a domain has got engines enough for a group, and no group yet.
 
         Its groups are formed in a moment; nothing else has to be given up for them.
         """
         least = min(model.size for model in spec.models)
         for name, domain in self._domains.by_name.items():
-            if not self._table.is_readable(name):
+            is_forming = self._domains.grew_s_ago(name, now) < FORMING_S
+            if not is_forming or not self._table.is_readable(name):
                 continue
             groups = self._table.plan(name).groups
             unused = sum(
--- a/features/group_plans/balance.feature
+++ b/features/group_plans/balance.feature
@@ -53,3 +53,10 @@
     When the hosts of all groups of small hold large
     Then 2 groups of one domain are to change over to large together
     And after all such changes 7 groups serve large and 10 serve small
+
+  Scenario: Engines that are too few for a group hold up no change for long
+    Given a coordinator of all domains
+    When both domains of small are lost
+    And 3 engines come to small-1
+    Then after 1 s it has chosen nothing
+    And after 5 s it has chosen changes to small
--- a/features/steps/balance_steps.py
+++ b/features/steps/balance_steps.py
@@ -1,7 +1,14 @@
 """Steps over the balance of groups among models."""
 
+import asyncio
+from types import SimpleNamespace
+
 from behave import given, then, when
 
+from cowslipcourse.emulator import run_paused
+from cowslipcourse.entry.balancing import Balancing
+from cowslipcourse.entry.domains import Domains
+from cowslipcourse.entry.fleet import FleetView
 from cowslipcourse.groups import (
     DomainPlan,
     PlannedGroup,
@@ -9,7 +16,8 @@
     choose_standby,
     group_counts,
 )
-from cowslipcourse.routes import EngineModel
+from cowslipcourse.ports import GroupState, Membership, TargetEntry
+from cowslipcourse.routes import CallerLimits, EngineModel, RouteTable, ServiceSpec
 
 DATA_CENTRES = ("north", "south", "west")
 ORDINALS = {"first": 0, "second": 1}
@@ -238,3 +246,71 @@
             new = PlannedGroup(f"{domain}-new", given[0].successor, 3, members)
             kept = tuple(group for group in plan.groups if not group.successor)
             context.plans[domain] = plan._replace(groups=(*kept, new))
+
+
+class _Table:
+    """Meets what :class:`Balancing` uses of the plan table; always just read."""
+
+    def __init__(self, plans):
+        self.plans = plans
+
+    def plan(self, domain):
+        return self.plans[domain]
+
+    def is_readable(self, domain):
+        return True
+
+    def age_s(self, now):
+        return 0.0
+
+
+def _entry(engine, domain, membership=None):
+    return TargetEntry(
+        engine, "llm", f"{engine}:1", "n", 13, domain=domain, membership=membership
+    )
+
+
+def _members(plan):
+    """Return the entries of all members of a plan's groups."""
+    return [
+        _entry(member, plan.domain, Membership(g.name, 1, rank, GroupState.READY))
+        for g in plan.groups
+        for rank, member in enumerate(g.members)
+    ]
+
+
+@given("a coordinator of all domains")
+def step_coordinator(context):
+    context.spec = ServiceSpec("llm", models=context.models, slots=13)
+    table = RouteTable(1, (), (context.spec,), CallerLimits(), {})
+    context.tools = SimpleNamespace(table=table, fleet=FleetView())
+    context.newcomers = ()
+
+
+@when("{number:d} engines come to {domain}")
+def step_come(context, number, domain):
+    context.newcomers = tuple(_entry(f"new-{n}", domain) for n in range(number))
+
+
+async def _chosen_after(context, seconds):
+    domains = Domains(context.tools)
+    for plan in context.plans.values():
+        domains.see_entries(_members(plan))
+    await asyncio.sleep(10.0)
+    domains.see_entries(context.newcomers)
+    await asyncio.sleep(seconds)
+    now = asyncio.get_running_loop().time()
+    balancing = Balancing(context.tools, domains, _Table(context.plans))
+    await balancing.look(context.spec, set(context.plans), now)
+    return [c for domain in context.plans for c in balancing.changes(domain, now)]
+
+
+@then("after {seconds:d} s it has chosen nothing")
+def step_chosen_nothing(context, seconds):
+    assert not run_paused(_chosen_after(context, seconds))
+
+
+@then("after {seconds:d} s it has chosen changes to small")
+def step_chosen(context, seconds):
+    changes = run_paused(_chosen_after(context, seconds))
+    assert {change.model for change in changes} == {"small"}, changes
