Test processes claim ranges of ports below those of outgoing connections

Cause: each feature file had a range of 500 ports by its place in the list. From the 26th on the ranges lay above 32767, where the system takes the local ports of outgoing connections; the soak is the 39th (39000). A port that was free when it was chosen was taken by some connection of another test before the daemon bound it, and the daemon ended at each of its starts. Runs by hand all used the range of the first file.

Ruled out: load alone.

--- a/harness/run_tests.py
+++ b/harness/run_tests.py
@@ -12,8 +12,6 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-from harness.ports import DEFAULT_FIRST_PORT, PORTS_EACH, PORTS_VARIABLE
-
 __all__ = ["main"]
 
 ROOT = Path(__file__).parent.parent
@@ -48,7 +46,7 @@
     return results
 
 
-def _behave(feature, number):
+def _behave(feature):
     """Run one feature file and return ``(scenario name, result)`` of its scenarios."""
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
@@ -56,12 +54,7 @@
         command = [BIN / "behave", "--no-capture", "--format", "json"]
         command += ["--outfile", report, "--format", "progress3", feature]
         # A fixed hash seed gives sets, and so the runs, the same order every time.
-        environment = {
-            **os.environ,
-            "PYTHONHASHSEED": "0",
-            "TMPDIR": folder,
-            PORTS_VARIABLE: str(DEFAULT_FIRST_PORT + PORTS_EACH * number),
-        }
+        environment = {**os.environ, "PYTHONHASHSEED": "0", "TMPDIR": folder}
         done = subprocess.run(
             command,
             cwd=ROOT,
@@ -103,7 +96,7 @@
     files = _features(arguments)
     jobs = max(1, min(MOST_JOBS, (os.cpu_count() or 2) - 2))
     with ThreadPoolExecutor(jobs) as pool:
-        found = pool.map(_behave, files, range(len(files)))
+        found = pool.map(_behave, files)
         return [result for results in found for result in results]
 
 
