A daemon that cannot listen says why before it ends

Seen: while the soak's starts were traced, daemons whose port was taken ended with code 3 and an empty log, up to 13 times in a row. An operator whose VM has another program on one of the ports would see restarts and no reason.

Cause: the HTTP server was left to bind by itself, and ends the process through SystemExit with a line to a logger that has no handler here. The datagram socket raised OSError with a traceback on standard error.

Change: the socket is bound before the server starts; both kinds raise AddressTaken, cowslip-entry logs daemon-failed with code, address and reason and ends with 1. The four scenarios fail on the code before.

--- a/cowslipcourse/adapters/web.py
+++ b/cowslipcourse/adapters/web.py
@@ -1,10 +1,13 @@
 """HTTP servers that run inside a daemon's own event loop."""
 
 import asyncio
+import socket
 from contextlib import aclosing
 
 import uvicorn
 
+from cowslipcourse.exceptions import AddressTaken
+
 __all__ = ["StreamedAnswer", "WebServer"]
 
 
@@ -18,11 +21,10 @@
     """
 
     def __init__(self, app, address, backlog=2048, limit_concurrency=None):
-        host, port = address.rsplit(":", 1)
+        self._address = address
+        self._backlog = backlog
         config = uvicorn.Config(
             app,
-            host=host,
-            port=int(port),
             log_config=None,
             access_log=False,
             lifespan="off",
@@ -49,10 +51,21 @@
         The server's own loop is not run: ten times a second it would renew the date
         header and look for signals, neither of which is used here. With five servers a
         daemon that is fifty wake-ups a second.
+
+        :raises AddressTaken: if the address cannot be listened on.
         """
+        # Left to bind by itself, the server ends the process without a word.
+        listening = self._listen()
         self._server.config.load()
         self._server.lifespan = self._server.config.lifespan_class(self._server.config)
-        await self._server.startup()
+        await self._server.startup(sockets=[listening])
+
+    def _listen(self):
+        host, port = self._address.rsplit(":", 1)
+        try:
+            return socket.create_server((host, int(port)), backlog=self._backlog)
+        except OSError as error:
+            raise AddressTaken(self._address, error.strerror) from error
 
     async def stop(self, grace_s=1.0):
         """Stop listening and close connections that are idle.
--- a/cowslipcourse/entry/main.py
+++ b/cowslipcourse/entry/main.py
@@ -11,17 +11,20 @@
 from cleo.helpers import argument
 
 from cowslipcourse import __version__
-from cowslipcourse.adapters.log import set_up_queued_logging
+from cowslipcourse.adapters.log import get_logger, set_up_queued_logging
 from cowslipcourse.entry.daemon import Entry
 from cowslipcourse.entry.settings import EntrySettings
-from cowslipcourse.exceptions import SettingsError
+from cowslipcourse.exceptions import CowslipError, SettingsError
 from cowslipcourse.platform import SETTINGS_VARIABLE
 from cowslipcourse.settings_file import load_settings
 
 __all__ = ["main"]
 
+EXIT_FAILED = 1
 EXIT_USAGE = 2
 
+log = get_logger(__name__)
+
 
 async def _run(settings, path):
     stopping = asyncio.Event()
@@ -62,20 +65,24 @@
     arguments: ClassVar = [_SETTINGS_ARGUMENT]
 
     def handle(self):
-        """Run until SIGTERM."""
+        """Run until SIGTERM; return another exit code than 0 if that fails."""
         loaded = _load(self)
         if loaded is None:
             return EXIT_USAGE
         settings, path = loaded
         listener = set_up_queued_logging(settings.log)
+        code = 0
         try:
             asyncio.run(_run(settings, path))
+        except CowslipError as error:
+            log.warning("daemon-failed", code=error.code, detail=error.detail)
+            code = EXIT_FAILED
         finally:
             listener.stop()
         sys.stdout.flush()
         # Taking the interpreter apart takes tenths of a second of what is left of the
         # grace on a busy VM, and nothing is left to be saved.
-        os._exit(0)
+        os._exit(code)
 
 
 class CheckCommand(Command):
--- a/cowslipcourse/entry/peer_link.py
+++ b/cowslipcourse/entry/peer_link.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
-from cowslipcourse.exceptions import MalformedAnswer
+from cowslipcourse.exceptions import AddressTaken, MalformedAnswer
 from cowslipcourse.peers import (
     CrashReports,
     DigestWriter,
@@ -53,12 +53,19 @@
         self._told_all_at = None
 
     async def start(self):
-        """Listen, and write to the seeds at first."""
+        """Listen, and write to the seeds at first.
+
+        :raises AddressTaken: if the address cannot be listened on.
+        """
         loop = asyncio.get_running_loop()
-        host, port = self._settings.listen.peer.rsplit(":", 1)
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Datagrams(self._take), local_addr=(host, int(port))
-        )
+        address = self._settings.listen.peer
+        host, port = address.rsplit(":", 1)
+        try:
+            self._transport, _ = await loop.create_datagram_endpoint(
+                lambda: _Datagrams(self._take), local_addr=(host, int(port))
+            )
+        except OSError as error:
+            raise AddressTaken(address, error.strerror) from error
         for address in self._settings.peers.seeds:
             # Where a seed runs is learnt from its heartbeat; until then it is near.
             self._registry.add_address(address, self._settings.data_centre, loop.time())
--- a/cowslipcourse/exceptions.py
+++ b/cowslipcourse/exceptions.py
@@ -7,6 +7,7 @@
 from typing import ClassVar, NamedTuple
 
 __all__ = [
+    "AddressTaken",
     "AdmissionError",
     "AnswerBroken",
     "BadRequest",
@@ -84,6 +85,20 @@
         self.detail = detail or self.code
 
 
+class AddressTaken(CowslipError):
+    """A server cannot listen on its address.
+
+    :param address: ``ip:port``
+    :param reason: what the system says.
+    """
+
+    code = "address-taken"
+
+    def __init__(self, address, reason):
+        super().__init__(f"cannot listen on {address}: {reason}")
+        self.address = address
+
+
 class SelectorError(CowslipError):
     """A selector cannot be parsed or selects everything."""
 
--- a/features/platform_path/platform.feature
+++ b/features/platform_path/platform.feature
@@ -50,3 +50,15 @@
   Scenario: A signal to reload that comes while the program starts does not end it
     When the program has run no more than its first lines
     Then SIGHUP is ignored
+
+  Scenario Outline: A daemon whose address is taken does not end without a word
+    Given another program listens on the address for <which> of a daemon
+    When the daemon runs until it ends
+    Then it ends with exit code 1 and logs that the address is taken
+
+    Examples:
+      | which     |
+      | front     |
+      | directory |
+      | ready     |
+      | peer      |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -3,13 +3,17 @@
 import asyncio
 import itertools
 import signal
+import socket
 import subprocess
 import sys
+import tempfile
+from pathlib import Path
 
 import aiohttp
 from behave import given, then, when
 
 from features.support.platform_site import HOST, KEY, PlatformSite, stream_events
+from harness.ports import free_ports
 
 PATIENCE_S = 20.0
 LOOK_S = 0.1
@@ -315,3 +319,41 @@
 @then("SIGHUP is ignored")
 def step_ignored(context):
     assert context.printed == "True\n", context.printed
+
+
+@given("another program listens on the address for {which} of a daemon")
+def step_address_taken(context, which):
+    names = ("front", "directory", "ready", "peer")
+    ports = dict(zip(names, free_ports(len(names)), strict=True))
+    kind = socket.SOCK_DGRAM if which == "peer" else socket.SOCK_STREAM
+    context.taker = socket.socket(type=kind)
+    context.add_cleanup(context.taker.close)
+    context.taker.bind(("127.0.0.1", ports[which]))
+    if kind == socket.SOCK_STREAM:
+        context.taker.listen()
+    context.taken = f"127.0.0.1:{ports[which]}"
+    listen = "".join(f'{name} = "127.0.0.1:{ports[name]}"\n' for name in names)
+    context.settings_text = (
+        f'name = "a1"\ndata_centre = "n"\n[listen]\n{listen}'
+        f'[store]\naddress = "127.0.0.1:{free_ports(1)[0]}"\n'
+    )
+
+
+@when("the daemon runs until it ends")
+def step_daemon_runs(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "a1.toml"
+        path.write_text(context.settings_text)
+        command = [sys.executable, "-m", "cowslipcourse.entry", "run", str(path)]
+        context.ended = subprocess.run(
+            command, capture_output=True, text=True, timeout=PATIENCE_S, check=False
+        )
+
+
+@then("it ends with exit code {code:d} and logs that the address is taken")
+def step_says_taken(context, code):
+    assert context.ended.returncode == code, context.ended
+    lines = context.ended.stdout.splitlines()
+    said = [line for line in lines if "code=address-taken" in line]
+    assert len(said) == 1, context.ended
+    assert context.taken in said[0], said
