The daemon's part of the quarantine is a package of its own

It depended on cowslip-entry's list of targets by one call only; that is a callable now, so the gateways can use the same part.

--- a/cowslipcourse/emulator/daemons.py
+++ b/cowslipcourse/emulator/daemons.py
@@ -7,12 +7,11 @@
 from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.fleet import FleetView
 from cowslipcourse.entry.forwarding import Forwarder
-from cowslipcourse.entry.quarantining import Quarantine
 from cowslipcourse.entry.settings import EntrySettings
 from cowslipcourse.entry.silence import SilenceWatch
-from cowslipcourse.entry.target_ends import TargetEnds
 from cowslipcourse.entry.tools import EntryTools
 from cowslipcourse.quarantine import KeptVerdicts
+from cowslipcourse.quarantining import Quarantine, TargetEnds
 
 __all__ = ["DataCentres", "EmulatedDaemon", "WholeSite"]
 
@@ -106,7 +105,7 @@
         """Lose what it knows of requests that end engines, as in a new start."""
         heads = self._heads
         peers = self._network.peers(self.name)
-        ends = TargetEnds(self.fleet, heads.refuses)
+        ends = TargetEnds(self.fleet.expects, heads.refuses)
         kept = KeptVerdicts(heads.world, heads.now)
         self._tools.quarantine = Quarantine(peers, ends, kept)
         self._network.attach(self.name, self._tools.quarantine)
--- a/cowslipcourse/emulator/messages.py
+++ b/cowslipcourse/emulator/messages.py
@@ -6,7 +6,7 @@
 
 
 class _Peers:
-    """Meets :class:`~cowslipcourse.entry.crash_reporting.QuarantinePeers`."""
+    """Meets :class:`~cowslipcourse.quarantining.QuarantinePeers`."""
 
     def __init__(self, network, name):
         self._network = network
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -18,13 +18,11 @@
 from cowslipcourse.entry.knowledge import Knowledge
 from cowslipcourse.entry.metrics import EntryMetrics
 from cowslipcourse.entry.peer_link import PeerLink
-from cowslipcourse.entry.quarantining import Quarantine
 from cowslipcourse.entry.registering import Registering
 from cowslipcourse.entry.reloading import SettingsWatch
 from cowslipcourse.entry.roles import Roles
 from cowslipcourse.entry.side_apps import metrics_app, peer_app
 from cowslipcourse.entry.silence import SilenceWatch
-from cowslipcourse.entry.target_ends import TargetEnds
 from cowslipcourse.entry.tools import EntryTools
 from cowslipcourse.peers import Heartbeat, Member, PeerRegistry
 from cowslipcourse.platform import (
@@ -34,6 +32,7 @@
     ready_app,
 )
 from cowslipcourse.quarantine import KeptVerdicts
+from cowslipcourse.quarantining import Quarantine, TargetEnds
 
 __all__ = ["Entry"]
 
@@ -80,7 +79,7 @@
         self._registry = PeerRegistry(settings.peers, settings.data_centre)
         self._fleet.note_peers(self._registry.in_flight)
         self._link = PeerLink(settings, self._registry, self)
-        ends = TargetEnds(self._fleet)
+        ends = TargetEnds(self._fleet.expects)
         kept = KeptVerdicts(self._store, time.time)
         self.quarantine = Quarantine(self._link, ends, kept)
         self._tools = EntryTools(
--- a/cowslipcourse/entry/fleet.py
+++ b/cowslipcourse/entry/fleet.py
@@ -57,6 +57,15 @@
         """This daemon's requests in flight by target id."""
         return self._in_flight
 
+    def expects(self, entry):
+        """Whether a target is listed in this life and is not about to leave."""
+        listed = self._entries.get(entry.id)
+        return (
+            listed is not None
+            and listed.incarnation == entry.incarnation
+            and not listed.is_leaving
+        )
+
     def apply(self, entries, gone):
         """Take changed entries and ids that are gone."""
         for entry in entries:
--- a/cowslipcourse/entry/tools.py
+++ b/cowslipcourse/entry/tools.py
@@ -11,7 +11,7 @@
     :param attempts: :class:`~cowslipcourse.entry.attempts.Attempts`
     :param budget: :class:`~cowslipcourse.admission.SharedRetryBudget`
     :param silence: :class:`~cowslipcourse.entry.silence.SilenceWatch`
-    :param quarantine: :class:`~cowslipcourse.entry.quarantining.Quarantine`
+    :param quarantine: :class:`~cowslipcourse.quarantining.Quarantine`
     :param rng: :class:`random.Random`
     """
 
--- a/cowslipcourse/entry/quarantining.py
+++ b/cowslipcourse/quarantining/daemon_part.py
@@ -9,7 +9,6 @@
 import contextlib
 
 from cowslipcourse.adapters.log import get_logger
-from cowslipcourse.entry.crash_reporting import CrashReporting, is_first_judge
 from cowslipcourse.exceptions import (
     AnswerBroken,
     MalformedAnswer,
@@ -20,6 +19,7 @@
 from cowslipcourse.quarantine import Suspects, Verdict, Verdicts
 from cowslipcourse.quarantine.judging import TERM_S
 from cowslipcourse.quarantine.kept import KEPT_AFTER_S
+from cowslipcourse.quarantining.crash_reporting import CrashReporting, is_first_judge
 
 __all__ = ["Quarantine"]
 
@@ -38,8 +38,8 @@
 class Quarantine:
     """Reports ends of targets, judges requests, and knows which ones to refuse.
 
-    :param peers: :class:`~cowslipcourse.entry.crash_reporting.QuarantinePeers`
-    :param target_ends: :class:`~cowslipcourse.entry.target_ends.TargetEnds`
+    :param peers: :class:`~cowslipcourse.quarantining.crash_reporting.QuarantinePeers`
+    :param target_ends: :class:`~cowslipcourse.quarantining.target_ends.TargetEnds`
     :param kept: :class:`~cowslipcourse.quarantine.KeptVerdicts`
     """
 
--- a/cowslipcourse/entry/target_ends.py
+++ b/cowslipcourse/quarantining/target_ends.py
@@ -46,12 +46,13 @@
 class TargetEnds:
     """Looks into broken connections, once for all requests that they broke under.
 
-    :param fleet: :class:`~cowslipcourse.entry.fleet.FleetView`
+    :param expects: callable that tells whether a target is listed in this life and is
+        not about to leave.
     :param refuses: coroutine function like :func:`refuses_connections`.
     """
 
-    def __init__(self, fleet, refuses=refuses_connections):
-        self._fleet = fleet
+    def __init__(self, expects, refuses=refuses_connections):
+        self._expects = expects
         self._refuses = refuses
         self._checks = {}
         self._ended = OrderedDict()
@@ -73,7 +74,7 @@
         life = entry.id, entry.incarnation
         if life in self._ended:
             return True
-        if not self._is_expected_to_run(entry):
+        if not self._expects(entry):
             return False
         if not await self._refuses(entry.address):
             return False
@@ -82,12 +83,3 @@
             self._ended.popitem(last=False)
         log.warning("target-ended", target=entry.id, incarnation=entry.incarnation)
         return True
-
-    def _is_expected_to_run(self, entry):
-        """Whether the target is listed and not about to leave."""
-        listed = self._fleet.entries.get(entry.id)
-        return (
-            listed is not None
-            and listed.incarnation == entry.incarnation
-            and not listed.is_leaving
-        )
--- a/features/steps/judging_steps.py
+++ b/features/steps/judging_steps.py
@@ -15,10 +15,8 @@
 from cowslipcourse.entry.accounting import Placement
 from cowslipcourse.entry.attempts import TargetRun
 from cowslipcourse.entry.fleet import FleetView
-from cowslipcourse.entry.quarantining import Quarantine
 from cowslipcourse.entry.retrying import try_targets
 from cowslipcourse.entry.settings import RetrySettings
-from cowslipcourse.entry.target_ends import TargetEnds
 from cowslipcourse.exceptions import AnswerBroken, RequestQuarantined, TargetFailed
 from cowslipcourse.ports import RowWrite, TargetEntry
 from cowslipcourse.quarantine import (
@@ -30,6 +28,7 @@
 )
 from cowslipcourse.quarantine.judging import TERM_S
 from cowslipcourse.quarantine.kept import KEY, REPORTS_KEY, TABLE, _content
+from cowslipcourse.quarantining import Quarantine, TargetEnds
 from cowslipcourse.routes import RequestKind, Route
 
 FINGERPRINT = b"f" * 16
@@ -199,7 +198,7 @@
         fleet = FleetView()
         fleet.apply([_entry(n) for n in range(50)], ())
         kept = KeptVerdicts(self.store, self.clock)
-        ends = TargetEnds(fleet, self._refuses)
+        ends = TargetEnds(fleet.expects, self._refuses)
         quarantine = Quarantine(self.network.peers(name), ends, kept)
         self.network.attach(name, quarantine)
         return quarantine
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from cowslipcourse.entry.quarantining import Quarantine
+from cowslipcourse.quarantining import Quarantine
 from features.support.daemon_network import Shape
 from features.support.spread_runs import SpreadStory, play_spread
 
--- a/features/support/spread_runs.py
+++ b/features/support/spread_runs.py
@@ -7,11 +7,10 @@
 from cowslipcourse.emulator.clock import run_paused
 from cowslipcourse.entry.attempts import TargetRun
 from cowslipcourse.entry.fleet import FleetView
-from cowslipcourse.entry.quarantining import Quarantine
-from cowslipcourse.entry.target_ends import TargetEnds
 from cowslipcourse.peers import encode
 from cowslipcourse.ports import RowChanges, TargetEntry
 from cowslipcourse.quarantine import KeptVerdicts
+from cowslipcourse.quarantining import Quarantine, TargetEnds
 from features.support.daemon_network import HEADER_BYTES, DaemonNetwork
 
 __all__ = ["KNOWN_WITHIN_S", "Spread", "SpreadStory", "play_spread"]
@@ -90,7 +89,7 @@
     fleet.apply([_entry(number) for number in range(3)], ())
     kept = KeptVerdicts(_Store(), lambda: 0.0)
     peers = _CountingPeers(daemon.link)
-    daemon.quarantine = Quarantine(peers, TargetEnds(fleet, _refuses), kept)
+    daemon.quarantine = Quarantine(peers, TargetEnds(fleet.expects, _refuses), kept)
     return peers
 
 
