Gateways keep a model request that ends its engines from them

Seen (features/quarantine/gateways.feature, red since it was written): a request that ends each engine which begins to run it ended 29, 25 of them reached later than 3 s after the third end. Callers beside it lost their streams each time.

Cause: a gateway forgot with its last attempt what a request had done, and told no other gateway.

What it needs of a daemon is new: messages travel as records with the heartbeats, verdicts and evidence stand in the table service, and the life of a target is the epoch of its group. Whether a request had begun is told by the head of the answer, which the target client now reports as an empty first batch, or by its being alone at the group: whoever is alone does not wait for others. Runs under way are cancelled at their engine.

Open: calls of plain services by these gateways; a service's report does not say which life of the VM it is of.

--- a/cowslipcourse/adapters/targets.py
+++ b/cowslipcourse/adapters/targets.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from urllib.parse import urlsplit
 
 import aiohttp
 import msgspec
@@ -16,6 +17,7 @@
     TargetUnreachable,
 )
 from cowslipcourse.ports import EngineLoad, EngineStatus, ServiceAnswer
+from cowslipcourse.quarantining import refuses_connections
 
 __all__ = ["END_EVENT", "HttpTargets"]
 
@@ -93,6 +95,7 @@
             ) as response:
                 await _check_started(response, request)
                 silence.watch(response)
+                yield []
                 async for batch in _event_batches(response, silence):
                     yield batch
         except _NOT_SENT as error:
@@ -113,6 +116,10 @@
         except _NETWORK:
             return
 
+    async def has_ended(self, address):
+        """See :class:`~cowslipcourse.ports.TargetClient`."""
+        return await refuses_connections(urlsplit(address).netloc)
+
     async def call(self, address, operation, attempt_id, body):
         """See :class:`~cowslipcourse.ports.TargetClient`."""
         timeout = aiohttp.ClientTimeout(
--- a/cowslipcourse/daemon/reports.py
+++ b/cowslipcourse/daemon/reports.py
@@ -12,6 +12,7 @@
     "DEPARTURE_PREFIX",
     "GATEWAY_PREFIX",
     "GROUP_PREFIX",
+    "QUARANTINE_PREFIX",
     "SERVICE_PREFIX",
     "DepartureReport",
     "GatewayReport",
@@ -24,6 +25,7 @@
 SERVICE_PREFIX = "service/"
 GATEWAY_PREFIX = "gateway/"
 DEPARTURE_PREFIX = "departure/"
+QUARANTINE_PREFIX = "quarantine/"
 CHANGING = "changing"
 """Reason of a group that is whole, but shall finish what runs before it changes."""
 
--- a/cowslipcourse/gateway/fleet_view.py
+++ b/cowslipcourse/gateway/fleet_view.py
@@ -100,6 +100,10 @@
             and self._departing.isdisjoint(grant.report.spec.vm_names)
         ]
 
+    def is_departing(self, vm):
+        """Whether a VM shall get no new work."""
+        return vm in self._departing
+
     def seen_groups(self):
         """Return the ids of the groups that are known to serve."""
         oldest = now() - self._grant_s
--- a/cowslipcourse/gateway/generation.py
+++ b/cowslipcourse/gateway/generation.py
@@ -17,7 +17,9 @@
     TargetRefused,
     TargetUnreachable,
 )
+from cowslipcourse.gateway.quarantine_ports import GroupRun, Leader, SuspectCall
 from cowslipcourse.ports import GenerateRequest
+from cowslipcourse.quarantine import fingerprint
 from cowslipcourse.requests import AnswerRelay
 
 __all__ = ["Generation"]
@@ -25,6 +27,8 @@
 ATTEMPT_BYTES = 6
 RETRY_S = 1.0
 BACKOFF_S = 0.05
+PATH = b"chat"
+"""Stands for the path in the fingerprint: all model requests come at one."""
 
 log = get_logger(__name__)
 
@@ -49,6 +53,10 @@
         self._declarations = declarations
         self._tools = tools
         self._hashes = tools.chooser.hashes(body)
+        self._suspect = SuspectCall(
+            call.request_id, fingerprint(call.workspace, PATH, body)
+        )
+        self._run = None
         self._relay = AnswerRelay()
         self._tried = set()
         self._started = False
@@ -66,6 +74,16 @@
 
         :raises RequestError: the answer is not complete and will not be.
         """
+        quarantine = self._tools.quarantine
+        await quarantine.admit(self._suspect)
+        try:
+            async with aclosing(self._attempts()) as pieces:
+                async for piece in pieces:
+                    yield piece
+        finally:
+            quarantine.note_over(self._suspect)
+
+    async def _attempts(self):
         attempts = self._tools.settings.limits.attempts
         self._tools.retries.request()
         self._tools.resumes.request()
@@ -86,20 +104,30 @@
                 if not self._may_repeat(error) or number == attempts - 1:
                     raise self._final(error) from error
                 continue
+            self._tools.quarantine.note_answered(self._suspect)
             return
 
     async def _before_retry(self, number):
+        self._check_quarantine()
         budget = self._tools.resumes if self._relay.offset else self._tools.retries
         if not budget.take():
             raise self._final(NoTargetAvailable("the retry budget is spent"))
         self._tools.metrics.count("retries")
         await asyncio.sleep(BACKOFF_S * number * self._tools.rng.random())
+        self._check_quarantine()
+
+    def _check_quarantine(self):
+        quarantine = self._tools.quarantine
+        if quarantine.is_quarantined(self._suspect):
+            refusal = quarantine.refusal(self._suspect)
+            raise self._final(refusal, refusal.retry_after_s)
 
     async def _attempt(self):
         tools = self._tools
         spec = tools.chooser.choose(self._declarations, self._hashes, self._tried)
         attempt_id = secrets.token_hex(ATTEMPT_BYTES)
         self._group = spec.group
+        self._run = self._make_run(spec, attempt_id)
         request = GenerateRequest(
             self._call.request_id,
             attempt_id,
@@ -118,17 +146,19 @@
             checked_at, granted_at = now(), tools.view.granted_at(spec)
             self.groups.append(spec.group)
             batches = tools.targets.generate(spec.leader.address, request)
-            async with aclosing(batches):
-                async for events in batches:
-                    self._started = True
-                    if attempt_id not in self.attempts:
-                        if not tools.view.was_granted(spec, granted_at, checked_at):
-                            raise TargetUnreachable("sent after the grant's end")
-                        self.attempts.append(attempt_id)
-                    piece = self._relay.take(attempt_id, events)
-                    if piece:
-                        yield piece
-                    self._relay.check()
+            with tools.quarantine.watching(self._suspect, self._run):
+                async with aclosing(batches):
+                    async for events in batches:
+                        if not events:
+                            self._run.has_begun = True
+                            continue
+                        if attempt_id not in self.attempts:
+                            self._begin(spec, attempt_id, granted_at, checked_at)
+                        piece = self._relay.take(attempt_id, events)
+                        self._run.note_events(len(events), self._relay.offset)
+                        if piece:
+                            yield piece
+                        self._relay.check()
             ended = True
             if not self._relay.complete:
                 raise TargetUnreachable("the stream ended without its end event")
@@ -137,8 +167,36 @@
             if not ended:
                 tools.spawn(tools.targets.cancel(spec.leader.address, attempt_id))
 
+    def _begin(self, spec, attempt_id, granted_at, checked_at):
+        """Note that events of an attempt have come.
+
+        :raises TargetUnreachable: it was sent after the grant's end.
+        """
+        self._started = True
+        if not self._tools.view.was_granted(spec, granted_at, checked_at):
+            raise TargetUnreachable("sent after the grant's end")
+        self.attempts.append(attempt_id)
+
+    def _make_run(self, spec, attempt_id):
+        address = spec.leader.address
+        leader = Leader(spec.leader.vm, spec.epoch, address)
+
+        def cancel():
+            self._tools.spawn(self._tools.targets.cancel(address, attempt_id))
+
+        run = GroupRun(leader, self._relay.offset, cancel)
+        # Whoever is alone at an engine does not wait there for others to end.
+        run.has_begun = self._is_alone_at(spec.group)
+        return run
+
+    def _is_alone_at(self, group):
+        in_flight, _ = self._tools.view.peers_in_flight()
+        return not (in_flight.get(group) or self._tools.chooser.in_flight.count(group))
+
     def _note_failure(self, error):
         self._tried.add(self._group)
+        self._run.ended_by_target = isinstance(error, TargetUnreachable) and error.sent
+        self._tools.quarantine.note_failed(self._suspect, self._run)
         self._started = self._started or _may_have_started(error)
         if isinstance(error, TargetRefused):
             if error.reason != "grant-lapsed":
@@ -161,13 +219,13 @@
             return True
         return self._call.repeatable is not False
 
-    def _final(self, error):
+    def _final(self, error, retry_s=RETRY_S):
         """Return the error that the caller is told."""
         if not self._started:
-            return NoTargetAvailable(error.detail, RETRY_S)
+            return NoTargetAvailable(error.detail, retry_s)
         if self._relay.offset:
-            return RequestFailed(f"the answer broke off: {error.detail}", RETRY_S)
-        return OutcomeUnknown(error.detail, RETRY_S)
+            return RequestFailed(f"the answer broke off: {error.detail}", retry_s)
+        return OutcomeUnknown(error.detail, retry_s)
 
 
 def _may_have_started(error):
--- a/cowslipcourse/gateway/main.py
+++ b/cowslipcourse/gateway/main.py
@@ -17,6 +17,7 @@
 from cowslipcourse.gateway.chooser import Chooser
 from cowslipcourse.gateway.claims import ClaimDesk
 from cowslipcourse.gateway.fleet_view import FleetView
+from cowslipcourse.gateway.quarantine_ports import make_quarantine
 from cowslipcourse.gateway.sealing import seal_outcomes
 from cowslipcourse.gateway.services import ServiceRequests
 from cowslipcourse.gateway.tools import GatewayTools, Spawner
@@ -62,6 +63,7 @@
         tasks = [
             run_forever(claims.run(), "claims"),
             run_forever(self._report(), "report"),
+            run_forever(self._tools.quarantine.run(), "quarantine"),
         ]
         log.info("started", daemon=settings.daemon.name)
         await stopping.wait()
@@ -92,6 +94,7 @@
             objects=platform,
             retries=RetryBudget(settings.limits.retry_ratio),
             resumes=RetryBudget(settings.limits.resume_ratio, RESUME_BURST),
+            quarantine=make_quarantine(agent, view, targets, platform),
             outcomes=Outcomes(settings.limits, now()),
             metrics=open_metrics(settings.statsd),
             rng=rng,
--- a/cowslipcourse/gateway/tools.py
+++ b/cowslipcourse/gateway/tools.py
@@ -33,6 +33,7 @@
     :param retries: :class:`~cowslipcourse.admission.RetryBudget`
     :param resumes: :class:`~cowslipcourse.admission.RetryBudget` of broken streams;
         it is larger, since a whole group's streams break at once.
+    :param quarantine: :class:`~cowslipcourse.quarantining.Quarantine`
     :param outcomes: :class:`~cowslipcourse.requests.Outcomes`
     :param metrics: metrics sink.
     :param rng: :class:`random.Random`
@@ -48,6 +49,7 @@
     objects: Any
     retries: Any
     resumes: Any
+    quarantine: Any
     outcomes: Any
     metrics: Any
     rng: Any
--- a/cowslipcourse/ports/targets.py
+++ b/cowslipcourse/ports/targets.py
@@ -145,6 +145,8 @@
     ) -> AsyncIterator[list[bytes]]:
         """Yield batches of raw events of the answer, in order.
 
+        The first batch is empty: the engine has begun to answer.
+
         :raises TargetRefused: nothing was started.
         :raises TargetUnreachable: no more events will come.
         :raises MalformedAnswer: an event belongs to another request.
@@ -153,6 +155,9 @@
     async def cancel(self, address: str, attempt_id: str) -> None:
         """Ask the engine to stop an attempt; failures are ignored."""
 
+    async def has_ended(self, address: str) -> bool:
+        """Return whether its host answers, and nobody listens there."""
+
     async def call(
         self, address: str, operation: str, attempt_id: str, body: bytes
     ) -> ServiceAnswer:
--- a/features/steps/gateway_ending_steps.py
+++ b/features/steps/gateway_ending_steps.py
@@ -66,8 +66,14 @@
         return
 
 
-@when("a request that ends its engines comes at both every {every:d} s for {for_s:d} s")
-def step_comes(context, every, for_s):
+async def _come(site, every, for_s, names=None):
+    for number in range(for_s // every):
+        calls = [_one(site.gateways[n], number) for n in names or site.gateways]
+        await asyncio.gather(*calls)
+        await asyncio.sleep(every)
+
+
+def _run(context, every, for_s, again_s=0, first=None, then=None):
     async def story():
         site = SmallSite(1, vms(False), ("c1",), context.gateways)
         await site.start()
@@ -80,10 +86,13 @@
                 return ends.generate(targets, address, request)
 
             with mock.patch.object(FakeTargets, "generate", generate):
-                for number in range(for_s // every):
-                    calls = [_one(g, number) for g in site.gateways.values()]
-                    await asyncio.gather(*calls)
-                    await asyncio.sleep(every)
+                await _come(site, every, for_s, first)
+                ends.anew_at = now()
+                if again_s and then is None:
+                    for name in context.gateways:
+                        await site.restart(name)
+                    await asyncio.sleep(SETTLE_S)
+                await _come(site, every, again_s, then)
             return ends
         finally:
             await site.stop()
@@ -95,6 +104,31 @@
         logging.disable(logging.NOTSET)
 
 
+@when("a request that ends its engines comes at both every {every:d} s for {for_s:d} s")
+def step_comes(context, every, for_s):
+    context.every, context.for_s = every, for_s
+    _run(context, every, for_s)
+
+
+@when("both gateways start anew and it comes for {again_s:d} s more")
+def step_anew(context, again_s):
+    _run(context, context.every, context.for_s, again_s)
+
+
+@when(
+    "a request that ends its engines comes at one every 2 s for 30 s, then at the other"
+)
+def step_then_other(context):
+    first, then = context.gateways
+    _run(context, 2, 30, 30, [first], [then])
+
+
+@then("no engine is reached after that")
+def step_none_after(context):
+    later = [at for at in context.ends.arrivals if at > context.ends.anew_at]
+    assert not later, later
+
+
 @then("no more than {most:d} engines are reached later than 3 s after the third end")
 def step_bound(context, most):
     ends = context.ends
--- a/features/support/fakes.py
+++ b/features/support/fakes.py
@@ -178,6 +178,7 @@
         if target.breaks_early():
             raise TargetUnreachable("broken")
         try:
+            yield []
             async with aclosing(self._events(target, sequence)) as batches:
                 async for events in batches:
                     yield events
@@ -197,6 +198,11 @@
             if b"data: [DONE]" in event:
                 return
 
+    async def has_ended(self, address):
+        await self._gate.trip()
+        target = self._world.find(address.rsplit("/", 1)[1])
+        return target is not None and target.faults["dead"]
+
     async def cancel(self, address, attempt_id):
         try:
             target = await self._target(address, 2.0)
--- a/features/support/small_site.py
+++ b/features/support/small_site.py
@@ -18,6 +18,7 @@
 from cowslipcourse.gateway.chooser import Chooser
 from cowslipcourse.gateway.claims import ClaimDesk
 from cowslipcourse.gateway.fleet_view import FleetView
+from cowslipcourse.gateway.quarantine_ports import make_quarantine
 from cowslipcourse.gateway.services import ServiceRequests
 from cowslipcourse.gateway.tools import GatewayTools, Spawner
 from cowslipcourse.membership import Role
@@ -131,6 +132,9 @@
             objects=self.platform,
             retries=RetryBudget(limits.retry_ratio),
             resumes=RetryBudget(limits.resume_ratio, 256.0),
+            quarantine=make_quarantine(
+                self.agent, self.view, self.targets, self.platform
+            ),
             outcomes=Outcomes(limits, now()),
             metrics=site.metrics,
             rng=rng,
@@ -145,6 +149,7 @@
         self.tasks = [
             asyncio.create_task(self.claims.run()),
             asyncio.create_task(self._report()),
+            asyncio.create_task(self.tools.quarantine.run()),
         ]
 
     async def stop(self):
