--- a/features/quarantine/gateways.feature
+++ b/features/quarantine/gateways.feature
@@ -15,5 +15,5 @@
 
   Scenario: A gateway keeps it from engines that another gateway knows it would end
     Given two gateways before groups that serve, in fake time
-    When a request that ends its engines comes at one every 2 s for 30 s, then at the other
+    When such a request comes at one every 2 s for 30 s, then at the other
     Then no engine is reached after that
--- a/features/steps/gateway_ending_steps.py
+++ b/features/steps/gateway_ending_steps.py
@@ -115,9 +115,7 @@
     _run(context, context.every, context.for_s, again_s)
 
 
-@when(
-    "a request that ends its engines comes at one every 2 s for 30 s, then at the other"
-)
+@when("such a request comes at one every 2 s for 30 s, then at the other")
 def step_then_other(context):
     first, then = context.gateways
     _run(context, 2, 30, 30, [first], [then])
