A group whose members the list has never told of ends no coordinator

Seen: in duels with a store that comes back from an older copy the coordinator ended with KeyError, which ends the daemon, again at each start.

Cause: a member that loads for long is swapped for a free engine, and the lives of all members are then written anew. A member that the list has not told of to this daemon has no life there. It needs no older store: a coordinator that starts after engines were lost and dropped from the list reads them in the plan; if the free engines are too few for a repair and another member loads for 2 s or more, the same happens.

Change: such a group is left to repair; nothing is swapped in it. The scenario fails with the KeyError on the code before.

Looked for elsewhere: the other users of the lives take them from free engines and survivors, which are known.

--- a/cowslipcourse/groups/revision.py
+++ b/cowslipcourse/groups/revision.py
@@ -239,6 +239,9 @@
         for group in list(self._groups.values()):
             if group.is_retired or group.epoch == self._epoch:
                 continue
+            # Of a member that the list has never told of, no life is known to be meant.
+            if not self._views.keys() >= set(group.members):
+                continue
             for member in group.members:
                 self._swap(group, member)
 
--- a/features/group_plans/revision.feature
+++ b/features/group_plans/revision.feature
@@ -148,3 +148,10 @@
     And the domain serves large alone
     When groups are formed
     Then one group of large on a b c d is planned
+
+  Scenario: A member that loads stays while its group lacks members that nobody lists any more
+    Given a domain with a group of large on e1 e2 e3 e4
+    And the spares e5 that holds large and e6 that holds small
+    And the list has never told of e1 e2 e4
+    When e3 is 8 s away from being ready
+    Then nothing changes
--- a/features/steps/revision_steps.py
+++ b/features/steps/revision_steps.py
@@ -70,6 +70,12 @@
     context.shape = DomainShape(model, 0)
 
 
+@given("the list has never told of {members}")
+def step_never_listed(context, members):
+    for member in members.split():
+        del context.views[member]
+
+
 @when("the domains north and south form their first group each")
 def step_form(context):
     views = [_view(f"e{number}", is_free=True) for number in range(4)]
