Versions of the store are points in its history; lost plans are written again

A group is known by name and epoch, so a late order for the one forms the other.

Cause: versions alone were compared: epochs are one more than a version, rows are replaced under a version, lists are ordered by it, feeds go on after it. After the drill the store gives the same versions out again.

Change: the store client turns each version into a point, with the era of the answer in its high bits, so all of that keeps its meaning without knowing of eras. A condition of an earlier era fails; an answer of an earlier era, or without one, is refused.

Nothing changes while the store tells no era.

--- a/cowslipcourse/emulator/world.py
+++ b/cowslipcourse/emulator/world.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import deque
 from typing import NamedTuple
 
 from cowslipcourse.emulator.engines import Engine
@@ -15,13 +16,25 @@
     StoreUnavailable,
     TargetUnreachable,
 )
-from cowslipcourse.ports import OrderAnswer, RowChanges, StoredRow
+from cowslipcourse.ports import (
+    OrderAnswer,
+    RowChanges,
+    StoredRow,
+    era_of,
+    store_point,
+    version_in,
+)
 
 __all__ = ["Faults", "World"]
 
 CRASH_RESTART_S = 3.2
 """Time from the end of an engine's process until its next life is listed."""
 
+COPY_S = 0.25
+"""Interval at which the store's rows are copied."""
+MOST_COPIES = 40
+"""Copies that are kept: ten seconds of them."""
+
 BORN_MS = 1_790_000_000_000
 """Time of day at which the first engine starts; each life has a number of its own."""
 
@@ -57,6 +70,8 @@
     :param loads_take_time: whether weights reach a host some time after the order.
     """
 
+    tells_eras = True
+
     def __init__(
         self,
         rng,
@@ -74,6 +89,10 @@
         self.served = set()
         self._rows = {}
         self._version = 0
+        self._era = 0
+        self._copies = deque(maxlen=MOST_COPIES)
+        self._away_until = 0.0
+        self._joined = {}
         self._ready = set()
         self._data_centres = data_centres or {}
         self.remembers_models = remembers_models
@@ -141,6 +160,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(0.02)
+            self._copy(loop.time())
             for engine in list(self.engines.values()):
                 engine.look(loop.time())
                 engine.note_report(loop.time())
@@ -187,6 +207,9 @@
 
     def check_join(self, engine, order):
         """Check an engine that is about to take a join."""
+        meant = self._joined.setdefault((order.group, order.epoch), order.members)
+        if meant != order.members:
+            self.violations.append(f"epoch given out twice: {meant} {order}")
         found = engine.membership
         if found is None or found.group == order.group:
             return
@@ -201,31 +224,65 @@
 
     # The store.
 
+    @property
+    def era(self):
+        """See :class:`~cowslipcourse.ports.RowStore`."""
+        return self._era if self.tells_eras else 0
+
     async def read_table(self, table):
         """See :class:`~cowslipcourse.ports.RowStore`."""
         await self._store_call()
-        rows = [row for (name, _), row in self._rows.items() if name == table]
-        return RowChanges(tuple(rows), self._version)
+        rows = [
+            row._replace(version=self._point(row.version))
+            for (name, _), row in self._rows.items()
+            if name == table
+        ]
+        return RowChanges(tuple(rows), self._point(self._version))
+
+    def _point(self, version):
+        return store_point(self.era, version)
+
+    def _copy(self, now):
+        if not self._copies or now - self._copies[-1][0] >= COPY_S:
+            self._copies.append((now, dict(self._rows), self._version))
+
+    def come_back_older(self, age_s, away_s):
+        """Let the store be away, and come back as it was some seconds before.
+
+        :param age_s: age of the copy in seconds; the oldest one kept if that is less.
+        :param away_s: seconds for which no call is answered.
+        """
+        now = asyncio.get_running_loop().time()
+        older = [copy for copy in self._copies if copy[0] <= now - age_s]
+        _, rows, version = older[-1] if older else self._copies[0]
+        self._rows, self._version = dict(rows), version
+        self._era += 1
+        self._copies.clear()
+        self._away_until = now + away_s
 
     async def write(self, row_write):
         """See :class:`~cowslipcourse.ports.RowStore`."""
         await self._store_call()
         key = row_write.table, row_write.key
         known = self._rows[key].version if key in self._rows else 0
-        if row_write.expected is not None and row_write.expected != known:
+        expected = row_write.expected
+        if expected is not None and version_in(expected) != known:
             raise ConditionFailed([row_write.key])
         self._version += 1
         self._rows[key] = StoredRow(row_write.key, row_write.value, self._version)
-        version = self._version
+        version = self._point(self._version)
         if self.rng.random() < self.faults.store:
             raise ReplyLost("the answer was lost")
+        if expected and era_of(expected) != era_of(version):
+            raise ReplyLost("the store has come back older since the row was read")
         await self._pause()
         return version
 
     async def _store_call(self):
         await asyncio.sleep(0.004)
         await self._pause()
-        if self.rng.random() < self.faults.store:
+        is_away = asyncio.get_running_loop().time() < self._away_until
+        if is_away or self.rng.random() < self.faults.store:
             raise StoreUnavailable("busy")
 
     async def _pause(self):
--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -145,6 +145,7 @@
 
     async def _tick(self):
         try:
+            self._table.see_era()
             if not self._table.is_known:
                 await self._table.read()
             await self._balance()
@@ -166,6 +167,11 @@
 
     async def _tend(self, domain):
         now = asyncio.get_running_loop().time()
+        if (
+            self._table.is_lost(domain)
+            and await self._table.write_again(domain) is None
+        ):
+            return
         if not self._table.plan(domain).groups and self._is_settling(domain, now):
             return
         knowledge = self.domains.by_name[domain]
--- a/cowslipcourse/entry/knowledge.py
+++ b/cowslipcourse/entry/knowledge.py
@@ -25,6 +25,7 @@
     CONFIGURATION_TABLE,
     TARGETS_TABLE,
 )
+from cowslipcourse.ports import era_of
 
 __all__ = ["Knowledge"]
 
@@ -183,12 +184,14 @@
         # What the store lists has come back, or was never gone.
         self._held = {t: at for t, at in self._held.items() if t not in listed}
         known = self._list.contents
-        if self._targets.was_lost or not known:
+        is_older = era_of(everything.version) > era_of(self.targets_version)
+        if is_older or self._targets.was_lost or not known:
             loop = asyncio.get_running_loop()
             self._settled_at = loop.time() + RETURN_S
             self._unsettled.set()
-            # What is missing may be back in a moment.
-            listed = {**known, **listed}
+            # What is missing may be back in a moment. A store that has come back older
+            # may also list what a target has since replaced, and will write again.
+            listed = {**listed, **known} if is_older else {**known, **listed}
         self._take_all_targets(listed, everything.version)
 
     def _take_all_targets(self, listed, version):
--- a/cowslipcourse/entry/plan_table.py
+++ b/cowslipcourse/entry/plan_table.py
@@ -5,7 +5,7 @@
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.exceptions import ConditionFailed, MalformedAnswer
 from cowslipcourse.groups import DomainPlan, decode_plan, encode_plan
-from cowslipcourse.ports import RowWrite
+from cowslipcourse.ports import RowWrite, era_of
 
 __all__ = ["GROUPS_TABLE", "PlanTable"]
 
@@ -30,6 +30,8 @@
         self._unreadable = frozenset()
         self._confirmed_at = None
         self._read_at = float("-inf")
+        self._known_to = 0
+        self._lost = set()
         self.plans = {}
 
     @property
@@ -37,6 +39,11 @@
         """Whether the rows were read and nothing has cast doubt on them since."""
         return self._confirmed_at is not None
 
+    def see_era(self):
+        """Read the rows again if the store has come back older since."""
+        if self._store.era != era_of(self._known_to):
+            self._confirmed_at = None
+
     def doubt(self):
         """Read the rows again before anything is done."""
         self._confirmed_at = None
@@ -56,9 +63,13 @@
         """Whether the row of a domain could be decoded."""
         return domain not in self._unreadable
 
+    def is_lost(self, domain):
+        """Whether the store has lost the row of the plan that is known of a domain."""
+        return domain in self._lost
+
     def plan(self, domain):
         """Return the :class:`~cowslipcourse.groups.DomainPlan` of a domain."""
-        return self.plans.get(domain) or DomainPlan(domain)
+        return self.plans.get(domain) or DomainPlan(domain, absent_at=self._known_to)
 
     async def read(self):
         """Read all rows.
@@ -67,19 +78,50 @@
         """
         asked_at = asyncio.get_running_loop().time()
         found = await self._store.read_table(GROUPS_TABLE)
-        self.plans = {}
+        known, self.plans = self.plans, {}
+        may_be_lost = self._lost or era_of(found.version) > era_of(self._known_to)
         unreadable = set()
         for row in found.rows:
             try:
-                self._take(decode_plan(row.key, row.value, row.version), is_own=False)
+                plan = decode_plan(row.key, row.value, row.version)
             except MalformedAnswer as error:
                 # Who is in its groups is not known, so nothing is done there.
                 log.warning("plan-unreadable", domain=row.key, why=error)
                 unreadable.add(row.key)
+                continue
+            self._take(plan, is_own=False)
         self._unreadable = frozenset(unreadable)
+        self._known_to = found.version
+        self._lost = self._keep_lost(known) if may_be_lost else set()
         self._confirmed_at = self._read_at = asked_at
         log.info("plans-read", domains=len(self.plans), version=found.version)
 
+    def _keep_lost(self, known):
+        """Keep the plans that are newer than what the store has come back with.
+
+        :param known: :class:`~cowslipcourse.groups.DomainPlan` by domain, as known
+            before.
+        :returns: names of their domains.
+        """
+        lost = set()
+        for domain, plan in known.items():
+            found = self.plan(domain)
+            if plan.decided_at <= found.decided_at or domain in self._unreadable:
+                continue
+            log.warning(
+                "plan-lost",
+                domain=domain,
+                known=plan.decided_at,
+                found=found.decided_at,
+                version=found.version,
+            )
+            self._take(
+                found._replace(groups=plan.groups, decided_at=plan.decided_at),
+                is_own=False,
+            )
+            lost.add(domain)
+        return lost
+
     async def replace(self, plan, groups):
         """Replace the groups of a plan, unless its row has changed.
 
@@ -88,7 +130,23 @@
         :returns: the new plan; ``None`` if the row had changed and all were read again.
         :raises StoreError: the row may not have been written.
         """
-        content = encode_plan(groups)
+        return await self._write(plan, groups, plan.next_epoch)
+
+    async def write_again(self, domain):
+        """Write the plan of a domain again that the store has lost.
+
+        :returns: the new plan; ``None`` if the row had changed and all were read again.
+        :raises StoreError: the row may not have been written.
+        """
+        plan = self.plan(domain)
+        written = await self._write(plan, plan.groups, plan.decided_at)
+        if written is not None:
+            self._lost.discard(domain)
+            log.info("plan-written-again", domain=domain, version=written.version)
+        return written
+
+    async def _write(self, plan, groups, decided_at):
+        content = encode_plan(groups, decided_at)
         asked_at = asyncio.get_running_loop().time()
         try:
             version = await self._store.write(
@@ -98,7 +156,7 @@
             log.info("plan-outdated", domain=plan.domain, version=plan.version)
             await self.read()
             return None
-        written = DomainPlan(plan.domain, version, groups)
+        written = DomainPlan(plan.domain, version, groups, decided_at)
         self._take(written, is_own=True)
         self._confirmed_at = asked_at
         return written
--- a/cowslipcourse/groups/plan.py
+++ b/cowslipcourse/groups/plan.py
@@ -24,8 +24,8 @@
 
     :param name: never used for another group.
     :param model: model that it serves.
-    :param epoch: one more than the version of the row that was replaced to give it
-        these members. Only one transaction replaces a version, so it is unique.
+    :param epoch: one more than the point of the row that was replaced to give it
+        these members. Only one transaction replaces a row, so it is unique.
     :param members: ids of the engines, the head first.
     :param is_retired: whether it is given up; its members are free once its head
         cannot be serving.
@@ -67,13 +67,23 @@
     """All groups of a fabric domain.
 
     :param domain: name of the domain.
-    :param version: version of the row; 0 if there is none.
+    :param version: point of the row; 0 if there is none.
     :param groups: tuple of :class:`PlannedGroup`.
+    :param decided_at: the next epoch of the plan that these groups took the place of. A
+        row that is written again, after the store has lost it, keeps it.
+    :param absent_at: point at which the store had no row; 0 if it has one.
     """
 
     domain: str
     version: int = 0
     groups: tuple[PlannedGroup, ...] = ()
+    decided_at: int = 0
+    absent_at: int = 0
+
+    @property
+    def next_epoch(self):
+        """Epoch of the groups in whatever takes the place of this plan."""
+        return max(self.version, self.absent_at) + 1
 
     def group_of(self, engine, incarnation):
         """Return the :class:`PlannedGroup` that holds a life of an engine, or ``None``.
@@ -91,15 +101,25 @@
         return any(engine in group.members for group in self.groups)
 
 
-_decoder = msgspec.json.Decoder(tuple[PlannedGroup, ...])
+_Groups = tuple[PlannedGroup, ...]
+
+
+class _Row(msgspec.Struct):
+    groups: _Groups
+    decided_at: Annotated[int, msgspec.Meta(ge=0)]
+
+
+# A daemon of an earlier release writes the groups alone.
+_decoder = msgspec.json.Decoder(_Row | _Groups)
 
 
-def encode_plan(groups):
+def encode_plan(groups, decided_at):
     """Return the bytes of a row.
 
     :param groups: tuple of :class:`PlannedGroup`
+    :param decided_at: see :class:`DomainPlan`.
     """
-    return msgspec.json.encode(groups)
+    return msgspec.json.encode(_Row(groups, decided_at))
 
 
 def decode_plan(domain, content, version):
@@ -107,8 +127,11 @@
 
     :raises MalformedAnswer: it cannot be read.
     """
-    groups = decoded(_decoder, content, f"plan of {domain}")
+    row = decoded(_decoder, content, f"plan of {domain}")
+    if not isinstance(row, _Row):
+        row = _Row(row, 0)
+    groups = row.groups
     lives = [(m, group.incarnation_of(m)) for group in groups for m in group.members]
     if len(set(lives)) != len(lives):
         raise MalformedAnswer(f"unreadable plan of {domain}: an engine stands twice")
-    return DomainPlan(domain, version, groups)
+    return DomainPlan(domain, version, groups, row.decided_at)
--- a/cowslipcourse/groups/revision.py
+++ b/cowslipcourse/groups/revision.py
@@ -34,7 +34,7 @@
     def __init__(self, plan, engines, sizes, shape, broken):
         self._shape = shape
         self._domain = plan.domain
-        self._epoch = plan.version + 1
+        self._epoch = plan.next_epoch
         self._broken = broken
         self._sizes = sizes
         self._views = {view.id: view for view in engines}
--- a/cowslipcourse/platform/store.py
+++ b/cowslipcourse/platform/store.py
@@ -14,8 +14,15 @@
     ReplyLost,
     StoreUnavailable,
 )
+from cowslipcourse.platform.eras import Eras
 from cowslipcourse.platform.wire import Count, decode_as
-from cowslipcourse.ports import RowChanges, StoredRow
+from cowslipcourse.ports import (
+    RowChanges,
+    StoredRow,
+    era_of,
+    store_point,
+    version_in,
+)
 
 __all__ = [
     "CONFIGURATION_TABLE",
@@ -55,7 +62,7 @@
     """Rows as one call returns them.
 
     :param rows: :class:`~cowslipcourse.ports.StoredRow`
-    :param version: newest version of the whole store.
+    :param version: newest point of the whole store.
     :param has_more: whether further keys follow.
     """
 
@@ -73,7 +80,8 @@
 
     All rows have the empty ``part``: a part's rate limits are far above what is
     written. ``ver`` of an answer is the newest version of the whole store, ``ver`` of
-    a row that of the transaction which wrote it.
+    a row that of the transaction which wrote it. Here both are points, in the order of
+    the eras that the store tells: see :func:`~cowslipcourse.ports.store_point`.
 
     :param settings: :class:`~cowslipcourse.entry.settings.StoreSettings`
     """
@@ -81,6 +89,12 @@
     def __init__(self, settings):
         self._settings = settings
         self._session = None
+        self._eras = Eras()
+
+    @property
+    def era(self):
+        """See :class:`~cowslipcourse.ports.RowStore`."""
+        return self._eras.newest
 
     async def read_table(self, table):
         """See :class:`~cowslipcourse.ports.RowStore`."""
@@ -91,25 +105,41 @@
             rows += page.rows
             # The first page's version: what changes between pages is in the feed.
             version = page.version if version is None else version
+            if era_of(page.version) != era_of(version):
+                raise StoreUnavailable("the store came back older while it was read")
             if not page.has_more or not page.rows:
                 return RowChanges(tuple(rows), version)
             start = page.rows[-1].key + "\0"
 
     async def changes(self, table, after, wait_s):
         """See :class:`~cowslipcourse.ports.RowStore`."""
-        query = {"table": table, "after": str(after), "waitMs": str(int(wait_s * 1000))}
+        self._check_era(after)
+        query = {
+            "table": table,
+            "after": str(version_in(after)),
+            "waitMs": str(int(wait_s * 1000)),
+        }
         page = await self._get(
             "/rows-feed", query, wait_s + self._settings.feed_margin_s
         )
+        # The newer era may have reached the version too, with other changes.
+        self._check_era(after)
         return RowChanges(page.rows, page.version)
 
+    def _check_era(self, after):
+        if era_of(after) != self._eras.newest:
+            raise HistoryDropped(f"of era {era_of(after)}")
+
     async def write(self, row_write):
         """See :class:`~cowslipcourse.ports.RowStore`."""
         row = {"table": row_write.table, "part": "", "key": row_write.key}
+        name = f"{row_write.table}/{row_write.key}"
         value = base64.b64encode(row_write.value).decode()
         expected = []
+        if row_write.expected and era_of(row_write.expected) != self._eras.newest:
+            raise ConditionFailed([name])
         if row_write.expected is not None:
-            expected = [{**row, "ver": row_write.expected}]
+            expected = [{**row, "ver": version_in(row_write.expected)}]
         body = {"expected": expected, "puts": [{**row, "value": value}], "deletes": []}
         try:
             async with self._client().post(
@@ -124,14 +154,19 @@
         except _NETWORK as error:
             raise ReplyLost(repr(error)) from error
         if response.status == CONDITION_FAILED:
-            raise ConditionFailed([f"{row_write.table}/{row_write.key}"])
+            raise ConditionFailed([name])
         if response.status != 200:
             raise StoreUnavailable(f"the store answered {response.status}")
         try:
-            return decode_as(_WireWritten, content, "/rows-tx answer").ver
+            era = self._eras.see(response.headers)
+            version = decode_as(_WireWritten, content, "/rows-tx answer").ver
         except MalformedAnswer as error:
             # It was written, at a version that is not known.
             raise ReplyLost(str(error)) from error
+        if row_write.expected and era_of(row_write.expected) != era:
+            # The version that was expected has been given out again.
+            raise ReplyLost(f"written in era {era}")
+        return store_point(era, version)
 
     async def close(self):
         """Close the connections."""
@@ -159,26 +194,27 @@
         if response.status != 200:
             raise StoreUnavailable(f"{path} answered {response.status}")
         try:
-            return decode_rows(content)
+            return decode_rows(content, self._eras.see(response.headers))
         except MalformedAnswer as error:
             raise StoreUnavailable(f"{path}: {error}") from error
 
 
-def decode_rows(content):
+def decode_rows(content, era):
     """Return the :class:`RowPage` in an answer.
 
     :param content: JSON bytes.
+    :param era: of the store that gave the answer.
     :raises MalformedAnswer: it cannot be read.
     """
     fields = decode_as(_WireRows, content, "rows")
-    rows = tuple(_row(row) for row in fields.rows)
-    return RowPage(rows, fields.ver, bool(fields.hasMore))
+    rows = tuple(_row(row, era) for row in fields.rows)
+    return RowPage(rows, store_point(era, fields.ver), bool(fields.hasMore))
 
 
-def _row(fields):
+def _row(fields, era):
     return StoredRow(
         key=fields.key,
         value=fields.value or b"",
-        version=fields.ver,
+        version=store_point(era, fields.ver),
         deleted=bool(fields.deleted),
     )
--- a/cowslipcourse/ports/__init__.py
+++ b/cowslipcourse/ports/__init__.py
@@ -18,6 +18,7 @@
     Transaction,
     VmList,
 )
+from cowslipcourse.ports.points import era_of, store_point, version_in
 from cowslipcourse.ports.rows import RowChanges, RowStore, RowWrite, StoredRow
 from cowslipcourse.ports.targets import (
     EngineLoad,
@@ -55,4 +56,7 @@
     "TargetEntry",
     "Transaction",
     "VmList",
+    "era_of",
+    "store_point",
+    "version_in",
 ]
--- a/cowslipcourse/ports/rows.py
+++ b/cowslipcourse/ports/rows.py
@@ -47,7 +47,14 @@
 
 
 class RowStore(Protocol):
-    """The platform's transactional store."""
+    """The platform's transactional store.
+
+    Versions are points in its history: see :func:`~cowslipcourse.ports.store_point`.
+    """
+
+    @property
+    def era(self):
+        """Newest era that an answer has told; 0 as long as there is none."""
 
     async def read_table(self, table):
         """Return all rows of a table as :class:`RowChanges`.
--- a/features/platform_path/platform.feature
+++ b/features/platform_path/platform.feature
@@ -47,6 +47,17 @@
     When 20 bookings are made and one plain target closes every connection
     Then no booking ran twice and none that was told not run has run
 
+  Scenario: The store comes back as it was before the groups were planned
+    Given a platform with three daemons, whose groups serve
+    When 12 callers stream and the store comes back as it was before
+    Then every stream is whole
+    And the same groups serve and the store holds their plans again
+    When the coordinator is killed
+    And 8 callers stream at the others and a member of a serving group dies meanwhile
+    Then every stream is whole
+    And the group serves again with another member
+    And no engine ran anything in a partial group or in two groups
+
   Scenario: A signal to reload that comes while the program starts does not end it
     When the program has run no more than its first lines
     Then SIGHUP is ignored
--- a/features/steps/knowledge_steps.py
+++ b/features/steps/knowledge_steps.py
@@ -13,7 +13,7 @@
     encode_state,
 )
 from cowslipcourse.platform.store import CONFIGURATION_TABLE
-from cowslipcourse.ports import RowChanges
+from cowslipcourse.ports import RowChanges, store_point
 from features.support.knowledge import FlakyStore, heartbeat, make_knowledge, member
 
 
@@ -54,6 +54,16 @@
     _play(context, change, (1, 4))
 
 
+@when("the store comes back at once, as it was before t2 was listed")
+def step_older(context):
+    async def change(store):
+        store.targets = {"t1"}
+        store.version = store_point(1, 1)
+        store.drops_history = True
+
+    _play(context, change, (1, 4))
+
+
 @when("the store is away for 3 s, comes back, and drops t2 0.3 s later")
 def step_away_drops(context):
     async def change(store):
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -125,6 +125,35 @@
     return act
 
 
+@when("{number:d} callers stream and the store comes back as it was before")
+def step_store_comes_back(context, number):
+    site = context.platform
+    context.groups = {(g, h.membership.epoch) for g, h in _open_groups(site).items()}
+
+    async def come_back():
+        first = {k: row for k, row in site.store.rows.items() if k[0] != "groups"}
+        site.store.come_back((first, len(first)))
+
+    fronts = list(site.fronts.values())
+    acts = _stream_many(site, number, fronts, come_back)
+    context.answers = context.runner.run(acts)
+
+
+@then("the same groups serve and the store holds their plans again")
+def step_plans_again(context):
+    site = context.platform
+
+    async def are_written():
+        return {key for table, key in site.store.rows if table == "groups"} == {
+            "d1",
+            "d2",
+        }
+
+    _play(context, _until(are_written, "plans in the store"))
+    serving = {(g, h.membership.epoch) for g, h in _open_groups(site).items()}
+    assert serving == context.groups, (serving, context.groups)
+
+
 @when("{number:d} callers stream and a member of a serving group dies meanwhile")
 def step_member_dies(context, number):
     fronts = list(context.platform.fronts.values())
--- a/features/support/coordinator_runs.py
+++ b/features/support/coordinator_runs.py
@@ -17,11 +17,24 @@
 from cowslipcourse.groups.practice import is_practice
 from features.support.engine_world import MODELS, STALL_S, route_table
 
-__all__ = ["DIVIDED_SITE", "SITES", "VARIANTS", "coordinator_run"]
+__all__ = [
+    "DIVIDED_SITE",
+    "SITES",
+    "VARIANTS",
+    "ListedTools",
+    "bring_list",
+    "coordinator_run",
+]
 
 RUN_S = 40.0
 LIST_S = 0.25
 LINK_TIMEOUT_S = 0.15
+RESTORED_S = (3.0, 12.0)
+"""Time between two moments at which the store comes back older."""
+OLDEST_COPY_S = 10.0
+LONGEST_AWAY_S = 2.0
+AGAIN_SHARE = 0.2
+"""Share of such moments that are followed by another one half a second later."""
 CUT_AT_ONCE = 3
 
 
@@ -34,6 +47,7 @@
     :param restarts: whether engines start again under their ids, and entries of their
         earlier lives come late.
     :param renames: whether they start again under other ids at their addresses instead.
+    :param restores: whether the store comes back from older copies of its rows.
     :param overloads: whether coordinators are overloaded at times, so that answers to
         most of their questions come too late.
     """
@@ -44,6 +58,7 @@
     renames: bool = False
     overloads: bool = False
     coordinators: int = 2
+    restores: bool = False
 
 
 MIXED_SITE = DuelSite(("d1", "d2"), 8)
@@ -56,6 +71,9 @@
     "mixed renaming": MIXED_SITE._replace(restarts=True, renames=True),
     "divided renaming": DIVIDED_SITE._replace(restarts=True, renames=True),
     "mixed overloaded": MIXED_SITE._replace(overloads=True, coordinators=4),
+    "mixed restored": MIXED_SITE._replace(restores=True),
+    "divided restored": DIVIDED_SITE._replace(restores=True),
+    "mixed restarting and restored": MIXED_SITE._replace(restarts=True, restores=True),
     "divided overloaded": DIVIDED_SITE._replace(overloads=True, coordinators=4),
 }
 RESTART_SHARE = 0.6
@@ -72,9 +90,11 @@
 """Share of readings of the list with an entry of an earlier life after them."""
 
 
-class _Tools:
-    def __init__(self, table):
-        self.table = table
+class ListedTools:
+    """What a coordinator knows besides the engines."""
+
+    def __init__(self):
+        self.table = route_table()
         self.fleet = FleetView()
 
 
@@ -147,6 +167,14 @@
             )
 
 
+async def bring_list(world, coordinator, tools):
+    """Bring the list to a coordinator as it is."""
+    while True:
+        await asyncio.sleep(LIST_S)
+        coordinator.domains.see_entries(world.entries())
+        tools.fleet.apply(world.entries(), ())
+
+
 async def _list(world, coordinator, fleet, rng, site):
     """Bring the list to a coordinator, late at times."""
     listed = set()
@@ -177,6 +205,15 @@
     asyncio.get_running_loop().call_later(later, restart, engine)
 
 
+async def _restore(world, rng):
+    """Let the store come back from an older copy now and then."""
+    while True:
+        again = rng.random() < AGAIN_SHARE
+        await asyncio.sleep(0.5 if again else rng.uniform(*RESTORED_S))
+        age_s, away_s = rng.uniform(0.5, OLDEST_COPY_S), rng.uniform(0, LONGEST_AWAY_S)
+        world.come_back_older(age_s, away_s)
+
+
 async def _disturb(world, site, rng):
     """Engines go dark and come back, are lost for good, or are added.
 
@@ -223,12 +260,14 @@
     duel = _Duel(rng, site.coordinators)
     settings = ControlSettings(stall_s=STALL_S)
     running = [duel.run(), world.run(), _disturb(world, site, rng)]
+    if site.restores:
+        running.append(_restore(world, random.Random(f"restored {seed}")))
     for number in range(site.coordinators):
         links = _Links(world, rng)
         running.append(links.run())
         if site.overloads:
             running.append(links.overload())
-        tools = _Tools(route_table())
+        tools = ListedTools()
         coordinator = Coordinator(
             tools,
             world,
@@ -378,7 +417,13 @@
         yield
 
 
+def _eras_ignored():
+    """Take the store's versions as they come."""
+    return mock.patch.object(World, "tells_eras", False)
+
+
 VARIANTS = {
+    "eras ignored": _eras_ignored,
     "groups dropped for the silence of their members": _silence_drops,
     "lives confused": _lives_confused,
     "engines planned without their lives": _lives_unplanned,
--- a/features/support/outside.py
+++ b/features/support/outside.py
@@ -239,7 +239,7 @@
         _check_configuration,
     ),
     "domain plan": (
-        json.loads(encode_plan((_GROUP,))),
+        json.loads(encode_plan((_GROUP,), 3)),
         lambda value: decode_plan("d", _json(value), 3),
         _check_plan,
     ),
@@ -263,7 +263,7 @@
         lambda value: decode_state(pack(msgspec.msgpack.encode(_packable(value)))),
         _check_state,
     ),
-    "store rows": (_ROWS, lambda value: decode_rows(_json(value)), _check_rows),
+    "store rows": (_ROWS, lambda value: decode_rows(_json(value), 0), _check_rows),
 }
 """Good value, decoder and check by what is decoded."""
 
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -11,6 +11,8 @@
 
 LOST_S = 5.0
 """Longer than any caller waits for an answer."""
+PLATFORM = ("op", "servers")
+"""Tables that the system does not write to."""
 
 
 class Store:
@@ -19,6 +21,7 @@
     def __init__(self):
         self.rows = {}
         self.version = 0
+        self.era = None
         self.is_away = False
         self.delay_s = 0.0
         self.loses_answers = False
@@ -36,6 +39,25 @@
         self.rows[table, key] = (None, self.version)
         self._wake()
 
+    def copy(self):
+        """Return a copy to come back from."""
+        return dict(self.rows), self.version
+
+    def come_back(self, copy):
+        """Begin the next era with a copy; the platform's own rows are written again."""
+        newer = {key: row for key, row in self.rows.items() if key[0] in PLATFORM}
+        self.rows, self.version = dict(copy[0]), copy[1]
+        self.era = (self.era or 0) + 1
+        for key, (value, _) in newer.items():
+            if self.rows.get(key, (None,))[0] != value:
+                self.version += 1
+                self.rows[key] = (value, self.version)
+        self._wake()
+
+    def _answer(self, content, status=200):
+        headers = {} if self.era is None else {"Store-Era": str(self.era)}
+        return JSONResponse(content, status, headers)
+
     def _wake(self):
         self._changed.set()
         self._changed = asyncio.Event()
@@ -71,7 +93,7 @@
             return Response(status_code=503)
         found = self._found(request.query_params["table"], 0)
         rows = [row for row in found if not row["deleted"]]
-        return JSONResponse({"rows": rows, "hasMore": False, "ver": self.version})
+        return self._answer({"rows": rows, "hasMore": False, "ver": self.version})
 
     async def _feed(self, request):
         query = request.query_params
@@ -79,10 +101,13 @@
         while True:
             if self.is_away:
                 return Response(status_code=503)
-            rows = self._found(query["table"], int(query["after"]))
+            after = int(query["after"])
+            if after > self.version:
+                return self._answer({}, 410)
+            rows = self._found(query["table"], after)
             left = until - asyncio.get_running_loop().time()
             if rows or left <= 0:
-                return JSONResponse({"rows": rows, "ver": self.version})
+                return self._answer({"rows": rows, "ver": self.version})
             try:
                 await asyncio.wait_for(self._changed.wait(), left)
             except TimeoutError:
@@ -96,10 +121,10 @@
         for row in body["expected"]:
             value, version = self.rows.get((row["table"], row["key"]), (None, 0))
             if (0 if value is None else version) != row["ver"]:
-                return JSONResponse({"rows": []}, status_code=412)
+                return self._answer({"rows": []}, 412)
         for row in body["puts"]:
             self.put(row["table"], row["key"], base64.b64decode(row["value"]))
         if self.loses_answers:
             # The caller's time is over before this is.
             await asyncio.sleep(LOST_S)
-        return JSONResponse({"ver": self.version})
+        return self._answer({"ver": self.version})
