A drop is taken from whoever tells it, at any version

Change: what a push says has gone is dropped unless the entry is known to have changed after the push's version. Two of the three scenarios fail on the code before; the third guards the return of an entry.

--- a/cowslipcourse/entry/change_history.py
+++ b/cowslipcourse/entry/change_history.py
@@ -37,6 +37,10 @@
             oldest = next(iter(self._gone))
             self._known_from = max(self._known_from, self._gone.pop(oldest) + 1)
 
+    def has_changed_since(self, target, version):
+        """Whether an entry that is listed has changed after a version."""
+        return self._changed.get(target, 0) > version
+
     def since(self, version):
         """Return ids that changed and ids that went, or ``None`` if that is not known.
 
--- a/cowslipcourse/entry/knowledge.py
+++ b/cowslipcourse/entry/knowledge.py
@@ -276,16 +276,26 @@
     def take_push(self, message):
         """Take in a reporter's :class:`~cowslipcourse.peers.TargetChanges`.
 
-        One that leads to no newer version tells of entries that were held.
+        One that leads to no newer version may tell of entries that another reporter
+        holds back, or has held back until now.
         """
-        if self._follows or message.version < self.targets_version:
+        if self._follows:
             return
-        was_held = message.after == message.version
-        if message.version == self.targets_version and not was_held:
-            return
-        if message.after <= self.targets_version:
+        if message.version <= self.targets_version:
+            self._drop_late(message)
+        elif message.after <= self.targets_version:
             self._apply(message)
 
+    def _drop_late(self, message):
+        """Drop what a push of a version that is known here says has gone."""
+        gone = tuple(
+            target
+            for target in message.gone
+            if not self._history.has_changed_since(target, message.version)
+        )
+        if gone:
+            self._apply(message._replace(changed={}, gone=gone))
+
     async def _look_at_peers(self):
         loop = asyncio.get_running_loop()
         while True:
--- a/features/knowledge/knowledge.feature
+++ b/features/knowledge/knowledge.feature
@@ -102,3 +102,21 @@
     Given a heartbeat of incarnation 2 with sequence 5
     When it is silent for 2 s and starts again as incarnation 1
     Then it is heard
+
+  Scenario: A drop that one reporter holds back is taken from another that tells it
+    Given a daemon that rests and knows t1 and t2 at version 5
+    When a push from version 5 to 6 arrives that changes t2
+    And a push from version 5 to 6 arrives that changes t2 and drops t1
+    Then the resting daemon knows t2
+
+  Scenario: A drop that was held back is taken although newer changes have come meanwhile
+    Given a daemon that rests and knows t1 and t2 at version 5
+    When a push from version 5 to 8 arrives that changes t2
+    And a push from version 6 to 6 arrives that drops t1
+    Then the resting daemon knows t2
+
+  Scenario: A drop that comes late does not undo a later return
+    Given a daemon that rests and knows t1 and t2 at version 5
+    When a push from version 5 to 8 arrives that changes t1
+    And a push from version 6 to 6 arrives that drops t1
+    Then the resting daemon knows t1 and t2
--- a/features/steps/knowledge_steps.py
+++ b/features/steps/knowledge_steps.py
@@ -15,6 +15,7 @@
 from cowslipcourse.platform.store import CONFIGURATION_TABLE
 from cowslipcourse.ports import RowChanges, store_point
 from features.support.knowledge import FlakyStore, heartbeat, make_knowledge, member
+from features.support.wire import entry_content
 
 
 @given("a daemon that follows a store with the targets t1 and t2")
@@ -157,6 +158,40 @@
     context.knowledge.follow(False)
 
 
+@given("a daemon that rests and knows t1 and t2 at version 5")
+def step_rests_and_knows(context):
+    step_rests(context)
+    content = entry_content()
+    listed = dict.fromkeys(("t1", "t2"), content)
+    context.knowledge._take_all_targets(listed, 5)
+
+
+def _push(context, after, version, changed, gone):
+    fields = {target: entry_content(sequence=version) for target in changed}
+    context.knowledge.take_push(TargetChanges(after, version, fields, gone))
+
+
+@when("a push from version {after:d} to {version:d} arrives that changes {changed:w}")
+def step_push_changes(context, after, version, changed):
+    _push(context, after, version, (changed,), ())
+
+
+@when("a push from version {after:d} to {version:d} arrives that drops {gone:w}")
+def step_push_drops(context, after, version, gone):
+    _push(context, after, version, (), (gone,))
+
+
+@when("a push from version 5 to 6 arrives that changes t2 and drops t1")
+def step_push_both(context):
+    _push(context, 5, 6, ("t2",), ("t1",))
+
+
+@then("the resting daemon knows {targets}")
+def step_resting_knows(context, targets):
+    known = set(targets.split(" and "))
+    assert context.listener.targets == known, context.listener.targets
+
+
 @when("a push from version 7 to 8 arrives")
 def step_push(context):
     context.knowledge.take_push(TargetChanges(7, 8, {}, ("t1",)))
