A reader that was told all changes keeps no entry after an outage of long ago

At 15.007 s the target goes. At 15.099 s v-2 takes the reading over from v-3. Its follower still counts the store as lost, as it has not asked since, so it keeps what the list lacks for 2.2 s and reads again at 17.577 s; until then it sends requests to the target, also those of the others that it pushes to.

Cause: entries are kept after an outage because they may have lapsed in it and come back. Whether there was one was told from the last own attempt, however long ago, though the list has been kept up to date by pushes since.

Ruled out: a lost push (v-1 and v-3 had dropped it at 15.202 s); the hold of single drops (the reading at 15.111 s did not list the target any more).

Change: a reader that others have told of changes for 2.5 s since its last failure counts no outage. Both sides are tests: told, it drops (fails on the code before); not told, it keeps what may have lapsed.

--- a/cowslipcourse/entry/following.py
+++ b/cowslipcourse/entry/following.py
@@ -14,6 +14,9 @@
 
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.5
+FED_S = 2.5
+"""Time for which others must have told what changes: by then what lapsed in an outage
+has come back, or is gone for them too."""
 LATELY_S = 5.0
 """Time for which a daemon that the store refused leaves the reading to others. It would
 find out only by trying again, and nobody coordinates meanwhile."""
@@ -43,6 +46,7 @@
         self._version = None
         self._failed_since = None
         self._failed_at = None
+        self._fed_since = None
         self._has_read = False
         self._active = asyncio.Event()
         self._active.set()
@@ -54,8 +58,18 @@
 
     @property
     def was_lost(self):
-        """Whether the store did not answer until now."""
-        return self._failed_since is not None
+        """Whether the store did not answer until now, and nobody told what changed."""
+        return self._failed_since is not None and not self._was_fed()
+
+    def _was_fed(self):
+        if self._fed_since is None:
+            return False
+        return asyncio.get_running_loop().time() - self._fed_since >= FED_S
+
+    def note_fed(self):
+        """Note that another daemon has told what it read in the store."""
+        if self._failed_since is not None and self._fed_since is None:
+            self._fed_since = asyncio.get_running_loop().time()
 
     @property
     def was_lost_lately(self):
@@ -119,6 +133,7 @@
             self._version = changes.version
 
     def _note_failure(self, error):
+        self._fed_since = None
         self._failed_at = asyncio.get_running_loop().time()
         if self._failed_since is None:
             self._failed_since = asyncio.get_running_loop().time()
--- a/cowslipcourse/entry/knowledge.py
+++ b/cowslipcourse/entry/knowledge.py
@@ -285,6 +285,7 @@
             self._drop_late(message)
         elif message.after <= self.targets_version:
             self._apply(message)
+            self._targets.note_fed()
 
     def _drop_late(self, message):
         """Drop what a push of a version that is known here says has gone."""
--- a/features/knowledge/knowledge.feature
+++ b/features/knowledge/knowledge.feature
@@ -120,3 +120,13 @@
     When a push from version 5 to 8 arrives that changes t1
     And a push from version 6 to 6 arrives that drops t1
     Then the resting daemon knows t1 and t2
+
+  Scenario: A daemon that was told all changes while it rested keeps no entry that is gone
+    Given a daemon that follows a store with the targets t1 and t2
+    When the store refuses it, it rests and is told of changes for 4 s, and reads again once t2 is gone
+    Then the daemon knows t1 1 s later
+
+  Scenario: A daemon that rested and was told nothing keeps entries that may come back
+    Given a daemon that follows a store with the targets t1 and t2
+    When the store refuses it, it rests for 4 s, and reads again while t2 has lapsed
+    Then the daemon knows t1 and t2 1 s later
--- a/features/steps/knowledge_steps.py
+++ b/features/steps/knowledge_steps.py
@@ -28,6 +28,7 @@
 def _play(context, change, looks):
     async def run():
         knowledge, _, listener = make_knowledge(context.store)
+        context.knowledge = knowledge
         context.pushes = listener.pushes
         tasks = [asyncio.create_task(c) for c in knowledge.coroutines()]
         await asyncio.sleep(4.0)
@@ -104,6 +105,39 @@
     _play(context, change, (1, 4))
 
 
+def _rest_and_read(context, told):
+    async def change(store):
+        knowledge = context.knowledge
+        store.is_away = True
+        await asyncio.sleep(0.4)
+        knowledge.follow(False)
+        store.is_away = False
+        for version in range(2, 10):
+            if told:
+                changed = {"t1": entry_content(sequence=version)}
+                push = TargetChanges(version - 1, version, changed, ())
+                knowledge.take_push(push)
+            await asyncio.sleep(0.5)
+        store.targets = {"t1"}
+        store.version = 10
+        knowledge.follow(True)
+
+    _play(context, change, (1,))
+
+
+@when(
+    "the store refuses it, it rests and is told of changes for 4 s, "
+    "and reads again once t2 is gone"
+)
+def step_rests_told(context):
+    _rest_and_read(context, told=True)
+
+
+@when("the store refuses it, it rests for 4 s, and reads again while t2 has lapsed")
+def step_rests_untold(context):
+    _rest_and_read(context, told=False)
+
+
 @when("the store refuses it and it rests then")
 def step_refused(context):
     context.fit = {}
