--- a/cowslipcourse/groups/balance.py
+++ b/cowslipcourse/groups/balance.py
@@ -54,6 +54,21 @@
     given: int
 
 
+class _Trade(NamedTuple):
+    """Groups of one model for those of another.
+
+    :param giving: model whose groups are given.
+    :param wanted: model that gains.
+    :param number: groups that are given.
+    :param gained: groups that are gained.
+    """
+
+    giving: str
+    wanted: str
+    number: int
+    gained: int
+
+
 def group_counts(plans, models):
     """Return the number of groups by model, those that are to come included.
 
@@ -142,46 +157,57 @@
 
 def _best_change(plans, models, counts, short, taken, is_whole, held):
     """Return one :class:`Change` and count it, or ``None`` if none helps."""
-    by_name = {model.name: model for model in models}
-    wanted = by_name[short]
-    before = _ratios(counts, models)
-    for name in sorted(before, key=lambda name: (-before[name], name)):
-        if name == short:
-            continue
-        number = math.ceil(wanted.size / by_name[name].size)
-        gained = number * by_name[name].size // wanted.size
-        after = counts.copy()
-        after[name] -= number
-        after[short] += gained
-        ratios = _ratios(after, models)
-        if after[name] < 0 or min(ratios[name], ratios[short]) <= before[short]:
+    wanted = next(model for model in models if model.name == short)
+    ratios = _ratios(counts, models)
+    for giving in sorted(models, key=lambda m: (-ratios.get(m.name, 0.0), m.name)):
+        trade = _trade(giving, wanted)
+        if not _helps(trade, counts, models):
             continue
-        donors = _donors(plans, name, number, taken, is_whole, held, short)
+        donors = _donors(plans, trade, taken, is_whole, held)
         if donors:
-            counts.update({name: -number, short: gained})
+            counts.update({giving.name: -trade.number, short: trade.gained})
             best = min(donors, key=lambda d: (-d.held, d.given, d.domain))
-            is_warm = best.held >= gained * wanted.size
+            is_warm = best.held >= trade.gained * wanted.size
             groups = tuple(group.name for group in best.groups)
             return Change(best.domain, groups, short, is_warm)
     return None
 
 
-def _donors(plans, model, number, taken, is_whole, held, wanted):
-    """Return the :class:`_Donor` of each domain that has groups of a model to give."""
+def _trade(giving, wanted):
+    number = math.ceil(wanted.size / giving.size)
+    gained = number * giving.size // wanted.size
+    return _Trade(giving.name, wanted.name, number, gained)
+
+
+def _helps(trade, counts, models):
+    """Whether the model that is short is better off, and the other one no worse."""
+    before = _ratios(counts, models)
+    if trade.giving == trade.wanted or trade.giving not in before:
+        return False
+    after = counts.copy()
+    after[trade.giving] -= trade.number
+    after[trade.wanted] += trade.gained
+    ratios = _ratios(after, models)
+    least = min(ratios[trade.giving], ratios[trade.wanted])
+    return after[trade.giving] >= 0 and least > before[trade.wanted]
+
+
+def _donors(plans, trade, taken, is_whole, held):
+    """Return the :class:`_Donor` of each domain that has groups to give."""
     donors = []
     for domain, plan in plans.items():
         groups = [
             group
             for group in plan.groups
-            if group.model == model
+            if group.model == trade.giving
             and not group.is_retired
             and (domain, group.name) not in taken
             and is_whole(group, domain)
         ]
-        groups.sort(key=lambda group: (-held(group, domain, wanted), group.name))
-        if len(groups) >= number:
-            best = tuple(groups[:number])
-            hosts = sum(held(group, domain, wanted) for group in best)
+        groups.sort(key=lambda group: (-held(group, domain, trade.wanted), group.name))
+        if len(groups) >= trade.number:
+            best = tuple(groups[: trade.number])
+            hosts = sum(held(group, domain, trade.wanted) for group in best)
             given = sum(bool(group.successor) for group in plan.groups)
             given += sum(each == domain for each, _ in taken)
             donors.append(_Donor(domain, best, hosts, given))
@@ -206,7 +232,7 @@
         if not any(counts.values()) or not _is_short(number, counts, model, models):
             continue
         wanted = math.ceil(_entitled(counts, model, models) * ENOUGH_RATIO)
-        _assign(standby, left, places, models, model, wanted - number, held)
+        _stand_by(standby, left, places, models, model, wanted - number, held)
     return standby
 
 
@@ -230,38 +256,53 @@
     return number < LEAST_RATIO * _entitled(counts, model, models)
 
 
-def _assign(standby, plans, places, models, model, wanted, held):
+def _stand_by(standby, plans, places, models, model, wanted, held):
     """Let groups of other models stand by for some more groups of a model.
 
     Those whose hosts hold it go first, then those of data centres with fewest, so that
     what stands by is not lost together.
     """
-    sizes = {each.name: each.size for each in models}
     near = Counter()
     while wanted > 0:
+        donors = _standby_donors(standby, plans, models, model, held)
+        if not donors:
+            return
+        best = min(
+            donors,
+            key=lambda donor: (
+                -donor.held,
+                near[places.get(donor.domain)],
+                donor.domain,
+                donor.groups[0].name,
+            ),
+        )
+        standby.update((group.name, model.name) for group in best.groups)
+        near[places.get(best.domain)] += 1
+        wanted -= sum(len(group.members) for group in best.groups) // model.size
+
+
+def _standby_donors(standby, plans, models, model, held):
+    """Return a :class:`_Donor` for each group that could stand by, with those beside.
+
+    A group that is smaller than those of the model needs others of its domain.
+    """
+    sizes = {each.name: each.size for each in models}
+    donors = []
+    for domain, plan in plans.items():
         free = [
-            (domain, group)
-            for domain, plan in plans.items()
+            group
             for group in plan.groups
             if group.model in sizes
             and group.model != model.name
             and not group.is_retired
             and group.name not in standby
         ]
-        donors = []
-        for domain, group in free:
+        for group in free:
             number = math.ceil(model.size / sizes[group.model])
-            beside = [g for d, g in free if d == domain and g.model == group.model]
-            if len(beside) >= number:
-                hosts = held(group, domain, model.name)
-                place = places.get(domain)
-                key = (-hosts, near[place], domain, group.name)
-                donors.append((key, beside, group, number, place))
-        if not donors:
-            return
-        _, beside, group, number, place = min(donors, key=lambda donor: donor[0])
-        others = [each for each in beside if each.name != group.name]
-        chosen = [group, *others[: number - 1]]
-        standby.update((each.name, model.name) for each in chosen)
-        near[place] += 1
-        wanted -= sum(len(each.members) for each in chosen) // model.size
+            beside = [g for g in free if g.model == group.model and g is not group]
+            if len(beside) >= number - 1:
+                groups = (group, *beside[: number - 1])
+                donors.append(
+                    _Donor(domain, groups, held(group, domain, model.name), 0)
+                )
+    return donors
