Registrations and verdicts are written again once the store is of a later era

A daemon that registered in the seconds that the store has lost was unknown to those that started later, and a request that had been convicted then was sent on by daemons that started after all others had ended. Each daemon writes its row again within 5 s of the era, spread, and keeps the point at which it came, so roles stay; the first judge of a verdict writes it again. Daemons that do not read the store learn the era from the version of the list that others tell.

Real processes: the store forgets plans, registrations and verdicts under streams; plans and registrations are there again within the step's time. The gauge store_era tells the era of each daemon's list.

--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -31,6 +31,7 @@
     directory_app,
     ready_app,
 )
+from cowslipcourse.ports import era_of
 from cowslipcourse.quarantine import KeptVerdicts
 from cowslipcourse.quarantining import Quarantine, TargetEnds
 
@@ -62,6 +63,7 @@
         self._incarnation = time.time_ns()
         self._sequence = 0
         self._is_ready = False
+        self._era = 0
         self._tasks = set()
         self._build()
 
@@ -86,7 +88,7 @@
             settings, self._fleet, attempts, budget, silence, self.quarantine, rng
         )
         self._front = FrontApp(self._tools, Forwarder(self._tools), self._metrics)
-        self._registering = Registering(settings, self._store, self._learn)
+        self._registering = Registering(settings, self._store, self._learn, rng)
         self.knowledge = Knowledge(settings, self._store, self._registry, rng, self)
         self._roles = Roles(
             settings, self._registry, self._registering, self.knowledge, self
@@ -282,6 +284,17 @@
             self._metrics.state("in_flight", self._front.in_flight)
             self._metrics.state("quarantined", self.quarantine.size)
             self._metrics.fleet(census.look(self._tools.table, self._fleet))
+            self._look_at_era()
+
+    def _look_at_era(self):
+        """Write again what the store may have lost, if it has come back older."""
+        # Others that read the store tell its points too.
+        era = era_of(self.knowledge.targets_version)
+        if era > max(self._era, era_of(self._registering.version)):
+            self._registering.note_lost()
+            self.quarantine.note_lost()
+        self._era = era
+        self._metrics.state("store_era", era)
 
 
 def _exit_on_failure(task):
--- a/cowslipcourse/entry/registering.py
+++ b/cowslipcourse/entry/registering.py
@@ -11,6 +11,8 @@
 
 DAEMONS_TABLE = "daemons"
 REGISTER_AGAIN_S = 0.5
+SPREAD_S = 5.0
+"""Time over which all daemons write their rows again that the store may have lost."""
 
 log = get_logger(__name__)
 
@@ -21,18 +23,24 @@
     :param settings: :class:`~cowslipcourse.entry.settings.EntrySettings`
     :param store: :class:`~cowslipcourse.ports.RowStore`
     :param on_learnt: called with :class:`~cowslipcourse.peers.Registration` list.
+    :param rng: :class:`random.Random`
     """
 
-    def __init__(self, settings, store, on_learnt):
+    def __init__(self, settings, store, on_learnt, rng):
         self._settings = settings
         self._store = store
         self._on_learnt = on_learnt
+        self._rng = rng
         self._version = 0
         self._finished_at = None
+        self._may_be_lost = asyncio.Event()
 
     @property
     def version(self):
-        """Store version of this daemon's row; 0 until it is written."""
+        """Point at which this daemon registered; 0 until it has.
+
+        It tells the order in which daemons came: a row that is written again keeps it.
+        """
         return self._version
 
     @property
@@ -41,23 +49,36 @@
         return self._finished_at
 
     async def run(self):
-        """Write this daemon's row, and read the others'."""
+        """Write this daemon's row, read the others', and write again what is lost."""
+        self._version = await self._register()
+        while not await self.read_others():
+            await asyncio.sleep(REGISTER_AGAIN_S)
+        self._finished_at = asyncio.get_running_loop().time()
+        while True:
+            await self._may_be_lost.wait()
+            self._may_be_lost.clear()
+            await asyncio.sleep(self._rng.uniform(0.0, SPREAD_S))
+            await self._register()
+
+    async def _register(self):
+        """Write this daemon's row, whatever it takes, and return its point."""
         listen = self._settings.listen
         where = Registration(listen.peer, self._settings.data_centre)
         content = encode_registration(where)
         write = RowWrite(DAEMONS_TABLE, self._settings.name, content)
         while True:
             try:
-                self._version = await self._store.write(write)
+                version = await self._store.write(write)
             except StoreError as error:
                 log.warning("not-registered", error=error.code, why=error)
                 await asyncio.sleep(REGISTER_AGAIN_S)
                 continue
-            log.info("registered", version=self._version)
-            while not await self.read_others():
-                await asyncio.sleep(REGISTER_AGAIN_S)
-            self._finished_at = asyncio.get_running_loop().time()
-            await asyncio.Event().wait()
+            log.info("registered", version=version)
+            return version
+
+    def note_lost(self):
+        """Write the row again in a while: the store may have lost it."""
+        self._may_be_lost.set()
 
     async def read_others(self):
         """Learn the other daemons' addresses; return whether that was possible."""
--- a/cowslipcourse/quarantining/daemon_part.py
+++ b/cowslipcourse/quarantining/daemon_part.py
@@ -296,6 +296,10 @@
         if due:
             self._spawn(self._write(due))
 
+    def note_lost(self):
+        """Write all verdicts again: the store may have lost some."""
+        self._not_kept |= {verdict.fingerprint for verdict in self._verdicts}
+
     async def _write(self, due):
         now = _now()
         # All of them: the row may have been spoiled by another writer.
--- a/features/platform_path/platform.feature
+++ b/features/platform_path/platform.feature
@@ -52,6 +52,7 @@
     When 12 callers stream and the store comes back as it was before
     Then every stream is whole
     And the same groups serve and the store holds their plans again
+    And the store holds the registrations of all daemons again
     When the coordinator is killed
     And 8 callers stream at the others and a member of a serving group dies meanwhile
     Then every stream is whole
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -17,6 +17,8 @@
 
 PATIENCE_S = 20.0
 LOOK_S = 0.1
+WRITTEN = ("groups", "daemons", "quarantine")
+"""Tables that the system writes to."""
 _attempts = itertools.count(1)
 
 
@@ -131,7 +133,7 @@
     context.groups = {(g, h.membership.epoch) for g, h in _open_groups(site).items()}
 
     async def come_back():
-        first = {k: row for k, row in site.store.rows.items() if k[0] != "groups"}
+        first = {k: row for k, row in site.store.rows.items() if k[0] not in WRITTEN}
         site.store.come_back((first, len(first)))
 
     fronts = list(site.fronts.values())
@@ -139,6 +141,17 @@
     context.answers = context.runner.run(acts)
 
 
+@then("the store holds the registrations of all daemons again")
+def step_registrations_again(context):
+    site = context.platform
+
+    async def are_written():
+        registered = {key for table, key in site.store.rows if table == "daemons"}
+        return registered == set(site.processes)
+
+    _play(context, _until(are_written, "registrations in the store"))
+
+
 @then("the same groups serve and the store holds their plans again")
 def step_plans_again(context):
     site = context.platform
--- a/features/support/daemon_network.py
+++ b/features/support/daemon_network.py
@@ -142,7 +142,9 @@
 
     def starts(self, store):
         """Begin without a registration, and knowing nobody."""
-        self.registering = Registering(self.settings, store, self._learn)
+        self.registering = Registering(
+            self.settings, store, self._learn, random.Random(1)
+        )
         self.roles = Roles(
             self.settings, self.registry, self.registering, self.knowledge, self
         )
