An engine that has left a group that no plan names is free again

The store had lost the domain's row, and all daemons had started anew.

Cause: the new coordinator made the engines leave their groups, which no plan named. It trusts only a report that says that an engine is in no group, and asked for none: it had one report of each, and no plan had changed since. It needs no older store: an engine that comes back after its group was dropped waits the same way until the domain's next change of plan.

Change: an engine that the list tells to be in no group, and of which no report has said so, is asked. The scenario fails on the code before (nothing is asked).

The soak draws the store that comes back older from seed 3000 on.

--- a/cowslipcourse/groups/knowledge.py
+++ b/cowslipcourse/groups/knowledge.py
@@ -156,7 +156,10 @@
     @property
     def needs_report(self):
         """Whether a report is wanted that is new enough to be evidence."""
-        return self.reported_at is None or self.reported_at < self._watched_from
+        if self.reported_at is None or self.reported_at < self._watched_from:
+            return True
+        # It was in a group that no plan names, and has left it since.
+        return self.membership is None and self.away_from is None
 
     def note_begun(self, order):
         """Note that an order began: what it does is known before a report says so.
--- a/features/group_plans/evidence.feature
+++ b/features/group_plans/evidence.feature
@@ -65,3 +65,10 @@
   Scenario: Members of a group that still serves are not joined to another one
     Given a planned group g2 of e1 and e2, which are in the open group g1 at epoch 3
     Then e1 is told to leave g1 and nobody is joined
+
+  Scenario: An engine that has left a group that no plan names is asked, as only a report proves it free
+    Given an engine that reported group g1 and began to leave it, and no plan
+    When the list says that it is in no group
+    Then it is asked
+    When a report asked for at 12.0 s says that it is in no group, with 6 orders
+    Then it is free, and not asked any more
--- a/features/steps/evidence_steps.py
+++ b/features/steps/evidence_steps.py
@@ -190,3 +190,25 @@
     steps = next_steps(context.plan, context.engines, {}, STALL_S, 30.0)
     orders = [(step.engine, step.order.name, step.order.group) for step in steps]
     assert orders == [("e1", OrderName.LEAVE, "g1")], orders
+
+
+@given("an engine that reported group g1 and began to leave it, and no plan")
+def step_left_unknown(context):
+    context.engine = EngineKnowledge(_entry(_membership(3)))
+    context.engine.see_report(EngineReport(5, _membership(3), ()), 10.0)
+    leave = EngineOrder(OrderName.LEAVE, 5, group="g1", epoch=3)
+    context.engine.note_begun(leave)
+    context.plan = DomainPlan("north")
+
+
+@then("it is asked")
+def step_is_asked(context):
+    assert _kinds(context, 11.0) == [StepKind.ASK], _kinds(context, 11.0)
+
+
+@then("it is free, and not asked any more")
+def step_is_free(context):
+    domain = DomainKnowledge()
+    domain.engines["e1"] = context.engine
+    assert is_free(context.plan, domain, context.engine, STALL_S)
+    assert _kinds(context, 12.5) == [], _kinds(context, 12.5)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -134,7 +134,8 @@
 
     async def come_back():
         first = {k: row for k, row in site.store.rows.items() if k[0] not in WRITTEN}
-        site.store.come_back((first, len(first)))
+        for lost in site.store.come_back((first, len(first))):
+            site.store.write_again(*lost)
 
     fronts = list(site.fronts.values())
     acts = _stream_many(site, number, fronts, come_back)
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -44,15 +44,30 @@
         return dict(self.rows), self.version
 
     def come_back(self, copy):
-        """Begin the next era with a copy; the platform's own rows are written again."""
+        """Begin the next era with a copy.
+
+        :returns: the platform's own rows that are to be written again, as
+            ``(table, key, value, version they have now)``.
+        """
         newer = {key: row for key, row in self.rows.items() if key[0] in PLATFORM}
         self.rows, self.version = dict(copy[0]), copy[1]
         self.era = (self.era or 0) + 1
-        for key, (value, _) in newer.items():
-            if self.rows.get(key, (None,))[0] != value:
-                self.version += 1
-                self.rows[key] = (value, self.version)
         self._wake()
+        lost = []
+        for (table, key), (value, _) in newer.items():
+            older, version = self.rows.get((table, key), (None, 0))
+            if older != value:
+                lost.append((table, key, value, version))
+        return lost
+
+    def write_again(self, table, key, value, version):
+        """Write a row that was lost, unless it has been written since."""
+        if self.rows.get((table, key), (None, 0))[1] != version:
+            return
+        if value is None:
+            self.drop(table, key)
+        else:
+            self.put(table, key, value)
 
     def _answer(self, content, status=200):
         headers = {} if self.era is None else {"Store-Era": str(self.era)}
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -39,6 +39,7 @@
     ENGINE_STARTS_AGAIN = "engine-starts-again"
     ENTRY_SPOILED = "entry-spoiled"
     TARGETS_ENDED = "targets-ended"
+    STORE_OLDER = "store-older"
 
 
 K = FaultKind
@@ -59,7 +60,8 @@
 LATER_KINDS_FROM = 1000
 """First seed that draws the kinds added later: earlier seeds stay as they are."""
 ENDED_FROM = 2000
-"""The same for the kind that came after those."""
+OLDER_FROM = 3000
+"""The same for the kinds that came after those, one by one."""
 _WEIGHTS = dict.fromkeys(FaultKind, 2.0) | {
     K.KILL_ALL: 0.3,
     K.ENGINE_LOST: 5,
@@ -69,6 +71,7 @@
     K.ENGINE_STARTS_AGAIN: 6,
     K.ENTRY_SPOILED: 4,
     K.TARGETS_ENDED: 10,
+    K.STORE_OLDER: 8,
 }
 
 
@@ -97,6 +100,8 @@
     left_out = set(LATER_KINDS) if seed < LATER_KINDS_FROM else set()
     if seed < ENDED_FROM:
         left_out.add(K.TARGETS_ENDED)
+    if seed < OLDER_FROM:
+        left_out.add(K.STORE_OLDER)
     drawn = {kind: w for kind, w in _WEIGHTS.items() if kind not in left_out}
     kinds, weights = zip(*drawn.items(), strict=True)
     faults, at_s, kind = [], 0.0, None
--- a/soak/site.py
+++ b/soak/site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from collections import deque
 from pathlib import Path
 
 from features.support.platform_site import ENDS, KEY, PlatformSite
@@ -17,6 +18,12 @@
 """Pause before a process that ended is started again."""
 WATCH_S = 0.05
 SLOW_STORE_S = 0.6
+COPY_S = 0.25
+MOST_COPIES = 40
+"""Copies of the store that are kept, ten seconds of them."""
+LONGEST_AWAY_S = 2.0
+WRITTEN_AGAIN_S = 1.5
+"""Time within which the platform writes its own rows again that the store has lost."""
 STOP_S = 8.0
 SPOILED_ENTRY = b'{"service": 7, "address": null, "state": "ready"}'
 """An entry as another writer may leave it."""
@@ -51,6 +58,7 @@
         self._lost = 0
         self._turn = 0
         self._deeds = set()
+        self._copies = deque(maxlen=MOST_COPIES)
         self.call_ending = None
 
     async def start(self):
@@ -59,6 +67,7 @@
         for number in range(DAEMONS):
             await self._add_daemon(f"a{number + 1}")
         self._tasks.append(asyncio.create_task(self._restart_ended()))
+        self._tasks.append(asyncio.create_task(self._copy_store()))
         for task in self._tasks:
             task.add_done_callback(self._note_broken)
 
@@ -66,6 +75,7 @@
         self._store_proxies[name] = await self._proxy(self.store_address)
         self.start_daemon(name)
         self.history.started(name, asyncio.get_running_loop().time())
+        self._begin(self._wait_until_ready(name))
         self.front_proxies[name] = await self._proxy(self.fronts[name])
 
     async def _proxy(self, upstream):
@@ -231,6 +241,26 @@
         await asyncio.sleep(fault.for_s)
         self.store.is_away = False
 
+    async def _copy_store(self):
+        while True:
+            self._copies.append(self.store.copy())
+            await asyncio.sleep(COPY_S)
+
+    async def _do_store_older(self, fault):
+        if not self._copies:
+            # It has come back a moment ago.
+            return
+        copy = self._copies[int(fault.luck * len(self._copies))]
+        self.store.is_away = True
+        await asyncio.sleep(min(fault.for_s, LONGEST_AWAY_S))
+        self.store.is_away = False
+        lost = self.store.come_back(copy)
+        self._copies.clear()
+        self._rng.shuffle(lost)
+        for row in lost:
+            await asyncio.sleep(WRITTEN_AGAIN_S / len(lost))
+            self.store.write_again(*row)
+
     async def _do_store_slow(self, fault):
         self.store.delay_s = SLOW_STORE_S
         await asyncio.sleep(fault.for_s)
