--- a/cowslipcourse/emulator/world.py
+++ b/cowslipcourse/emulator/world.py
@@ -71,6 +71,7 @@
     """
 
     tells_eras = True
+    """Whether versions are points, as the store client makes them."""
 
     def __init__(
         self,
--- a/soak/site.py
+++ b/soak/site.py
@@ -25,9 +25,9 @@
 WRITTEN_AGAIN_S = 1.5
 """Time within which the platform writes its own rows again that the store has lost."""
 STOP_S = 8.0
+"""A daemon's own settings allow it this long to stop."""
 SPOILED_ENTRY = b'{"service": 7, "address": null, "state": "ready"}'
 """An entry as another writer may leave it."""
-"""A daemon's own settings allow it this long to stop."""
 RESET_AGAIN_S = 0.1
 ENDING_REQUESTS = 2
 """Different requests that end their targets, in one run."""
