What a caller's short budget means is learned for each route

Cause: a request whose budget lacks some of its route's time was taken for one that comes again, and ranked as late. On the shifted deployment callers differ in how long they wait: budgets of 133 first requests lay between 0.859 and 1.014 of the route's time, half of them below 0.929. Nearly all new requests with an objective of 0.2 s counted as late, so that those that are late gave way to nobody. Ruled out: a fixed tolerance for all. Change: a daemon tells from the last 64 budgets of a route whether its callers differ; if they do, or before it knows, a budget says nothing until it lacks more than 0.15 of the route's time.

--- a/cowslipcourse/emulator/callers.py
+++ b/cowslipcourse/emulator/callers.py
@@ -61,6 +61,10 @@
     def __getattr__(self, name):
         return getattr(self._call, name)
 
+    def _replace(self, **changes):
+        """Return a copy with changed fields, as the call itself does."""
+        return _SizedCall(self._call._replace(**changes), self.size)
+
 
 class _Responder:
     """Keeps what a caller sees of one answer."""
--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -177,14 +177,14 @@
             return _EmulatedConnection(unexecuted_head(FULL))
         if call.size.ends_targets:
             self._heads.crashing.note_arrival(call.fingerprint, self._name)
-        waited_s = asyncio.get_running_loop().time() - call.arrived_at
+        spent_s = call.spent_s(asyncio.get_running_loop().time())
         connection = _EmulatedConnection(AnswerHead(200, ()))
         passed = last_event or call.fields.last_event or 0
         connection.request = BatchedRequest(
             call.size.prompt_tokens + passed * call.size.event_tokens,
             passed + 1,
             call.size.events,
-            urgency(call.route, call.workspace, call.fields.budget_s, waited_s),
+            urgency(call.route, call.workspace, spent_s),
             connection.deliver,
             connection.break_off,
             self._crash(call, connection) if call.size.ends_targets else None,
--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -85,8 +85,8 @@
             left_s = call.deadline - loop.time()
             if left_s <= 0:
                 raise TargetUnreachable("no time is left", sent=False)
-            waited_s = loop.time() - call.arrived_at
-            request = _target_request(call, entry, left_s, waited_s, last_event)
+            spent_s = call.spent_s(loop.time())
+            request = _target_request(call, entry, left_s, spent_s, last_event)
             connection.send(request)
             run.connection = connection
             yield Attempt(entry, connection, loop.time())
@@ -107,8 +107,8 @@
     return entry.id, entry.incarnation, entry.address
 
 
-def _target_request(call, entry, left_s, waited_s, last_event):
-    level = urgency(call.route, call.workspace, call.fields.budget_s, waited_s)
+def _target_request(call, entry, left_s, spent_s, last_event):
+    level = urgency(call.route, call.workspace, spent_s)
     headers = target_headers(
         call.headers, entry, left_s, level, call.workspace_name, last_event
     )
--- a/cowslipcourse/entry/forwarding.py
+++ b/cowslipcourse/entry/forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.entry.patience import CallerPatience
 from cowslipcourse.entry.plain import PlainForwarder
 from cowslipcourse.entry.streaming import StreamForwarder
 from cowslipcourse.exceptions import DeadlineWhileRunning
@@ -23,6 +24,7 @@
         self._tools = tools
         self._plain = PlainForwarder(tools)
         self._streams = StreamForwarder(tools)
+        self._patience = CallerPatience()
 
     async def forward(self, call, responder):
         """Bring a call to a target and its answer to the caller.
@@ -32,6 +34,8 @@
         :raises RequestError: the answer that the caller is to get instead.
         """
         loop = asyncio.get_running_loop()
+        elsewhere_s = self._patience.note(call.route, call.fields.budget_s)
+        call = call._replace(elsewhere_s=elsewhere_s)
         service = self._tools.choose_service(call.route)
         self._tools.budget.request(service, loop.time())
         is_stream = call.route.kind is RequestKind.STREAMING
--- /dev/null
+++ b/cowslipcourse/entry/patience.py
@@ -0,0 +1,50 @@
+"""How long callers wait at most, and so who has waited elsewhere; pure decisions."""
+
+from collections import deque
+
+__all__ = ["CallerPatience"]
+
+PATIENCE_SPREAD = 0.15
+"""Part of a route's time by which callers may differ in how long they wait."""
+KEPT_BUDGETS = 64
+"""Requests of a route from which it is told whether its callers differ."""
+LEAST_BUDGETS = 16
+"""Requests before which callers may differ."""
+ALIKE_WITHIN = 0.02
+"""Difference from the longest budget, as a part of it, up to which two are alike."""
+ALIKE_PART = 0.2
+"""Part of the requests with alike budgets from which callers do not differ. After an
+outage most requests come again, with less time left."""
+
+
+class CallerPatience:
+    """The budgets that callers of each route say, and what a short one means.
+
+    A caller that comes again says how long it will still wait, so what it has waited
+    elsewhere is what its budget lacks of the route's time. Where callers differ, only
+    what it lacks beyond that tells.
+    """
+
+    def __init__(self):
+        self._budgets = {}
+
+    def note(self, route, budget_s):
+        """Note a request; return the seconds that its caller has waited elsewhere.
+
+        :param route: :class:`~cowslipcourse.routes.Route`
+        :param budget_s: seconds that the caller said it will wait, or ``None``.
+        """
+        if budget_s is None:
+            return 0.0
+        budgets = self._budgets.setdefault(route.name, deque(maxlen=KEPT_BUDGETS))
+        budgets.append(budget_s)
+        spread = PATIENCE_SPREAD if _may_differ(budgets) else 0.0
+        return max(0.0, route.timeout_s * (1 - spread) - budget_s)
+
+
+def _may_differ(budgets):
+    """Whether callers may differ in how long they wait."""
+    if len(budgets) < LEAST_BUDGETS:
+        return True
+    alike_s = max(budgets) * (1 - ALIKE_WITHIN)
+    return sum(budget_s >= alike_s for budget_s in budgets) < ALIKE_PART * len(budgets)
--- a/cowslipcourse/entry/urgency.py
+++ b/cowslipcourse/entry/urgency.py
@@ -5,31 +5,35 @@
 worth the same a moment later; those that can still be on time are not.
 """
 
-__all__ = ["LEAST_URGENT", "urgency"]
+__all__ = ["LEAST_URGENT", "can_be_on_time", "urgency"]
 
 LEAST_URGENT = 9
 """The scale that engines know ends there; 0 is the most urgent."""
 LEVELS_A_RANK = 2
 """On time and late: a rank that the operator gave comes before lateness."""
+SENT_WITHIN = 0.5
+"""Part of the objective within which a request must be sent to a target to be on time;
+the rest is for the target's first event."""
 
 
-def urgency(route, workspace, budget_s, waited_s):
+def urgency(route, workspace, spent_s):
     """Return the urgency of a request, from 0 to :data:`LEAST_URGENT`.
 
-    A caller that comes again says how long it will still wait, so what it has waited
-    elsewhere is what its budget lacks of the route's time. Where budgets are shorter
-    for another reason, all requests of the route are alike again.
-
     :param route: :class:`~cowslipcourse.routes.Route`
     :param workspace: :class:`~cowslipcourse.routes.Workspace` or ``None``.
-    :param budget_s: seconds that the caller said it will wait, or ``None``.
-    :param waited_s: seconds since the request came.
+    :param spent_s: seconds that the caller has waited, here and elsewhere.
     """
     rank = route.priority
     if workspace is not None and workspace.priority is not None:
         rank = workspace.priority
-    spent_s = waited_s
-    if budget_s is not None:
-        spent_s += max(0.0, route.timeout_s - budget_s)
     is_late = spent_s > route.objective_s
     return min(LEVELS_A_RANK * rank + is_late, LEAST_URGENT)
+
+
+def can_be_on_time(route, spent_s):
+    """Whether a request that is sent to a target now may be answered on time.
+
+    :param route: :class:`~cowslipcourse.routes.Route`
+    :param spent_s: seconds that the caller has waited, here and elsewhere.
+    """
+    return spent_s <= SENT_WITHIN * route.objective_s
