--- a/cowslipcourse/entry/streaming.py
+++ b/cowslipcourse/entry/streaming.py
@@ -3,14 +3,9 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
-from cowslipcourse.entry.accounting import (
-    Placement,
-    StreamTimes,
-    late_cause,
-    shortage,
-)
-from cowslipcourse.entry.choosing import choose_group
+from cowslipcourse.entry.accounting import StreamTimes, late_cause
 from cowslipcourse.entry.outcomes import NOT_RUN_STATUSES
+from cowslipcourse.entry.placing import StreamPlacing
 from cowslipcourse.entry.retrying import try_targets
 from cowslipcourse.entry.silence import WatchedStream
 from cowslipcourse.exceptions import AnswerBroken, TargetError, TargetRefused
@@ -19,11 +14,6 @@
 
 __all__ = ["StreamForwarder"]
 
-LOOK_AGAIN_S = 0.02
-"""Interval at which a request that waits for a place looks again."""
-WAIT_SHARE = 0.3
-"""Share of the caller's time that a request may wait for a place."""
-
 log = get_logger(__name__)
 
 
@@ -48,6 +38,11 @@
         """Id of the last event that was passed on, or ``None``."""
         return self.position.last if self.position.passed else None
 
+    @property
+    def has_begun(self):
+        """Whether the caller has events already, of this daemon or of another one."""
+        return self.position.last is not None
+
     def note_events(self, now):
         """Note that events were passed on."""
         if self._last_at is None:
@@ -65,13 +60,14 @@
 
     def __init__(self, tools):
         self._tools = tools
+        self._placing = StreamPlacing(tools)
 
     async def forward(self, call, service, responder):
         """Bring a call to a target; see :class:`~cowslipcourse.entry.Forwarder`."""
         progress = _Progress(call, responder)
 
         async def choose(tried):
-            return await self._place(progress, service, tried)
+            return await self._placing.place(progress, service, tried)
 
         async def attempt(run, is_last):
             await self._run(progress, run)
@@ -79,30 +75,6 @@
         entry, attempts = await try_targets(self._tools, call, service, choose, attempt)
         _note_done(progress, entry, attempts)
 
-    async def _place(self, progress, service, tried):
-        """Return the :class:`Placement` with room, waiting for one for a while."""
-        call, loop = progress.call, asyncio.get_running_loop()
-        began_at = loop.time()
-        give_up_at = began_at + (call.deadline - began_at) * WAIT_SHARE
-        while True:
-            places = self._places(call, service, loop.time())
-            place = choose_group(places, tried, self._tools.rng)
-            if place is not None:
-                progress.place_s += loop.time() - began_at
-                return Placement(place.entry)
-            if loop.time() >= give_up_at:
-                cause = shortage(places, tried)
-                _note_no_place(call, cause, places, tried)
-                return Placement(None, cause)
-            await asyncio.sleep(LOOK_AGAIN_S)
-
-    def _places(self, call, service, now):
-        spec = self._tools.service_spec(service)
-        if spec.models:
-            model = call.fields.model
-            return self._tools.fleet.group_places(service, model, spec.slots, now)
-        return self._tools.fleet.service_places(service, now)
-
     async def _run(self, progress, run):
         call = progress.call
         run.reached = progress.position.last or 0
@@ -163,18 +135,6 @@
         await responder.finish(body)
 
 
-def _note_no_place(call, cause, places, tried):
-    log.info(
-        "no-place",
-        request=call.id,
-        model=call.fields.model,
-        cause=cause,
-        groups=len(places),
-        in_flight=sum(place.in_flight for place in places),
-        tried=",".join(sorted(tried)),
-    )
-
-
 def _note_done(progress, entry, attempts):
     call = progress.call
     now = asyncio.get_running_loop().time()
