Balance: which groups stand by is a module of its own

Cause: groups/balance.py had grown to 308 lines with two jobs: changes between models, and which hosts hold another model's weights.

--- a/cowslipcourse/groups/__init__.py
+++ b/cowslipcourse/groups/__init__.py
@@ -3,7 +3,6 @@
 from cowslipcourse.groups.balance import (
     Change,
     choose_changes,
-    choose_standby,
     group_counts,
     short_models,
 )
@@ -22,6 +21,7 @@
     wishes,
 )
 from cowslipcourse.groups.staging import choose_staging
+from cowslipcourse.groups.standby import choose_standby
 from cowslipcourse.groups.steps import Step, StepKind
 from cowslipcourse.groups.views import EngineView, Wish
 
--- a/cowslipcourse/groups/balance.py
+++ b/cowslipcourse/groups/balance.py
@@ -3,16 +3,14 @@
 A model whose domains are lost together has no group left, however many engines serve
 the others. Groups of the model that has most for its share then change over to it, as
 many as bring it back to half of its share. A change takes a few seconds if the hosts
-of the group hold the weights already, and a load more if they do not; so some groups
-elsewhere hold, on their hosts, the weights of each model that the loss of two domains
-would leave short.
+of the group hold the weights already, and a load more if they do not.
 """
 
 import math
 from collections import Counter
 from typing import NamedTuple
 
-__all__ = ["Change", "choose_changes", "choose_standby", "group_counts", "short_models"]
+__all__ = ["LEAST_RATIO", "Change", "choose_changes", "group_counts", "short_models"]
 
 LEAST_RATIO = 0.5
 """Groups of a model, over the groups that its share of the work entitles it to, from
@@ -20,8 +18,6 @@
 ENOUGH_RATIO = 0.8
 """The same, up to which a model that was short is helped: requests that wait for its
 first groups come on top of its usual load."""
-LOST_DOMAINS = 2
-"""Domains that may be lost together without leaving a model short for a load's time."""
 
 
 class Change(NamedTuple):
@@ -212,97 +208,3 @@
             given += sum(each == domain for each, _ in taken)
             donors.append(_Donor(domain, best, hosts, given))
     return donors
-
-
-def choose_standby(plans, places, models, held):
-    """Return the model that the hosts of some groups shall hold, by group name.
-
-    :param plans: :class:`~cowslipcourse.groups.DomainPlan` by domain.
-    :param places: data centre by domain.
-    :param models: iterable of :class:`~cowslipcourse.routes.EngineModel`
-    :param held: see :func:`choose_changes`.
-    """
-    models = tuple(models)
-    standby = {}
-    for model in sorted(models, key=lambda model: model.name):
-        lost = _largest_domains(plans, model.name)
-        left = {domain: plan for domain, plan in plans.items() if domain not in lost}
-        counts = group_counts(left.values(), models)
-        number = counts[model.name]
-        if not any(counts.values()) or not _is_short(number, counts, model, models):
-            continue
-        wanted = math.ceil(_entitled(counts, model, models) * LEAST_RATIO)
-        _stand_by(standby, left, places, models, model, wanted - number, held)
-    return standby
-
-
-def _largest_domains(plans, model):
-    """Return the names of the domains whose loss costs a model most."""
-    numbers = {
-        domain: sum(g.model == model and not g.is_retired for g in plan.groups)
-        for domain, plan in plans.items()
-    }
-    ranked = sorted(numbers, key=lambda domain: (-numbers[domain], domain))
-    return {domain for domain in ranked[:LOST_DOMAINS] if numbers[domain]}
-
-
-def _entitled(counts, model, models):
-    """Return the number of groups that a model's share entitles it to."""
-    engines = sum(counts[each.name] * each.size for each in models)
-    return model.share / sum(each.share for each in models) * engines / model.size
-
-
-def _is_short(number, counts, model, models):
-    return number < LEAST_RATIO * _entitled(counts, model, models)
-
-
-def _stand_by(standby, plans, places, models, model, wanted, held):
-    """Let groups of other models stand by for some more groups of a model.
-
-    Those whose hosts hold it go first, then those of data centres with fewest, so that
-    what stands by is not lost together.
-    """
-    near = Counter()
-    while wanted > 0:
-        donors = _standby_donors(standby, plans, models, model, held)
-        if not donors:
-            return
-        best = min(
-            donors,
-            key=lambda donor: (
-                -donor.held,
-                near[places.get(donor.domain)],
-                donor.domain,
-                donor.groups[0].name,
-            ),
-        )
-        standby.update((group.name, model.name) for group in best.groups)
-        near[places.get(best.domain)] += 1
-        wanted -= sum(len(group.members) for group in best.groups) // model.size
-
-
-def _standby_donors(standby, plans, models, model, held):
-    """Return a :class:`_Donor` for each group that could stand by, with those beside.
-
-    A group that is smaller than those of the model needs others of its domain.
-    """
-    sizes = {each.name: each.size for each in models}
-    donors = []
-    for domain, plan in plans.items():
-        free = [
-            group
-            for group in plan.groups
-            if group.model in sizes
-            and group.model != model.name
-            and not group.is_retired
-            and group.name not in standby
-        ]
-        for group in free:
-            number = math.ceil(model.size / sizes[group.model])
-            beside = [g for g in free if g.model == group.model and g is not group]
-            if len(beside) >= number - 1:
-                groups = (group, *beside[: number - 1])
-                donors.append(
-                    _Donor(domain, groups, held(group, domain, model.name), 0)
-                )
-    return donors
