Budgets are kept of a thousand routes at most

Cause: what is learned of callers' patience was kept for each route that ever had a request, and configurations bring new routes all the time. Test: placing.feature, 1,200 routes leave 1,000; before this commit nothing bounded them. Conclusion: the oldest go first; a route that comes again is learned anew.

--- a/cowslipcourse/entry/patience.py
+++ b/cowslipcourse/entry/patience.py
@@ -8,6 +8,8 @@
 """Part of a route's time by which callers may differ in how long they wait."""
 KEPT_BUDGETS = 64
 """Requests of a route from which it is told whether its callers differ."""
+KEPT_ROUTES = 1000
+"""Routes of which budgets are kept: configurations come with new ones all the time."""
 LEAST_BUDGETS = 16
 """Requests before which callers may differ."""
 ALIKE_WITHIN = 0.02
@@ -28,6 +30,10 @@
     def __init__(self):
         self._budgets = {}
 
+    def __len__(self):
+        """Return the number of routes of which budgets are kept."""
+        return len(self._budgets)
+
     def note(self, route, budget_s):
         """Note a request; return the seconds that its caller has waited elsewhere.
 
@@ -36,11 +42,18 @@
         """
         if budget_s is None:
             return 0.0
-        budgets = self._budgets.setdefault(route.name, deque(maxlen=KEPT_BUDGETS))
+        budgets = self._budgets_of(route)
         budgets.append(budget_s)
         spread = PATIENCE_SPREAD if _may_differ(budgets) else 0.0
         return max(0.0, route.timeout_s * (1 - spread) - budget_s)
 
+    def _budgets_of(self, route):
+        if route.name not in self._budgets:
+            while len(self._budgets) >= KEPT_ROUTES:
+                del self._budgets[next(iter(self._budgets))]
+            self._budgets[route.name] = deque(maxlen=KEPT_BUDGETS)
+        return self._budgets[route.name]
+
 
 def _may_differ(budgets):
     """Whether callers may differ in how long they wait."""
--- a/features/forwarding/placing.feature
+++ b/features/forwarding/placing.feature
@@ -13,6 +13,10 @@
     And 60 requests come again with budgets from 2.0 to 3.0 s, one new one to each three
     Then a request that comes again with a budget of 4.7 s cannot
 
+  Scenario: What is learned of routes stays bounded as configurations change
+    When requests of 1200 routes come, one after the other
+    Then budgets of 1000 routes are kept
+
   Scenario: A late request takes a free place, one that can be on time may queue a little
     Given a group that runs 15 requests at once
     Then a late request is sent to it while it has 14, and not while it has 15
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -69,6 +69,18 @@
     assert not _can_be_on_time(context, budget)
 
 
+@when("requests of {number:d} routes come, one after the other")
+def step_many_routes(context, number):
+    context.patience = CallerPatience()
+    for each in range(number):
+        context.patience.note(SimpleNamespace(name=f"r{each}", timeout_s=5.0), 5.0)
+
+
+@then("budgets of {number:d} routes are kept")
+def step_kept_routes(context, number):
+    assert len(context.patience) == number, len(context.patience)
+
+
 @given("a group that runs {slots:d} requests at once")
 def step_group(context, slots):
     context.slots = slots
