--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -136,12 +136,15 @@
 
     :param name: name of the daemon.
     :param fleet: :class:`~cowslipcourse.entry.fleet_view.FleetView` of the daemon.
+    :param conditions:
+        :class:`~cowslipcourse.entry.target_conditions.TargetConditions`
     :param heads: :class:`GroupHeads`
     """
 
-    def __init__(self, name, fleet, heads):
+    def __init__(self, name, fleet, conditions, heads):
         self._name = name
         self._fleet = fleet
+        self._conditions = conditions
         self._heads = heads
 
     @asynccontextmanager
@@ -160,7 +163,8 @@
                 raise TargetUnreachable("the engine is unreachable", sent=False)
             await asyncio.sleep(LINK_DELAY_S)
             connection = run.connection = self._submit(call, engine, last_event_id)
-            yield Attempt(entry, connection, asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            yield Attempt(entry, connection, now, self._conditions)
         finally:
             self._fleet.request_ended(entry.id)
             if connection is not None and connection.request is not None:
--- a/cowslipcourse/emulator/daemons.py
+++ b/cowslipcourse/emulator/daemons.py
@@ -10,6 +10,7 @@
 from cowslipcourse.entry.forwarder import Forwarder
 from cowslipcourse.entry.settings import EntrySettings
 from cowslipcourse.entry.silence_detector import SilenceDetector
+from cowslipcourse.entry.target_conditions import TargetConditions
 from cowslipcourse.quarantine import VerdictStore
 from cowslipcourse.quarantine_runtime import Quarantine, TargetExitDetector
 
@@ -84,12 +85,13 @@
     ):
         settings = _entry_settings(name, data_centre)
         self.fleet = FleetView()
+        conditions = TargetConditions(self.fleet)
         self.coordinators = ()
         self._silence_detector = SilenceDetector(self.fleet, self._on_suspect)
         context = DaemonContext(
             settings,
             self.fleet,
-            EmulatedAttemptSender(name, self.fleet, heads),
+            EmulatedAttemptSender(name, self.fleet, conditions, heads),
             SharedRetryBudget(settings.retries),
             self._silence_detector,
             None,
--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -21,11 +21,23 @@
     :param entry: :class:`~cowslipcourse.ports.TargetEntry`
     :param connection: :class:`~cowslipcourse.http_client.TargetConnection`
     :param sent_at: loop time at which the request was sent.
+    :param conditions:
+        :class:`~cowslipcourse.entry.target_conditions.TargetConditions`
     """
 
     entry: object
     connection: object
     sent_at: float
+    conditions: object
+
+    async def read_head(self):
+        """Return the head of the response, after recording what it states.
+
+        :raises TargetError: the response ended before its head was complete.
+        """
+        head = await self.connection.head()
+        self.conditions.observe(self.entry, head)
+        return head
 
 
 class TargetRun:
@@ -60,10 +72,13 @@
     """Sends requests to targets and counts them as in flight.
 
     :param fleet: :class:`~cowslipcourse.entry.fleet_view.FleetView`
+    :param conditions:
+        :class:`~cowslipcourse.entry.target_conditions.TargetConditions`
     """
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, conditions):
         self._fleet = fleet
+        self._conditions = conditions
         self._pool = ConnectionPool(CONNECT_TIMEOUT_S)
 
     @asynccontextmanager
@@ -94,7 +109,7 @@
             request = _target_request(call, entry, left_s, waited_s, last_event_id)
             connection.send(request)
             run.connection = connection
-            yield Attempt(entry, connection, loop.time())
+            yield Attempt(entry, connection, loop.time(), self._conditions)
         finally:
             self._fleet.request_ended(entry.id)
             if connection is not None:
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -24,6 +24,7 @@
 from cowslipcourse.entry.settings_reload import SettingsWatcher
 from cowslipcourse.entry.silence_detector import SilenceDetector
 from cowslipcourse.entry.state_replica import StateReplica
+from cowslipcourse.entry.target_conditions import TargetConditions
 from cowslipcourse.peer_protocol import Heartbeat, Member, PeerRegistry
 from cowslipcourse.platform import (
     HttpEngineControl,
@@ -75,7 +76,8 @@
         logging.getLogger().addHandler(self._metrics.event_counter())
         self._store = HttpRowStore(settings.store)
         self._control = HttpEngineControl(settings.control)
-        attempt_sender = AttemptSender(self._fleet)
+        self._conditions = TargetConditions(self._fleet)
+        attempt_sender = AttemptSender(self._fleet, self._conditions)
         retry_budget = SharedRetryBudget(settings.retries)
         silence_detector = SilenceDetector(self._fleet, self._on_suspect)
         self._registry = PeerRegistry(settings.peers, settings.data_centre)
@@ -289,13 +291,16 @@
         group_counter = GroupCountMonitor()
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
-            self._update_daemon_count(asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            self._update_daemon_count(now)
+            self._conditions.forget_unlisted(now)
             self._context.attempt_sender.close_stale_connections()
             self._metrics.set_state("in_flight", self._front.in_flight)
             self._metrics.set_state("quarantined", self.quarantine.verdict_count)
             self._metrics.set_group_counts(
                 group_counter.count(self._context.table, self._fleet)
             )
+            self._metrics.set_limited_counts(self._conditions.limited_counts())
             self._check_store_era()
 
     def _check_store_era(self):
--- a/cowslipcourse/entry/prometheus_metrics.py
+++ b/cowslipcourse/entry/prometheus_metrics.py
@@ -67,6 +67,12 @@
             ["model", "state"],
             registry=self._registry,
         )
+        self._limited_targets = Gauge(
+            "cowslip_limited_targets",
+            "Targets that state a rate limit, by service",
+            ["service"],
+            registry=self._registry,
+        )
 
     def observe_request(self, outcome, duration_s):
         """Record the outcome and latency of a finished request."""
@@ -98,6 +104,15 @@
         for (model, state), count in counts.engines_by_state.items():
             self._engines.labels(model, state).set(count)
 
+    def set_limited_counts(self, counts):
+        """Set the gauge of targets that state a rate limit.
+
+        :param counts: number of targets by service.
+        """
+        self._limited_targets.clear()
+        for service, count in counts.items():
+            self._limited_targets.labels(service).set(count)
+
     def event_counter(self):
         """Return a log handler that counts log records by event."""
         return _EventCounter(self._events)
--- a/cowslipcourse/entry/stream_forwarder.py
+++ b/cowslipcourse/entry/stream_forwarder.py
@@ -95,7 +95,7 @@
 
     async def _relay(self, progress, run, attempt, stream):
         responder = progress.responder
-        head = await attempt.connection.head()
+        head = await attempt.read_head()
         run.answer_started = True
         if is_not_executed(head):
             raise TargetRefused(f"answered {head.status}")
--- a/cowslipcourse/entry/unary_forwarder.py
+++ b/cowslipcourse/entry/unary_forwarder.py
@@ -59,7 +59,7 @@
             # Nothing precedes the response, so the request may be running already.
             run.answer_started = True
             try:
-                head = await attempt.connection.head()
+                head = await attempt.read_head()
                 if is_not_executed(head):
                     raise TargetRefused(f"answered {head.status}")
                 body = await attempt.connection.read_all()
--- a/cowslipcourse/exceptions.py
+++ b/cowslipcourse/exceptions.py
@@ -30,6 +30,7 @@
     "KeyReused",
     "LeaseLost",
     "MalformedBody",
+    "MalformedHeader",
     "MalformedResponse",
     "NoConfiguration",
     "NoTargetAvailable",
@@ -213,6 +214,12 @@
     code = "peer-unreachable"
 
 
+class MalformedHeader(CowslipError):
+    """A header of a response has an invalid value; the response itself is usable."""
+
+    code = "malformed-header"
+
+
 class TargetError(CowslipError):
     """A request to an engine or service failed."""
 
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -106,7 +106,7 @@
 
 def _stream(target, last_received_at, has_events):
     stream = WatchedStream(
-        Attempt(_entry(target), _Connection(last_received_at), 10.0), "r1"
+        Attempt(_entry(target), _Connection(last_received_at), 10.0, None), "r1"
     )
     stream.has_events = has_events
     return stream
