Failing test: requests beyond the rate limit that an engine states

Cause: not yet confirmed. The emulator's engines state a limit for a while, and an oracle counts arrivals in windows of 4 s.

Callers see nothing, as the other groups serve as before.

--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -1,15 +1,18 @@
 """Emulated connections from daemons to engines, in place of a network."""
 
 import asyncio
+import functools
 from collections import deque
 from contextlib import asynccontextmanager
 
 from cowslipcourse.emulator.batches import CRASH_DELAY_S, BatchedRequest, GroupBatch
 from cowslipcourse.emulator.crashes import CrashOracle
+from cowslipcourse.emulator.limit_oracle import LimitOracle
 from cowslipcourse.entry.attempts import CONNECT_TIMEOUT_S, Attempt
 from cowslipcourse.entry.urgency import urgency
 from cowslipcourse.exceptions import TargetUnreachable
 from cowslipcourse.http_client import ResponseHead
+from cowslipcourse.platform.backpressure import encode_rate_limit
 from cowslipcourse.platform.headers import MISDIRECTED_REQUEST, not_executed_head
 
 __all__ = ["EmulatedAttemptSender", "GroupHeads"]
@@ -31,6 +34,7 @@
     def __init__(self, world, spec):
         self.world = world
         self.crash_oracle = CrashOracle()
+        self.limit_oracle = LimitOracle()
         self._spec = spec
         self._batches = {}
 
@@ -43,6 +47,13 @@
         """Return the loop time in seconds."""
         return asyncio.get_running_loop().time()
 
+    def stated_headers(self, engine):
+        """Return the headers in which an engine states its rate limit."""
+        if engine.rate_limit_per_s is not None or engine.has_stated_limit:
+            engine.has_stated_limit = True
+            self.limit_oracle.record_limit(_instance(engine), engine.rate_limit_per_s)
+        return encode_rate_limit(engine.rate_limit_per_s)
+
     def batch(self, engine):
         """Return the :class:`~.GroupBatch` of an open head."""
         membership = engine.membership
@@ -61,10 +72,20 @@
                     engine.finish_closing()
 
 
+def _instance(engine):
+    return engine.id, engine.incarnation
+
+
 class _EmulatedConnection:
-    """The part of a ``TargetConnection`` for streams."""
+    """The part of a ``TargetConnection`` for streams.
+
+    :param head: :class:`~cowslipcourse.http_client.ResponseHead` without the headers
+        that state conditions.
+    :param stated_headers: callable that returns those headers.
+    """
 
-    def __init__(self, head):
+    def __init__(self, head, stated_headers=tuple):
+        self._stated_headers = stated_headers
         self.last_received_at = 0.0
         self.request = None
         self._head = head
@@ -79,7 +100,7 @@
         """Return the response head; a stream has one once the request has started."""
         while self._head.status == 200 and not (self._chunks or self._has_started):
             await self._wait()
-        return self._head
+        return self._head._replace(headers=self._head.headers + self._stated_headers())
 
     def start(self):
         """Deliver the response head before the first event."""
@@ -172,17 +193,19 @@
                 connection.request.is_cancelled = True
 
     def _submit(self, call, engine, last_event_id):
+        self._heads.limit_oracle.record_arrival(_instance(engine), self._name)
+        stated_headers = functools.partial(self._heads.stated_headers, engine)
         if engine.is_closing_head:
-            return _EmulatedConnection(not_executed_head(FULL_STATUS))
+            return _EmulatedConnection(not_executed_head(FULL_STATUS), stated_headers)
         if not engine.is_open_head:
             return _EmulatedConnection(ResponseHead(MISDIRECTED_REQUEST, ()))
         batch = self._heads.batch(engine)
         if batch.is_full:
-            return _EmulatedConnection(not_executed_head(FULL_STATUS))
+            return _EmulatedConnection(not_executed_head(FULL_STATUS), stated_headers)
         if call.size.crashes_targets:
             self._heads.crash_oracle.record_arrival(call.fingerprint, self._name)
         waited_s = call.waited_s(asyncio.get_running_loop().time())
-        connection = _EmulatedConnection(ResponseHead(200, ()))
+        connection = _EmulatedConnection(ResponseHead(200, ()), stated_headers)
         delivered_events = last_event_id or call.caller_headers.last_event_id or 0
         connection.request = BatchedRequest(
             call.size.prompt_tokens + delivered_events * call.size.tokens_per_event,
--- a/cowslipcourse/emulator/engines.py
+++ b/cowslipcourse/emulator/engines.py
@@ -38,6 +38,8 @@
         self.domain = domain
         self.staged = staged
         self.is_unreachable = False
+        self.rate_limit_per_s = None
+        self.has_stated_limit = False
         self.order_count = 0
         self.membership = None
         self.members = ()
--- /dev/null
+++ b/cowslipcourse/emulator/limit_oracle.py
@@ -0,0 +1,128 @@
+"""Oracle that compares the arrivals at engines with the rate limits that they state."""
+
+import asyncio
+import itertools
+from bisect import bisect_right
+from typing import NamedTuple
+
+__all__ = ["LimitFigures", "LimitOracle"]
+
+WINDOW_S = 4.0
+TOLERATED_FACTOR = 1.5
+TOLERATED_REQUESTS = 5
+"""In each window an engine may get this many requests beyond the factor times what its
+limit allows."""
+REACTION_S = 3.0
+"""Time allowed for a statement to take effect at all daemons, and for a daemon to be
+undisturbed again."""
+NO_LIMIT = float("inf")
+
+
+class LimitFigures(NamedTuple):
+    """Arrivals at one engine while it stated a limit.
+
+    :param instance: id and incarnation of the engine.
+    :param limit_per_s: highest limit that was in force.
+    :param excess: most arrivals in a window, as a fraction of those tolerated; above 1
+        is a violation.
+    :param arrivals: arrivals while a statement was in force, after ``REACTION_S``.
+    :param limited_s: duration of that time in seconds.
+    """
+
+    instance: tuple[str, int]
+    limit_per_s: float
+    excess: float
+    arrivals: int
+    limited_s: float
+
+
+class _EngineRecord:
+    def __init__(self):
+        self.limit_changes = []
+        self.arrivals = []
+
+    def highest_limit(self, begin, end):
+        """Return the highest limit in force at any time from ``begin`` to ``end``."""
+        times = [at for at, _ in self.limit_changes]
+        first = bisect_right(times, begin) - 1
+        if first < 0:
+            return NO_LIMIT
+        return max(
+            limit for at, limit in self.limit_changes[first:] if at <= max(end, begin)
+        )
+
+
+class LimitOracle:
+    """Records stated limits, arrivals at engines, and disturbed daemons."""
+
+    def __init__(self):
+        self._records = {}
+        self._disturbances = {}
+
+    def record_limit(self, instance, limit_per_s):
+        """Record the limit that an engine states from now on.
+
+        :param instance: id and incarnation of the engine.
+        :param limit_per_s: requests per second; ``None`` for no limit.
+        """
+        record = self._records.setdefault(instance, _EngineRecord())
+        limit_per_s = NO_LIMIT if limit_per_s is None else limit_per_s
+        if not record.limit_changes or record.limit_changes[-1][1] != limit_per_s:
+            record.limit_changes.append((_now(), limit_per_s))
+
+    def record_arrival(self, instance, daemon):
+        """Record that a request of a daemon reaches an engine."""
+        record = self._records.setdefault(instance, _EngineRecord())
+        record.arrivals.append((_now(), daemon))
+
+    def record_disturbance(self, daemon, duration_s):
+        """Record that a daemon is disturbed for ``duration_s`` seconds from now on."""
+        now = _now()
+        self._disturbances.setdefault(daemon, []).append((now, now + duration_s))
+
+    def figures(self):
+        """Return the :class:`LimitFigures` of each engine that stated a limit."""
+        figures = [
+            self._figures(instance, record)
+            for instance, record in self._records.items()
+            if record.limit_changes
+        ]
+        return [each for each in figures if each is not None]
+
+    def _figures(self, instance, record):
+        arrivals = [
+            at for at, daemon in record.arrivals if not self._is_disturbed(daemon, at)
+        ]
+        limited_arrivals, excess, highest = 0, 0.0, 0.0
+        for index, at in enumerate(arrivals):
+            begin = at - WINDOW_S
+            # A limit that was in force shortly before may still be applied.
+            limit_per_s = record.highest_limit(begin - REACTION_S, at)
+            if limit_per_s == NO_LIMIT:
+                continue
+            highest = max(highest, limit_per_s)
+            limited_arrivals += 1
+            count = index + 1 - bisect_right(arrivals, begin)
+            tolerated = TOLERATED_FACTOR * WINDOW_S * limit_per_s + TOLERATED_REQUESTS
+            excess = max(excess, count / int(tolerated))
+        return LimitFigures(
+            instance, highest, excess, limited_arrivals, self._limited_s(record)
+        )
+
+    def _limited_s(self, record):
+        changes = [*record.limit_changes, (_now(), NO_LIMIT)]
+        spans = itertools.pairwise(changes)
+        limited_s = sum(
+            end - at for (at, limit), (end, _) in spans if limit != NO_LIMIT
+        )
+        return max(0.0, limited_s - WINDOW_S - REACTION_S)
+
+    def _is_disturbed(self, daemon, at):
+        return any(
+            begin <= at <= end + REACTION_S
+            for begin, end in self._disturbances.get(daemon, ())
+        )
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- a/cowslipcourse/emulator/site.py
+++ b/cowslipcourse/emulator/site.py
@@ -11,6 +11,7 @@
 from cowslipcourse.emulator.daemons import DataCentreScope, EmulatedDaemon
 from cowslipcourse.emulator.engines import OPEN_DELAY_S, SERVICE
 from cowslipcourse.emulator.group_oracle import Faults, World
+from cowslipcourse.emulator.limit_oracle import LimitFigures
 from cowslipcourse.emulator.messages import MessageNetwork
 from cowslipcourse.routes import (
     CallerLimits,
@@ -54,6 +55,8 @@
         each request that crashed engines.
     :param wrongly_quarantined: number of times that a request which crashes no engine
         was refused as quarantined.
+    :param limits: :class:`~cowslipcourse.emulator.limit_oracle.LimitFigures` list, one
+        for each engine that stated a rate limit.
     """
 
     records: list[CallRecord]
@@ -63,6 +66,7 @@
     violations: list[str]
     crashes: list[CrashFigures]
     wrongly_quarantined: int
+    limits: list[LimitFigures]
 
 
 class EmulatedSite:
@@ -176,6 +180,7 @@
             self._world.violations,
             self._heads.crash_oracle.figures(),
             callers.wrongly_quarantined,
+            self._heads.limit_oracle.figures(),
         )
 
     # Messages between daemons, and the list of targets.
@@ -336,6 +341,20 @@
             daemon.reset_quarantine()
             self._heads.crash_oracle.record_disturbance(daemon.name, 0.0)
 
+    def _limit(self, fault):
+        """Make heads of open groups state a rate limit for a while."""
+        heads = [
+            engine
+            for engine in self._world.engines.values()
+            if engine.is_open_head and fault.model in ("", engine.membership.model)
+        ]
+        order_seed = self._fault_rng.random()
+        heads.sort(key=lambda e: random.Random(f"{order_seed}-{e.id}").random())
+        loop = asyncio.get_running_loop()
+        for head in heads[: fault.count]:
+            head.rate_limit_per_s = fault.limit_per_s
+            loop.call_later(fault.for_s, _end_limit, head)
+
     def _burst(self, fault):
         """Do nothing when a burst begins; callers query :meth:`_burst_factor`."""
 
@@ -349,6 +368,10 @@
         return factor
 
 
+def _end_limit(engine):
+    engine.rate_limit_per_s = None
+
+
 def _coordination_scope(number, data_centres, daemon_count):
     """Return the :class:`DataCentreScope` of a daemon.
 
--- a/cowslipcourse/emulator/site_file.py
+++ b/cowslipcourse/emulator/site_file.py
@@ -92,6 +92,7 @@
         raises the request rate. ``crash`` sends a request that crashes engines to
         ``count`` daemons. ``silence`` isolates daemons from the others. ``forget``
         makes daemons discard what they know of such requests, as a restart does.
+        ``limit`` makes heads of groups state a rate limit for a while.
     :param at_s: first occurrence, from the start of the traffic.
     :param every_s: interval between occurrences; 0 for a single one.
     :param until_s: latest time of an occurrence.
@@ -100,12 +101,22 @@
     :param factor: factor of a burst on the request rate.
     :param request: kind of request of a burst or crash; if empty, all kinds for a
         burst and the first kind for a crash.
-    :param model: restricts ``domain`` to domains whose groups serve this model; empty
-        for any.
+    :param model: restricts ``domain`` and ``limit`` to groups that serve this model;
+        empty for any.
+    :param limit_per_s: rate limit in requests per second.
     """
 
     kind: Literal[
-        "lose", "restart", "domain", "add", "burst", "crash", "silence", "forget", "end"
+        "lose",
+        "restart",
+        "domain",
+        "add",
+        "burst",
+        "crash",
+        "silence",
+        "forget",
+        "end",
+        "limit",
     ]
     at_s: float = Field(ge=0)
     every_s: float = Field(default=0.0, ge=0)
@@ -115,6 +126,7 @@
     factor: float = Field(default=1.0, gt=0)
     request: str = ""
     model: str = ""
+    limit_per_s: float = Field(default=1.0, gt=0)
 
     def times(self):
         """Return the times of all occurrences, in seconds."""
