--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -172,6 +172,7 @@
     async def open(self, call, run, last_event_id=None):
         """See :class:`~cowslipcourse.entry.attempts.AttemptSender`."""
         entry = run.entry
+        permit = await self._conditions.admit(entry)
         self._fleet.request_started(entry.id)
         connection = None
         try:
@@ -182,6 +183,7 @@
             if engine is None or engine.is_unreachable:
                 await asyncio.sleep(CONNECT_TIMEOUT_S)
                 raise TargetUnreachable("the engine is unreachable", sent=False)
+            self._conditions.verify(entry, permit)
             await asyncio.sleep(LINK_DELAY_S)
             connection = run.connection = self._submit(call, engine, last_event_id)
             now = asyncio.get_running_loop().time()
--- a/cowslipcourse/emulator/daemons.py
+++ b/cowslipcourse/emulator/daemons.py
@@ -8,11 +8,13 @@
 from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.forwarder import Forwarder
+from cowslipcourse.entry.limit_prober import ListedTargetProber
 from cowslipcourse.entry.settings import EntrySettings
 from cowslipcourse.entry.silence_detector import SilenceDetector
 from cowslipcourse.entry.target_conditions import TargetConditions
 from cowslipcourse.quarantine import VerdictStore
 from cowslipcourse.quarantine_runtime import Quarantine, TargetExitDetector
+from cowslipcourse.rate_limit_runtime import RateLimiter
 
 __all__ = ["DataCentreScope", "EmulatedDaemon", "SingleCoordinatorScope"]
 
@@ -85,15 +87,16 @@
     ):
         settings = _entry_settings(name, data_centre)
         self.fleet = FleetView()
-        conditions = TargetConditions(self.fleet)
+        self._conditions = TargetConditions(None)
         self.coordinators = ()
         self._silence_detector = SilenceDetector(self.fleet, self._on_suspect)
         context = DaemonContext(
             settings,
             self.fleet,
-            EmulatedAttemptSender(name, self.fleet, conditions, heads),
+            EmulatedAttemptSender(name, self.fleet, self._conditions, heads),
             SharedRetryBudget(settings.retries),
             self._silence_detector,
+            self._conditions,
             None,
             random.Random(seed),
         )
@@ -102,7 +105,8 @@
         self._context = context
         self._network = network
         self._heads = heads
-        self.reset_quarantine()
+        self._limiter_rng = random.Random(f"limits-{seed}")
+        self.forget()
         self.forwarder = Forwarder(context)
         self.coordinator = Coordinator(
             context,
@@ -114,8 +118,8 @@
         )
         self.is_coordinator = bool(scope.coordinated_data_centres)
 
-    def reset_quarantine(self):
-        """Discard what it knows of requests that crash engines, as a restart does."""
+    def forget(self):
+        """Discard what it knows of requests and of engines, as a restart does."""
         heads = self._heads
         peers = self._network.peers_of(self.name)
         exit_detector = TargetExitDetector(
@@ -123,7 +127,11 @@
         )
         verdict_store = VerdictStore(heads.world, heads.now)
         self._context.quarantine = Quarantine(peers, exit_detector, verdict_store)
-        self._network.attach(self.name, self._context.quarantine)
+        prober = ListedTargetProber(self.fleet, heads.world, lambda service: "")
+        self._conditions.rate_limiter = RateLimiter(peers, prober, self._limiter_rng)
+        self._network.attach(
+            self.name, self._context.quarantine, self._conditions.rate_limiter
+        )
 
     def coroutines(self):
         """Return the coroutines that run for as long as the daemon does."""
--- a/cowslipcourse/emulator/group_oracle.py
+++ b/cowslipcourse/emulator/group_oracle.py
@@ -17,6 +17,8 @@
     StoreUnavailable,
     TargetUnreachable,
 )
+from cowslipcourse.http_client import ResponseHead
+from cowslipcourse.platform.backpressure import encode_rate_limit
 from cowslipcourse.ports import (
     OrderResult,
     RowChanges,
@@ -31,6 +33,9 @@
 CRASH_RESTART_S = 3.2
 """Time from the crash of an engine's process until its next incarnation is listed."""
 
+PROBE_S = 0.003
+"""Duration of a probe of an engine."""
+
 SNAPSHOT_INTERVAL_S = 0.25
 """Interval at which snapshots of the store are taken."""
 MAX_SNAPSHOTS = 40
@@ -334,6 +339,14 @@
         await self._pause()
         return report
 
+    async def probe(self, entry, health_path):
+        """See :class:`~cowslipcourse.ports.EngineControl`."""
+        await asyncio.sleep(PROBE_S)
+        engine = self._engine_at(entry.address)
+        if engine is None or engine.id != entry.id:
+            raise TargetUnreachable("the engine is unreachable")
+        return ResponseHead(200, encode_rate_limit(engine.rate_limit_per_s))
+
     async def order(self, entry, order):
         """See :class:`~cowslipcourse.ports.EngineControl`."""
         await self._pause()
--- a/cowslipcourse/emulator/limit_oracle.py
+++ b/cowslipcourse/emulator/limit_oracle.py
@@ -22,7 +22,7 @@
     """Arrivals at one engine while it stated a limit.
 
     :param instance: id and incarnation of the engine.
-    :param limit_per_s: highest limit that was in force.
+    :param limit_per_s: highest limit that it stated.
     :param excess: most arrivals in a window, as a fraction of those tolerated; above 1
         is a violation.
     :param arrivals: arrivals while a statement was in force, after ``REACTION_S``.
@@ -80,6 +80,11 @@
         now = _now()
         self._disturbances.setdefault(daemon, []).append((now, now + duration_s))
 
+    def arrivals_since(self, instance, begin):
+        """Return the number of arrivals at an engine since a loop time."""
+        record = self._records.get(instance)
+        return 0 if record is None else sum(at >= begin for at, _ in record.arrivals)
+
     def figures(self):
         """Return the :class:`LimitFigures` of each engine that stated a limit."""
         figures = [
@@ -93,20 +98,24 @@
         arrivals = [
             at for at, daemon in record.arrivals if not self._is_disturbed(daemon, at)
         ]
-        limited_arrivals, excess, highest = 0, 0.0, 0.0
+        limited_arrivals, excess = 0, 0.0
+        limits = [limit for _, limit in record.limit_changes if limit != NO_LIMIT]
         for index, at in enumerate(arrivals):
             begin = at - WINDOW_S
             # A limit that was in force shortly before may still be applied.
             limit_per_s = record.highest_limit(begin - REACTION_S, at)
             if limit_per_s == NO_LIMIT:
                 continue
-            highest = max(highest, limit_per_s)
             limited_arrivals += 1
             count = index + 1 - bisect_right(arrivals, begin)
             tolerated = TOLERATED_FACTOR * WINDOW_S * limit_per_s + TOLERATED_REQUESTS
             excess = max(excess, count / int(tolerated))
         return LimitFigures(
-            instance, highest, excess, limited_arrivals, self._limited_s(record)
+            instance,
+            max(limits, default=NO_LIMIT),
+            excess,
+            limited_arrivals,
+            self._limited_s(record),
         )
 
     def _limited_s(self, record):
--- a/cowslipcourse/emulator/messages.py
+++ b/cowslipcourse/emulator/messages.py
@@ -2,11 +2,19 @@
 
 import asyncio
 
+from cowslipcourse.peer_protocol import LimitUpdate, PermitRequest, PermitResponse
+
 __all__ = ["MessageNetwork"]
 
 
+DATA_CENTRE = "dc"
+"""Data centre of all daemons, as far as messages are concerned."""
+
+
 class _EmulatedPeers:
-    """Implements :class:`~cowslipcourse.quarantine_runtime.QuarantinePeers`."""
+    """Implements :class:`~cowslipcourse.quarantine_runtime.QuarantinePeers` and
+    :class:`~cowslipcourse.rate_limit_runtime.LimiterPeers`.
+    """
 
     def __init__(self, network, name):
         self._network = network
@@ -16,6 +24,14 @@
         """Return the names of the other daemons that can be reached."""
         return self._network.reachable_names(self.address)
 
+    def ready_addresses(self):
+        """Return the names of the daemons that can be reached, and its own."""
+        return {DATA_CENTRE: frozenset((self.address, *self.alive_addresses()))}
+
+    def is_isolated(self):
+        """Whether it reaches fewer than half of the daemons."""
+        return 2 * (len(self.alive_addresses()) + 1) < len(self._network.names)
+
     def all_addresses(self):
         """Return the names of all other daemons."""
         return [name for name in self._network.names if name != self.address]
@@ -34,7 +50,7 @@
 
 
 class MessageNetwork:
-    """Delivers messages to the quarantines of daemons.
+    """Delivers messages to the quarantines and rate limiters of daemons.
 
     :param settings: :class:`~cowslipcourse.emulator.site_file.SiteSettings`
     :param rng: :class:`random.Random`
@@ -44,6 +60,7 @@
         self._settings = settings
         self._rng = rng
         self._quarantines = {}
+        self._rate_limiters = {}
         self._tasks = {}
         self._isolated_until = {}
         self.sent_count = 0
@@ -57,12 +74,17 @@
         """Return the messaging interface of a daemon."""
         return _EmulatedPeers(self, name)
 
-    def attach(self, name, quarantine):
-        """Run a daemon's quarantine, in place of an earlier one."""
-        if name in self._tasks:
-            self._tasks[name].cancel()
+    def attach(self, name, quarantine, rate_limiter=None):
+        """Run a daemon's quarantine and rate limiter, in place of earlier ones."""
+        for task in self._tasks.get(name, ()):
+            task.cancel()
         self._quarantines[name] = quarantine
-        self._tasks[name] = asyncio.create_task(quarantine.run())
+        self._rate_limiters[name] = rate_limiter
+        self._tasks[name] = [
+            asyncio.create_task(component.run())
+            for component in (quarantine, rate_limiter)
+            if component is not None
+        ]
 
     def isolate(self, name, duration_s):
         """Isolate a daemon for ``duration_s`` seconds."""
@@ -95,10 +117,15 @@
         loop.call_later(delay_s, self._deliver, message, receiver)
 
     def _deliver(self, message, receiver):
-        if not self._is_isolated(receiver):
+        if self._is_isolated(receiver):
+            return
+        if isinstance(message, LimitUpdate | PermitRequest | PermitResponse):
+            self._rate_limiters[receiver].handle_message(message)
+        else:
             self._quarantines[receiver].handle_message(message)
 
     def stop(self):
-        """Cancel the tasks of all quarantines."""
-        for task in self._tasks.values():
-            task.cancel()
+        """Cancel the tasks of all daemons."""
+        for tasks in self._tasks.values():
+            for task in tasks:
+                task.cancel()
--- a/cowslipcourse/emulator/site.py
+++ b/cowslipcourse/emulator/site.py
@@ -334,12 +334,14 @@
         for daemon in self._fault_rng.sample(self._daemons, fault.count):
             self._network.isolate(daemon.name, fault.for_s)
             self._heads.crash_oracle.record_disturbance(daemon.name, fault.for_s)
+            self._heads.limit_oracle.record_disturbance(daemon.name, fault.for_s)
 
     def _forget(self, fault):
-        """Reset the quarantines of some daemons, as a restart does."""
+        """Make some daemons forget what they know, as a restart does."""
         for daemon in self._fault_rng.sample(self._daemons, fault.count):
-            daemon.reset_quarantine()
+            daemon.forget()
             self._heads.crash_oracle.record_disturbance(daemon.name, 0.0)
+            self._heads.limit_oracle.record_disturbance(daemon.name, 0.0)
 
     def _limit(self, fault):
         """Make heads of open groups state a rate limit for a while."""
--- a/cowslipcourse/entry/attempt_outcomes.py
+++ b/cowslipcourse/entry/attempt_outcomes.py
@@ -15,7 +15,7 @@
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 """Statuses that callers take as proof that a request has not run and will not run."""
 RETRY_AFTER_S = 0.5
-"""Retry-After if no target accepts a request: a fraction of the time of a group repair,
+"""Retry-After if no target has a free slot: a fraction of the time of a group repair,
 after which another group has free slots or the repaired one serves."""
 
 
@@ -43,12 +43,15 @@
     return route.is_retryable and possible_runs < route.max_attempts
 
 
-def final_error(possible_runs, cause=""):
+def final_error(possible_runs, cause="", retry_after_s=None):
     """Return the error for the caller after the last attempt.
 
     :param possible_runs: attempts in which the request may have run.
     :param cause: why there are no more attempts.
+    :param retry_after_s: seconds until a target may accept the request, if known.
     """
     if possible_runs:
         return TargetFailed("no target sent a complete response", cause=cause)
-    return NoTargetAvailable("no target accepted the request", RETRY_AFTER_S, cause)
+    if retry_after_s is None:
+        retry_after_s = RETRY_AFTER_S
+    return NoTargetAvailable("no target accepted the request", retry_after_s, cause)
--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -88,10 +88,12 @@
         :param call: :class:`~cowslipcourse.entry.calls.Call`
         :param run: :class:`TargetRun` at the target.
         :param last_event_id: id of the last event of a stream that is resumed.
+        :raises TargetWithheld: nothing was sent, as the target accepts no request now.
         :raises TargetUnreachable: ``sent`` tells whether the request may run.
         """
         loop = asyncio.get_running_loop()
         entry = run.entry
+        permit = await self._conditions.admit(entry)
         needs_new_connection = not call.route.is_retryable
         key = _connection_key(entry)
         self._fleet.request_started(entry.id)
@@ -107,6 +109,7 @@
                 )
             waited_s = call.waited_s(loop.time())
             request = _target_request(call, entry, left_s, waited_s, last_event_id)
+            self._conditions.verify(entry, permit)
             connection.send(request)
             run.connection = connection
             yield Attempt(entry, connection, loop.time(), self._conditions)
--- a/cowslipcourse/entry/context.py
+++ b/cowslipcourse/entry/context.py
@@ -12,6 +12,8 @@
     :param retry_budget: :class:`~cowslipcourse.admission.SharedRetryBudget`
     :param silence_detector:
         :class:`~cowslipcourse.entry.silence_detector.SilenceDetector`
+    :param conditions:
+        :class:`~cowslipcourse.entry.target_conditions.TargetConditions`
     :param quarantine: :class:`~cowslipcourse.quarantine_runtime.Quarantine`
     :param rng: :class:`random.Random`
     """
@@ -23,6 +25,7 @@
         attempt_sender,
         retry_budget,
         silence_detector,
+        conditions,
         quarantine,
         rng,
     ):
@@ -31,9 +34,11 @@
         self.attempt_sender = attempt_sender
         self.retry_budget = retry_budget
         self.silence_detector = silence_detector
+        self.conditions = conditions
         self.quarantine = quarantine
         self.rng = rng
         self.table = None
+        self.withheld_counts = {}
 
     def choose_service(self, route):
         """Return the name of a service of a route, drawn at random by weight."""
@@ -43,6 +48,10 @@
         weights = [weight for _, weight in route.services]
         return self.rng.choices(names, weights)[0]
 
+    def count_withheld(self, service):
+        """Count a request that was not sent to a chosen target of a service."""
+        self.withheld_counts[service] = self.withheld_counts.get(service, 0) + 1
+
     def service_spec(self, name):
         """Return the :class:`~cowslipcourse.routes.ServiceSpec` of a service."""
         return self.table.services[name]
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -18,6 +18,7 @@
 from cowslipcourse.entry.forwarder import Forwarder
 from cowslipcourse.entry.group_counts import GroupCountMonitor
 from cowslipcourse.entry.internal_apps import metrics_app, peer_app
+from cowslipcourse.entry.limit_prober import ListedTargetProber
 from cowslipcourse.entry.peer_link import PeerLink
 from cowslipcourse.entry.prometheus_metrics import EntryMetrics
 from cowslipcourse.entry.roles import RoleAssignment
@@ -35,6 +36,7 @@
 from cowslipcourse.ports import era_of
 from cowslipcourse.quarantine import VerdictStore
 from cowslipcourse.quarantine_runtime import Quarantine, TargetExitDetector
+from cowslipcourse.rate_limit_runtime import RateLimiter
 
 __all__ = ["EntryDaemon"]
 
@@ -76,13 +78,15 @@
         logging.getLogger().addHandler(self._metrics.event_counter())
         self._store = HttpRowStore(settings.store)
         self._control = HttpEngineControl(settings.control)
-        self._conditions = TargetConditions(self._fleet)
-        attempt_sender = AttemptSender(self._fleet, self._conditions)
         retry_budget = SharedRetryBudget(settings.retries)
         silence_detector = SilenceDetector(self._fleet, self._on_suspect)
         self._registry = PeerRegistry(settings.peers, settings.data_centre)
         self._fleet.set_peers_in_flight(self._registry.in_flight)
         self._peer_link = PeerLink(settings, self._registry, self)
+        prober = ListedTargetProber(self._fleet, self._control, self._health_path)
+        self.rate_limiter = RateLimiter(self._peer_link, prober, rng)
+        self._conditions = TargetConditions(self.rate_limiter)
+        attempt_sender = AttemptSender(self._fleet, self._conditions)
         exit_detector = TargetExitDetector(self._fleet.is_expected)
         verdict_store = VerdictStore(self._store, time.time)
         self.quarantine = Quarantine(self._peer_link, exit_detector, verdict_store)
@@ -92,6 +96,7 @@
             attempt_sender,
             retry_budget,
             silence_detector,
+            self._conditions,
             self.quarantine,
             rng,
         )
@@ -135,6 +140,7 @@
             *self.replica.coroutines(),
             self._context.silence_detector.run(),
             self.quarantine.run(),
+            self.rate_limiter.run(),
             self._coordinator.run(),
             self._registrar.run(),
             self._roles.run(),
@@ -268,6 +274,11 @@
         for target, epoch in self._fleet.suspects(now).items():
             self._coordinator.investigate(target, epoch)
 
+    def _health_path(self, service):
+        table = self._context.table
+        spec = None if table is None else table.services.get(service)
+        return "" if spec is None else spec.health_path
+
     def _ready_addresses(self):
         now = asyncio.get_running_loop().time()
         ready = self._registry.ready_members(self._settings.name, now)
@@ -293,7 +304,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             now = asyncio.get_running_loop().time()
             self._update_daemon_count(now)
-            self._conditions.forget_unlisted(now)
+            self._conditions.retain(self._fleet.entries.values())
             self._context.attempt_sender.close_stale_connections()
             self._metrics.set_state("in_flight", self._front.in_flight)
             self._metrics.set_state("quarantined", self.quarantine.verdict_count)
@@ -301,6 +312,7 @@
                 group_counter.count(self._context.table, self._fleet)
             )
             self._metrics.set_limited_counts(self._conditions.limited_counts())
+            self._metrics.set_withheld_counts(self._context.withheld_counts)
             self._check_store_era()
 
     def _check_store_era(self):
--- a/cowslipcourse/entry/failure_attribution.py
+++ b/cowslipcourse/entry/failure_attribution.py
@@ -28,6 +28,7 @@
     NO_GROUP = "no-group"
     GROUPS_FULL = "groups-full"
     GROUPS_TRIED = "groups-tried"
+    TARGETS_WITHHELD = "targets-withheld"
     NO_RETRY_BUDGET = "no-retry-budget"
     LATE_PLACE = "late-place"
     LATE_RETRY = "late-retry"
@@ -40,10 +41,12 @@
 
     :param entry: :class:`~cowslipcourse.ports.TargetEntry` or ``None``.
     :param cause: :class:`LossCause` if no target was found.
+    :param retry_after_s: seconds until a target may accept the request, if known.
     """
 
     entry: object
     cause: str = ""
+    retry_after_s: float | None = None
 
 
 class StreamTimes(NamedTuple):
--- a/cowslipcourse/entry/peer_link.py
+++ b/cowslipcourse/entry/peer_link.py
@@ -9,6 +9,9 @@
     DigestWriter,
     GroupUpdate,
     Heartbeat,
+    LimitUpdate,
+    PermitRequest,
+    PermitResponse,
     QuarantineUpdate,
     RequestCleared,
     TargetChanges,
@@ -41,8 +44,8 @@
     :param settings: :class:`~cowslipcourse.entry.settings.EntrySettings`
     :param registry: :class:`~cowslipcourse.peer_protocol.PeerRegistry`
     :param daemon: has ``heartbeat()``, ``heartbeat_interval_s()``,
-        ``investigate_suspects(message)``, ``apply_group_update(update)``, ``replica``
-        and ``quarantine``.
+        ``investigate_suspects(message)``, ``apply_group_update(update)``, ``replica``,
+        ``quarantine`` and ``rate_limiter``.
     """
 
     def __init__(self, settings, registry, daemon):
@@ -136,6 +139,16 @@
         """Return the addresses of the other daemons that are alive."""
         return self._registry.alive_addresses(asyncio.get_running_loop().time())
 
+    def ready_addresses(self):
+        """Return the addresses of ready daemons, this one included, by data centre."""
+        now = asyncio.get_running_loop().time()
+        own_member = self._daemon.heartbeat().member
+        return self._registry.ready_by_data_centre(own_member, now)
+
+    def is_isolated(self):
+        """Whether this daemon has lost most daemons of its data centre."""
+        return self._registry.is_isolated(asyncio.get_running_loop().time())
+
     def all_addresses(self):
         """Return the addresses of all other known daemons."""
         return self._registry.all_addresses(asyncio.get_running_loop().time())
@@ -188,6 +201,8 @@
             self._daemon.apply_group_update(message)
         elif isinstance(message, CrashReports | QuarantineUpdate | RequestCleared):
             self._daemon.quarantine.handle_message(message)
+        elif isinstance(message, LimitUpdate | PermitRequest | PermitResponse):
+            self._daemon.rate_limiter.handle_message(message)
         elif isinstance(message, Heartbeat):
             if message.member.name != self._settings.name:
                 self._handle_heartbeat(message, now)
@@ -207,6 +222,7 @@
         if is_first:
             own_heartbeat = self._daemon.heartbeat()
             self._send(encode(own_heartbeat), [heartbeat.member.peer_address])
+            self._daemon.rate_limiter.send_all_limits(heartbeat.member.peer_address)
         self._daemon.investigate_suspects(heartbeat)
 
     def _relay_digest(self, content, digest, now):
--- a/cowslipcourse/entry/prometheus_metrics.py
+++ b/cowslipcourse/entry/prometheus_metrics.py
@@ -67,6 +67,12 @@
             ["model", "state"],
             registry=self._registry,
         )
+        self._withheld_requests = Gauge(
+            "cowslip_withheld_requests",
+            "Requests not sent to a chosen target, by service, since the start",
+            ["service"],
+            registry=self._registry,
+        )
         self._limited_targets = Gauge(
             "cowslip_limited_targets",
             "Targets that state a rate limit, by service",
@@ -113,6 +119,14 @@
         for service, count in counts.items():
             self._limited_targets.labels(service).set(count)
 
+    def set_withheld_counts(self, counts):
+        """Set the gauge of requests that were not sent to a chosen target.
+
+        :param counts: number of requests by service since the start.
+        """
+        for service, count in counts.items():
+            self._withheld_requests.labels(service).set(count)
+
     def event_counter(self):
         """Return a log handler that counts log records by event."""
         return _EventCounter(self._events)
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -1,18 +1,32 @@
 """Retry a request at other targets where that is safe and useful."""
 
 import asyncio
+from typing import NamedTuple
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.entry.attempt_outcomes import final_error, may_have_run, may_retry
 from cowslipcourse.entry.attempts import TargetRun
 from cowslipcourse.entry.failure_attribution import LossCause
-from cowslipcourse.exceptions import TargetError, TargetUnreachable
+from cowslipcourse.exceptions import TargetError, TargetUnreachable, TargetWithheld
 
-__all__ = ["try_targets"]
+__all__ = ["Delivery", "try_targets"]
 
 log = get_logger(__name__)
 
 
+class Delivery(NamedTuple):
+    """How a request was answered.
+
+    :param entry: :class:`~cowslipcourse.ports.TargetEntry` that responded.
+    :param attempts: number of targets that it was sent to.
+    :param withheld: number of times that it was not sent to a chosen target.
+    """
+
+    entry: object
+    attempts: int
+    withheld: int
+
+
 async def try_targets(context, call, service, choose, attempt):
     """Send a call to one target after another until an attempt succeeds.
 
@@ -24,16 +38,17 @@
     :param attempt: coroutine function that takes the
         :class:`~cowslipcourse.entry.attempts.TargetRun` and whether this is the last
         allowed attempt; raises :class:`~cowslipcourse.exceptions.TargetError`.
-    :returns: ``(entry of the target that responded, number of attempts)``
+    :returns: :class:`Delivery`
     :raises RequestError: no attempt succeeded.
     """
     loop = asyncio.get_running_loop()
-    tried_ids, possible_runs = set(), 0
+    tried_ids, possible_runs, withheld = set(), 0, 0
     while True:
         _check_quarantine(context, call, possible_runs)
-        entry, cause = await choose(tried_ids)
+        choice = await choose(tried_ids)
+        entry = choice.entry
         if entry is None:
-            raise final_error(possible_runs, cause)
+            raise final_error(possible_runs, choice.cause, choice.retry_after_s)
         # The request may have been quarantined while it waited for a free slot.
         _check_quarantine(context, call, possible_runs)
         tried_ids.add(entry.id)
@@ -42,6 +57,12 @@
         try:
             with context.quarantine.tracking(call, run):
                 await attempt(run, is_last)
+        except TargetWithheld:
+            # The target is not chosen again before it may accept a request.
+            tried_ids.discard(entry.id)
+            withheld += 1
+            context.count_withheld(service)
+            continue
         except TargetError as error:
             possible_runs += may_have_run(error)
             _record_failure(context, call, run, error, loop.time())
@@ -52,7 +73,7 @@
             continue
         if run.succeeded:
             context.quarantine.record_answered(call)
-        return entry, len(tried_ids)
+        return Delivery(entry, len(tried_ids), withheld)
 
 
 def _check_quarantine(context, call, possible_runs):
--- a/cowslipcourse/entry/stream_forwarder.py
+++ b/cowslipcourse/entry/stream_forwarder.py
@@ -72,10 +72,8 @@
         async def attempt(run, is_last):
             await self._attempt(progress, run)
 
-        entry, attempts = await try_targets(
-            self._context, call, service, choose, attempt
-        )
-        _log_completion(progress, entry, attempts)
+        delivery = await try_targets(self._context, call, service, choose, attempt)
+        _log_completion(progress, delivery)
 
     async def _attempt(self, progress, run):
         call = progress.call
@@ -137,14 +135,14 @@
         await responder.finish(body)
 
 
-def _log_completion(progress, entry, attempts):
+def _log_completion(progress, delivery):
     call = progress.call
     now = asyncio.get_running_loop().time()
     times = StreamTimes(
         progress.slot_wait_s,
         progress.first_event_s or 0.0,
         progress.longest_pause_s,
-        attempts,
+        delivery.attempts,
     )
     log.info(
         "streamed",
@@ -153,8 +151,9 @@
         model=call.caller_headers.model,
         late=late_cause(call.route, times),
         place_s=round(progress.slot_wait_s, 3),
-        target=entry.id,
-        attempts=attempts,
+        target=delivery.entry.id,
+        attempts=delivery.attempts,
+        withheld=delivery.withheld,
         events=progress.position.relayed_events,
         first_s=None
         if progress.first_event_s is None
--- a/cowslipcourse/entry/stream_target_selection.py
+++ b/cowslipcourse/entry/stream_target_selection.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
-from cowslipcourse.entry.failure_attribution import TargetChoice, no_target_cause
+from cowslipcourse.entry.failure_attribution import TargetChoice
+from cowslipcourse.entry.no_target import all_withheld_until, no_target_choice
 from cowslipcourse.entry.target_selection import choose_group
 from cowslipcourse.entry.urgency import can_meet_objective
 
@@ -45,10 +46,11 @@
             if candidate is not None:
                 progress.slot_wait_s += now - wait_started_at
                 return TargetChoice(candidate.entry)
-            if now >= give_up_at:
-                cause = no_target_cause(candidates, tried_ids)
-                _log_no_target(call, cause, candidates, tried_ids)
-                return TargetChoice(None, cause)
+            usable_at = all_withheld_until(self._context, candidates, tried_ids, now)
+            if now >= give_up_at or (usable_at is not None and usable_at > give_up_at):
+                choice = no_target_choice(self._context, candidates, tried_ids, now)
+                _log_no_target(call, choice.cause, candidates, tried_ids)
+                return choice
             await asyncio.sleep(POLL_INTERVAL_S)
 
     def _candidates(self, call, service, now):
@@ -67,7 +69,8 @@
         is_late = not (
             progress.has_events or can_meet_objective(call.route, call.waited_s(now))
         )
-        return choose_group(candidates, tried_ids, self._context.rng, is_late=is_late)
+        usable = self._context.conditions.usable(candidates, now)
+        return choose_group(usable, tried_ids, self._context.rng, is_late=is_late)
 
 
 def _log_no_target(call, cause, candidates, tried_ids):
--- a/cowslipcourse/entry/target_conditions.py
+++ b/cowslipcourse/entry/target_conditions.py
@@ -1,12 +1,14 @@
-"""What targets state about themselves in their responses."""
+"""What targets state about themselves in their responses, and whether they may be used.
 
-import asyncio
+All requests of callers to targets pass :meth:`TargetConditions.admit` and
+:meth:`TargetConditions.verify`, whichever component has chosen the target.
+"""
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.exceptions import MalformedHeader
 from cowslipcourse.platform.backpressure import decode_rate_limit
 from cowslipcourse.platform.headers import MISDIRECTED_REQUEST
-from cowslipcourse.rate_limits import KnownLimits, RateLimitStatement, TargetInstance
+from cowslipcourse.rate_limits import TargetInstance
 
 __all__ = ["TargetConditions"]
 
@@ -14,14 +16,13 @@
 
 
 class TargetConditions:
-    """Records and logs the conditions that targets state.
+    """Records the conditions that targets state, and applies them.
 
-    :param fleet: :class:`~cowslipcourse.entry.fleet_view.FleetView`
+    :param rate_limiter: :class:`~cowslipcourse.rate_limit_runtime.RateLimiter`
     """
 
-    def __init__(self, fleet):
-        self._fleet = fleet
-        self._limits = KnownLimits()
+    def __init__(self, rate_limiter):
+        self.rate_limiter = rate_limiter
         self._malformed_instances = set()
 
     def observe(self, entry, head):
@@ -33,32 +34,12 @@
         if head.status == MISDIRECTED_REQUEST:
             # Another target responds at this address by now.
             return
-        instance = TargetInstance(entry.id, entry.incarnation)
         try:
             limit_per_s = decode_rate_limit(head)
         except MalformedHeader as error:
-            self._log_malformed(instance, error)
-            return
-        now = asyncio.get_running_loop().time()
-        previous_per_s = self._limits.get(instance)
-        statement = RateLimitStatement(instance, limit_per_s, now)
-        if self._limits.apply(statement):
-            log.info(
-                "target-limit",
-                target=entry.id,
-                incarnation=entry.incarnation,
-                service=entry.service,
-                limit_per_s=limit_per_s,
-                previous_per_s=previous_per_s,
-                source="response",
-            )
-
-    def limit_per_s(self, instance):
-        """Return the requests per second that a target accepts, or ``None``.
-
-        :param instance: :class:`~cowslipcourse.rate_limits.TargetInstance`
-        """
-        return self._limits.get(instance)
+            self._log_malformed(_instance(entry), error)
+        else:
+            self.rate_limiter.observe(entry, limit_per_s)
 
     def _log_malformed(self, instance, error):
         """Log a malformed header once for each target."""
@@ -66,23 +47,57 @@
             self._malformed_instances.add(instance)
             log.warning("target-header-malformed", target=instance.id, why=error)
 
+    def usable(self, candidates, now):
+        """Return the candidates that may accept a request now.
+
+        :param candidates: list of :class:`~cowslipcourse.entry.fleet_view.Candidate`
+        :param now: loop time.
+        """
+        return [c for c in candidates if self._withheld_until(c.entry) <= now]
+
+    def usable_at(self, candidates):
+        """Return the earliest loop time at which a candidate may accept a request.
+
+        :param candidates: list of :class:`~cowslipcourse.entry.fleet_view.Candidate`
+        """
+        return min(
+            (self._withheld_until(candidate.entry) for candidate in candidates),
+            default=float("-inf"),
+        )
+
+    def _withheld_until(self, entry):
+        return self.rate_limiter.withheld_until(entry)
+
+    async def admit(self, entry):
+        """Return what a request needs to be sent, for :meth:`verify`.
+
+        :param entry: :class:`~cowslipcourse.ports.TargetEntry`
+        :raises TargetWithheld: the target accepts no request from here now.
+        """
+        return await self.rate_limiter.acquire(entry)
+
+    def verify(self, entry, permit):
+        """Check immediately before a request is sent that it may be sent.
+
+        :param entry: :class:`~cowslipcourse.ports.TargetEntry`
+        :param permit: result of :meth:`admit`.
+        :raises TargetWithheld: the target accepts no request from here now.
+        """
+        self.rate_limiter.verify(entry, permit)
+
     def limited_counts(self):
         """Return the number of targets that state a rate limit, by service."""
-        counts = {}
-        for instance in self._limits.limited():
-            entry = self._fleet.entries.get(instance.id)
-            if entry is not None:
-                counts[entry.service] = counts.get(entry.service, 0) + 1
-        return counts
+        return self.rate_limiter.limited_counts()
 
-    def forget_unlisted(self, now):
-        """Forget targets that are no longer listed.
+    def retain(self, entries):
+        """Forget all targets but the given ones.
 
-        :param now: loop time.
+        :param entries: iterable of :class:`~cowslipcourse.ports.TargetEntry`
         """
-        listed = {
-            TargetInstance(entry.id, entry.incarnation)
-            for entry in self._fleet.entries.values()
-        }
-        self._limits.retain(listed, now)
-        self._malformed_instances &= listed
+        instances = {_instance(entry) for entry in entries}
+        self.rate_limiter.retain(instances)
+        self._malformed_instances &= instances
+
+
+def _instance(entry):
+    return TargetInstance(entry.id, entry.incarnation)
--- a/cowslipcourse/entry/unary_forwarder.py
+++ b/cowslipcourse/entry/unary_forwarder.py
@@ -4,7 +4,8 @@
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.entry.attempt_outcomes import NOT_EXECUTED_STATUSES
-from cowslipcourse.entry.failure_attribution import TargetChoice, no_target_cause
+from cowslipcourse.entry.failure_attribution import TargetChoice
+from cowslipcourse.entry.no_target import no_target_choice
 from cowslipcourse.entry.retries import try_targets
 from cowslipcourse.entry.target_selection import choose_target
 from cowslipcourse.exceptions import IncompleteResponse, TargetError, TargetRefused
@@ -39,19 +40,20 @@
             await responder.finish(body)
 
         head = None
-        entry, attempts = await try_targets(
-            self._context, call, service, choose, attempt
-        )
-        _log_completion(call, entry, head, attempts)
+        delivery = await try_targets(self._context, call, service, choose, attempt)
+        _log_completion(call, delivery, head)
 
     def _choose(self, service, tried_ids):
         now = asyncio.get_running_loop().time()
         candidates = self._context.fleet.service_candidates(service, now)
         candidate = choose_target(
-            candidates, tried_ids, self._context.data_centre, self._context.rng
+            self._context.conditions.usable(candidates, now),
+            tried_ids,
+            self._context.data_centre,
+            self._context.rng,
         )
         if candidate is None:
-            return TargetChoice(None, no_target_cause(candidates, tried_ids))
+            return no_target_choice(self._context, candidates, tried_ids, now)
         return TargetChoice(candidate.entry)
 
     async def _attempt(self, call, run, is_last):
@@ -76,14 +78,15 @@
         return head, body
 
 
-def _log_completion(call, entry, head, attempts):
+def _log_completion(call, delivery, head):
     now = asyncio.get_running_loop().time()
     log.info(
         "answered",
         request=call.id,
         route=call.route.name,
-        target=entry.id,
+        target=delivery.entry.id,
         status=head.status,
-        attempts=attempts,
+        attempts=delivery.attempts,
+        withheld=delivery.withheld,
         seconds=round(now - call.arrived_at, 3),
     )
--- a/cowslipcourse/exceptions.py
+++ b/cowslipcourse/exceptions.py
@@ -51,6 +51,7 @@
     "TargetRefused",
     "TargetSilent",
     "TargetUnreachable",
+    "TargetWithheld",
     "UnknownModel",
     "UnknownObject",
     "UnknownRoute",
@@ -252,6 +253,20 @@
         self.reason = reason
 
 
+class TargetWithheld(TargetError):
+    """A request is not sent because its target accepts none at the moment.
+
+    :param reason: why the target accepts none.
+    :param until: loop time from which on it may accept requests.
+    """
+
+    code = "target-withheld"
+
+    def __init__(self, reason, until):
+        super().__init__(f"request withheld: {reason}")
+        self.until = until
+
+
 class MalformedResponse(TargetError):
     """A response cannot be decoded, or it belongs to another request."""
 
--- a/cowslipcourse/peer_protocol/messages.py
+++ b/cowslipcourse/peer_protocol/messages.py
@@ -15,17 +15,27 @@
     "Digest",
     "GroupUpdate",
     "Heartbeat",
+    "LimitUpdate",
     "Member",
     "OpenedHead",
+    "PermitRequest",
+    "PermitResponse",
     "QuarantineUpdate",
     "RequestCleared",
+    "StatedLimit",
     "TargetChanges",
     "decode",
     "encode",
 ]
 
 
+MAX_RATE_PER_S = 1e12
+MAX_DURATION_S = 1e6
+"""Bounds of decoded values, which exclude infinity."""
+
 _Count = Annotated[int, msgspec.Meta(ge=0)]
+_Rate = Annotated[float, msgspec.Meta(gt=0, le=MAX_RATE_PER_S)]
+_Duration = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_S)]
 
 
 class Member(NamedTuple):
@@ -169,11 +179,70 @@
     fingerprint: bytes
 
 
+class StatedLimit(NamedTuple):
+    """Rate limit that a target has stated, as a part of other messages.
+
+    :param target: id of the target.
+    :param incarnation: its incarnation.
+    :param service: its service.
+    :param limit_per_s: requests per second from all daemons together, or ``None``.
+    :param age_s: seconds since it has stated that.
+    """
+
+    target: str
+    incarnation: _Count
+    service: str
+    limit_per_s: _Rate | None
+    age_s: _Duration
+
+
+class LimitUpdate(NamedTuple):
+    """Rate limits of targets, for all daemons.
+
+    :param limits: newest statements of any number of targets.
+    """
+
+    limits: tuple[StatedLimit, ...]
+
+
+class PermitRequest(NamedTuple):
+    """Request for a permit to send a request to a rate-limited target.
+
+    :param number: number of the permit request, unique for its sender.
+    :param address: address of the sender, for the response.
+    :param data_centre: data centre of the target.
+    :param limit: the target and its limit as the sender knows it.
+    """
+
+    number: _Count
+    address: Address
+    data_centre: str
+    limit: StatedLimit
+
+
+class PermitResponse(NamedTuple):
+    """Response to a :class:`PermitRequest`.
+
+    :param number: number of the permit request.
+    :param is_granted: whether the request may be sent now.
+    :param wait_s: seconds to wait before the next permit request otherwise.
+    :param limit: the target and its limit as the sender knows it.
+    """
+
+    number: _Count
+    is_granted: bool
+    wait_s: _Duration
+    limit: StatedLimit
+
+
 _TYPE_BY_LETTER = {
+    b"A": PermitResponse,
     b"C": CrashReports,
     b"D": Digest,
     b"G": GroupUpdate,
     b"H": Heartbeat,
+    b"L": LimitUpdate,
+    b"P": PermitRequest,
     b"Q": QuarantineUpdate,
     b"R": RequestCleared,
     b"T": TargetChanges,
--- a/cowslipcourse/peer_protocol/registry.py
+++ b/cowslipcourse/peer_protocol/registry.py
@@ -261,6 +261,36 @@
         members += [member for d in self.remote_digests(now) for member in d.members]
         return sorted({member.peer_address for member in members})
 
+    def ready_by_data_centre(self, own_member, now):
+        """Return the addresses of ready daemons, by data centre.
+
+        :param own_member: this daemon's own :class:`Member`, included if ready.
+        :returns: mapping of data centres to frozen sets of ``ip:port``.
+        """
+        if self._has_local_digest(now):
+            members = self._content_digests[self._data_centre].message.members
+        else:
+            members = [h.member for h in self.local_heartbeats(now)]
+        others = [m for m in members if m.name != own_member.name]
+        for digest in self.remote_digests(now):
+            others += digest.members
+        by_data_centre = {}
+        for member in (own_member, *others):
+            if member.is_ready:
+                addresses = by_data_centre.setdefault(member.data_centre, set())
+                addresses.add(member.peer_address)
+        return {name: frozenset(each) for name, each in by_data_centre.items()}
+
+    def is_isolated(self, now):
+        """Whether most daemons of the own data centre have been silent recently."""
+        recent_count = sum(
+            now - received.received_at < self._settings.forget_s
+            for received in self._heartbeats.values()
+            if received.message.member.data_centre == self._data_centre
+        )
+        alive_count = len(self.local_heartbeats(now))
+        return 2 * (alive_count + 1) < recent_count + 1
+
     def remote_addresses(self, now):
         """Return the addresses of the reporters of other data centres.
 
--- a/cowslipcourse/platform/configuration.py
+++ b/cowslipcourse/platform/configuration.py
@@ -8,6 +8,7 @@
 from cowslipcourse.platform.json_decoding import (
     Count,
     Name,
+    Path,
     Positive,
     Quantity,
     decode_as,
@@ -102,6 +103,7 @@
 
 class _WireService(msgspec.Struct, frozen=True):
     name: Name
+    healthPath: Path | None = None  # noqa: N815
     maxConns: Positive | None = None  # noqa: N815
     engine: _WireEngine | None = None
 
@@ -194,6 +196,7 @@
         open_s=(engine.formMs or 0) / MS_PER_S,
         loads_per_s=engine.loadsPerS or 1.0,
         times=_to_engine_times(engine),
+        health_path=fields.healthPath or "",
     )
 
 
--- a/cowslipcourse/platform/engines.py
+++ b/cowslipcourse/platform/engines.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cowslipcourse.exceptions import TargetUnreachable
+from cowslipcourse.http_client import ResponseHead
 from cowslipcourse.platform.entries import decode_report
 from cowslipcourse.ports import OrderOperation, OrderResult
 
@@ -20,6 +21,7 @@
     421: OrderResult.OTHER_ENGINE,
 }
 _EXPECTED_INSTANCE = "X-Expect-Instance"
+_REPORT_PATH = "/report"
 
 
 class HttpEngineControl:
@@ -34,13 +36,21 @@
 
     async def report(self, entry):
         """See :class:`~cowslipcourse.ports.EngineControl`."""
-        status, content = await self._call(
-            "GET", entry, "/report", None, self.settings.report_timeout_s
+        head, content = await self._call(
+            "GET", entry, _REPORT_PATH, None, self.settings.report_timeout_s
         )
-        if status != 200:
-            raise TargetUnreachable(f"report request failed with status {status}")
+        if head.status != 200:
+            raise TargetUnreachable(f"report request failed with status {head.status}")
         return decode_report(content)
 
+    async def probe(self, entry, health_path):
+        """See :class:`~cowslipcourse.ports.EngineControl`."""
+        # A report needs no slot of the engine.
+        path = _REPORT_PATH if entry.domain else health_path
+        timeout_s = self.settings.report_timeout_s
+        head, _ = await self._call("GET", entry, path, None, timeout_s)
+        return head
+
     async def order(self, entry, order):
         """See :class:`~cowslipcourse.ports.EngineControl`."""
         body = {
@@ -56,14 +66,14 @@
             body["closeMode"] = "queue"
         if order.members:
             body["members"] = list(order.members)
-        status, _ = await self._call(
+        head, _ = await self._call(
             "POST",
             entry,
             "/order",
             msgspec.json.encode(body),
             self.settings.order_timeout_s,
         )
-        return _RESULTS_BY_STATUS.get(status, OrderResult.REFUSED)
+        return _RESULTS_BY_STATUS.get(head.status, OrderResult.REFUSED)
 
     async def close(self):
         """Close the connections."""
@@ -82,6 +92,10 @@
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                return response.status, await response.read()
+                names_and_values = tuple(
+                    (name.lower(), value) for name, value in response.raw_headers
+                )
+                content = await response.read()
+                return ResponseHead(response.status, names_and_values), content
         except _NETWORK_ERRORS as error:
             raise TargetUnreachable(repr(error)) from error
--- a/cowslipcourse/platform/json_decoding.py
+++ b/cowslipcourse/platform/json_decoding.py
@@ -11,12 +11,13 @@
 
 from cowslipcourse.decoding import decode_untrusted
 
-__all__ = ["Count", "Name", "Positive", "Quantity", "decode_as"]
+__all__ = ["Count", "Name", "Path", "Positive", "Quantity", "decode_as"]
 
 MAX_NAME_LENGTH = 200
 """Limit of the store's keys, in bytes; no name on the platform is longer."""
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
+Path = Annotated[str, msgspec.Meta(pattern=r"^/[!-~]*$", max_length=MAX_NAME_LENGTH)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 62)]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=1 << 62)]
 Quantity = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
--- a/cowslipcourse/ports/engines.py
+++ b/cowslipcourse/ports/engines.py
@@ -153,6 +153,14 @@
         :raises MalformedResponse: the response cannot be decoded.
         """
 
+    async def probe(self, entry, health_path):
+        """Return the head of a response that only shows the state of a target.
+
+        :param entry: :class:`TargetEntry`
+        :param health_path: path of the health check of a target that is no engine.
+        :raises TargetUnreachable: no response in time.
+        """
+
     async def order(self, entry, order):
         """Send an order and return an :class:`OrderResult`.
 
--- a/cowslipcourse/rate_limits/known_limits.py
+++ b/cowslipcourse/rate_limits/known_limits.py
@@ -27,26 +27,26 @@
     """What one response of a target states about its rate limit.
 
     :param instance: :class:`TargetInstance`
+    :param service: service of the target.
     :param limit_per_s: requests per second from all daemons together; ``None`` if the
         target states no limit.
     :param stated_at: loop time at which the response arrived.
     """
 
     instance: TargetInstance
+    service: str
     limit_per_s: float | None
     stated_at: float
 
 
 class KnownLimit(NamedTuple):
-    """The newest statement of a target, and since when its limit is about the same.
+    """The newest statement of a target.
 
-    :param limit_per_s: see :class:`RateLimitStatement`.
-    :param stated_at: see :class:`RateLimitStatement`.
+    :param statement: :class:`RateLimitStatement`
     :param reported_limit_per_s: limit at the last significant change.
     """
 
-    limit_per_s: float | None
-    stated_at: float
+    statement: RateLimitStatement
     reported_limit_per_s: float | None
 
 
@@ -56,21 +56,32 @@
     def __init__(self):
         self._limits = {}
 
-    def __len__(self):
-        return sum(known.limit_per_s is not None for known in self._limits.values())
-
     def get(self, instance):
         """Return the requests per second that a target accepts, or ``None``."""
         known = self._limits.get(instance)
-        return None if known is None else known.limit_per_s
+        return None if known is None else known.statement.limit_per_s
 
-    def limited(self):
-        """Return the limit of each limited target by :class:`TargetInstance`."""
-        return {
-            instance: known.limit_per_s
-            for instance, known in self._limits.items()
-            if known.limit_per_s is not None
-        }
+    def newest(self, instance):
+        """Return the newest :class:`RateLimitStatement` of a target, or ``None``."""
+        known = self._limits.get(instance)
+        return None if known is None else known.statement
+
+    def reported(self, instance):
+        """Return the limit of a target at its last significant change, or ``None``."""
+        known = self._limits.get(instance)
+        return None if known is None else known.reported_limit_per_s
+
+    def instances(self):
+        """Return the targets that have, or recently had, a limit, as a set."""
+        return set(self._limits)
+
+    def limited_counts(self):
+        """Return the number of limited targets by service."""
+        counts = {}
+        for statement, _ in self._limits.values():
+            if statement.limit_per_s is not None:
+                counts[statement.service] = counts.get(statement.service, 0) + 1
+        return counts
 
     def apply(self, statement):
         """Apply a statement; return whether the limit has changed significantly.
@@ -79,17 +90,17 @@
 
         :param statement: :class:`RateLimitStatement`
         """
-        instance, limit_per_s, stated_at = statement
-        known = self._limits.get(instance)
+        limit_per_s = statement.limit_per_s
+        known = self._limits.get(statement.instance)
         if known is None and limit_per_s is None:
             return False
-        if known is not None and stated_at <= known.stated_at:
+        if known is not None and statement.stated_at <= known.statement.stated_at:
             return False
         reported = None if known is None else known.reported_limit_per_s
         is_significant = _is_significant(reported, limit_per_s)
         if is_significant:
             reported = limit_per_s
-        self._limits[instance] = KnownLimit(limit_per_s, stated_at, reported)
+        self._limits[statement.instance] = KnownLimit(statement, reported)
         return is_significant
 
     def retain(self, instances, now):
@@ -103,8 +114,8 @@
             for instance, known in self._limits.items()
             if instance in instances
             and (
-                known.limit_per_s is not None
-                or now - known.stated_at < ENDED_RETENTION_S
+                known.statement.limit_per_s is not None
+                or now - known.statement.stated_at < ENDED_RETENTION_S
             )
         }
 
--- a/cowslipcourse/routes/services.py
+++ b/cowslipcourse/routes/services.py
@@ -51,6 +51,8 @@
     :param open_s: seconds from the open order until a group serves.
     :param loads_per_s: loads of weights that may begin in a second.
     :param times: see :class:`EngineTimes`.
+    :param health_path: path of the health check of its targets; empty if they have
+        none.
     """
 
     name: str
@@ -60,6 +62,7 @@
     open_s: float = 0.0
     loads_per_s: float = 1.0
     times: EngineTimes = EngineTimes()
+    health_path: str = ""
 
     def model(self, name):
         """Return the :class:`EngineModel` with a name, or ``None``."""
--- a/features/rate_limits/statements.feature
+++ b/features/rate_limits/statements.feature
@@ -38,8 +38,7 @@
 
   Scenario: A target that has restarted under its id has no limit
     Given a target that states a limit of 2 per s
-    When it restarts under its id
-    Then no limit is known for its new incarnation
+    Then no limit is known for its next incarnation
 
   Scenario: Newer statements replace older ones, whatever the order in which they arrive
     Given a limit of 2 per s stated at 10 s
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -2,17 +2,20 @@
 
 import asyncio
 import logging
+import random
 
 from behave import given, then, when
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
-from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.target_conditions import TargetConditions
 from cowslipcourse.exceptions import MalformedHeader
 from cowslipcourse.http_client import ResponseHead
 from cowslipcourse.platform.backpressure import decode_rate_limit
 from cowslipcourse.ports import TargetEntry
+from cowslipcourse.rate_limit_runtime import RateLimiter
 from cowslipcourse.rate_limits import KnownLimits, RateLimitStatement, TargetInstance
+from features.support.limiter_peers import RecordingPeers
+from features.support.log_records import recorded_logs
 
 INSTANCE = TargetInstance("t1", 7)
 ENTRY = TargetEntry("t1", "roster", "10.0.0.1:1", "x", 6, incarnation=7)
@@ -22,34 +25,18 @@
     return ResponseHead(status, tuple((b"server-limit", v) for v in values))
 
 
-class _LogRecords(logging.Handler):
-    """Collects the records of one logger."""
-
-    def __init__(self):
-        super().__init__()
-        self.records = []
-
-    def emit(self, record):
-        self.records.append(record)
-
-
 class _Conditions:
     """Conditions of one listed target, observed in virtual time."""
 
     def __init__(self):
-        self.fleet = FleetView()
-        self.fleet.apply([ENTRY], ())
-        self.conditions = TargetConditions(self.fleet)
-        self.log = _LogRecords()
+        self.limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
+        self.conditions = TargetConditions(self.limiter)
+        self.records = []
 
     def observe(self, *heads, entry=ENTRY):
-        logger = logging.getLogger("cowslipcourse.entry.target_conditions")
-        logger.addHandler(self.log)
-        logger.setLevel(logging.INFO)
-        try:
+        with recorded_logs("cowslipcourse") as records:
             run_in_virtual_time(self._observe(heads, entry))
-        finally:
-            logger.removeHandler(self.log)
+        self.records += records
 
     async def _observe(self, heads, entry):
         for head in heads:
@@ -57,7 +44,7 @@
             self.conditions.observe(entry, head)
 
     def limit_per_s(self, instance=INSTANCE):
-        return self.conditions.limit_per_s(instance)
+        return self.limiter.limit_per_s(instance)
 
 
 @when('a response has the rate limit headers "{values}"')
@@ -104,7 +91,7 @@
 
 @then("one warning names it")
 def step_one_warning(context):
-    records = context.observed.log.records
+    records = context.observed.records
     warnings = [r for r in records if r.levelno == logging.WARNING]
     assert [r.fields["target"] for r in warnings] == [ENTRY.id], warnings
 
@@ -120,12 +107,7 @@
     assert context.observed.limit_per_s() is None
 
 
-@when("it restarts under its id")
-def step_restart(context):
-    context.observed.fleet.apply([ENTRY._replace(incarnation=8)], ())
-
-
-@then("no limit is known for its new incarnation")
+@then("no limit is known for its next incarnation")
 def step_no_limit_of_new(context):
     assert context.observed.limit_per_s(TargetInstance("t1", 8)) is None
 
@@ -133,19 +115,19 @@
 @given("a limit of {limit:g} per s stated at {at:g} s")
 def step_known_limit(context, limit, at):
     context.limits = KnownLimits()
-    assert context.limits.apply(RateLimitStatement(INSTANCE, limit, at))
+    assert context.limits.apply(RateLimitStatement(INSTANCE, "s", limit, at))
 
 
 @then("the statement of {limit:g} per s at {at:g} s changes nothing")
 def step_older_statement(context, limit, at):
     before = context.limits.get(INSTANCE)
-    assert not context.limits.apply(RateLimitStatement(INSTANCE, limit, at))
+    assert not context.limits.apply(RateLimitStatement(INSTANCE, "s", limit, at))
     assert context.limits.get(INSTANCE) == before
 
 
 @then("the statement of no limit at {at:g} s ends the limit")
 def step_end_statement(context, at):
-    assert context.limits.apply(RateLimitStatement(INSTANCE, None, at))
+    assert context.limits.apply(RateLimitStatement(INSTANCE, "s", None, at))
     assert context.limits.get(INSTANCE) is None
 
 
@@ -162,7 +144,7 @@
 
 @then("{count:d} lines were logged at most")
 def step_few_lines(context, count):
-    records = context.observed.log.records
+    records = context.observed.records
     lines = [r for r in records if r.getMessage() == "target-limit"]
     # One line more says that the limit began.
     assert len(lines) <= count + 1, len(lines)
@@ -170,5 +152,8 @@
 
 @when("it disappears from the list")
 def step_unlisted(context):
-    context.observed.fleet.apply((), [ENTRY.id])
-    context.observed.conditions.forget_unlisted(100.0)
+    run_in_virtual_time(_retain(context.observed.conditions))
+
+
+async def _retain(conditions):
+    conditions.retain(())
--- a/features/support/daemon_network.py
+++ b/features/support/daemon_network.py
@@ -16,6 +16,7 @@
     encode_registration,
 )
 from cowslipcourse.ports import RowChanges, StoredRow
+from cowslipcourse.rate_limit_runtime import RateLimiter
 
 __all__ = ["DaemonNetwork", "NetworkShape"]
 
@@ -121,6 +122,8 @@
         self.registry = PeerRegistry(self.settings.peers, self.settings.data_centre)
         self.link = PeerLink(self.settings, self.registry, self)
         self.link._transport = self
+        rng = random.Random(f"limits-{number}")
+        self.rate_limiter = RateLimiter(self.link, None, rng)
 
     def heartbeat(self):
         """Return the daemon's next heartbeat."""
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -24,6 +24,8 @@
 
 from cowslipcourse.adapters.http_server import WebServer
 from cowslipcourse.emulator import Faults, World
+from cowslipcourse.emulator.limit_oracle import LimitOracle
+from cowslipcourse.platform.backpressure import encode_rate_limit
 from cowslipcourse.ports import EngineOrder, OrderOperation, OrderResult
 from features.support.engine_world import LARGE, SERVICE, SMALL
 from features.support.platform_store import Store
@@ -145,6 +147,10 @@
         self._restart_numbers = itertools.count(1)
         self.arrivals = []
         self.crashes = []
+        self.rate_limits = {}
+        """Rate limits that targets state by target; ``None`` for a limit that has
+        ended."""
+        self.limit_oracle = LimitOracle()
         self._tasks = []
 
     async def start(self):
@@ -240,6 +246,15 @@
         server = await self._serve(Starlette(routes=routes), address)
         self._target_servers[engine.id] = server
 
+    def _stated_headers(self, target):
+        """Return the headers in which a target states its rate limit."""
+        if target not in self.rate_limits:
+            return {}
+        limit_per_s = self.rate_limits[target]
+        self.limit_oracle.record_limit(target, limit_per_s)
+        headers = encode_rate_limit(limit_per_s)
+        return {name.decode(): value.decode() for name, value in headers}
+
     async def _run_and_crash(self, request_name, attempt_id, target):
         """Run a crashing request until it crashes its target."""
         now = asyncio.get_running_loop().time()
@@ -282,6 +297,7 @@
         async def run(request):
             attempt_id = request.headers["x-attempt-id"]
             request_name = request.path_params["name"]
+            self.limit_oracle.record_arrival(name, "")
             if request_name.startswith(CRASH_PREFIX):
                 await self._run_and_crash(request_name, attempt_id, name)
             now = asyncio.get_running_loop().time()
@@ -290,6 +306,7 @@
             )
             await asyncio.sleep(PLAIN_EXECUTION_S)
             headers = {"x-attempt-id": attempt_id, "x-response-seal": name}
+            headers |= self._stated_headers(name)
             return Response(b"done", headers=headers)
 
         path = Route("/{kind}/{name}", run, methods=["GET", "POST"])
@@ -387,6 +404,8 @@
         headers = {"x-attempt-id": request.headers["x-attempt-id"]}
         if not engine.is_open_head:
             return Response(status_code=421, headers=headers)
+        self.limit_oracle.record_arrival(engine_id, "")
+        headers |= self._stated_headers(engine_id)
         after = int(request.headers.get("last-event-id", 0))
         name = request.path_params["name"]
         events = stream_events(name)[after:]
