--- a/cowslipcourse/emulator/limit_oracle.py
+++ b/cowslipcourse/emulator/limit_oracle.py
@@ -53,9 +53,13 @@
 
 
 class LimitOracle:
-    """Records stated limits, arrivals at engines, and disturbed daemons."""
+    """Records stated limits, arrivals at engines, and disturbed daemons.
 
-    def __init__(self):
+    :param clock: callable that returns the time in seconds; the loop's if omitted.
+    """
+
+    def __init__(self, clock=None):
+        self._now = clock or (lambda: asyncio.get_running_loop().time())
         self._records = {}
         self._disturbances = {}
 
@@ -68,16 +72,16 @@
         record = self._records.setdefault(instance, _EngineRecord())
         limit_per_s = NO_LIMIT if limit_per_s is None else limit_per_s
         if not record.limit_changes or record.limit_changes[-1][1] != limit_per_s:
-            record.limit_changes.append((_now(), limit_per_s))
+            record.limit_changes.append((self._now(), limit_per_s))
 
     def record_arrival(self, instance, daemon):
         """Record that a request of a daemon reaches an engine."""
         record = self._records.setdefault(instance, _EngineRecord())
-        record.arrivals.append((_now(), daemon))
+        record.arrivals.append((self._now(), daemon))
 
     def record_disturbance(self, daemon, duration_s):
         """Record that a daemon is disturbed for ``duration_s`` seconds from now on."""
-        now = _now()
+        now = self._now()
         self._disturbances.setdefault(daemon, []).append((now, now + duration_s))
 
     def arrivals_since(self, instance, begin):
@@ -85,18 +89,21 @@
         record = self._records.get(instance)
         return 0 if record is None else sum(at >= begin for at, _ in record.arrivals)
 
-    def figures(self):
-        """Return the :class:`LimitFigures` of each engine that stated a limit."""
-        figures = [
-            self._figures(instance, record)
+    def figures(self, is_disturbed=None):
+        """Return the :class:`LimitFigures` of each engine that stated a limit.
+
+        :param is_disturbed: callable that takes a daemon and a time and returns whether
+            arrivals are not counted; by the recorded disturbances if omitted.
+        """
+        return [
+            self._figures(instance, record, is_disturbed or self._is_disturbed)
             for instance, record in self._records.items()
             if record.limit_changes
         ]
-        return [each for each in figures if each is not None]
 
-    def _figures(self, instance, record):
+    def _figures(self, instance, record, is_disturbed):
         arrivals = [
-            at for at, daemon in record.arrivals if not self._is_disturbed(daemon, at)
+            at for at, daemon in record.arrivals if not is_disturbed(daemon, at)
         ]
         limited_arrivals, excess = 0, 0.0
         limits = [limit for _, limit in record.limit_changes if limit != NO_LIMIT]
@@ -119,7 +126,7 @@
         )
 
     def _limited_s(self, record):
-        changes = [*record.limit_changes, (_now(), NO_LIMIT)]
+        changes = [*record.limit_changes, (self._now(), NO_LIMIT)]
         spans = itertools.pairwise(changes)
         limited_s = sum(
             end - at for (at, limit), (end, _) in spans if limit != NO_LIMIT
@@ -131,7 +138,3 @@
             begin <= at <= end + REACTION_S
             for begin, end in self._disturbances.get(daemon, ())
         )
-
-
-def _now():
-    return asyncio.get_running_loop().time()
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -14,6 +14,10 @@
     When the soak test runs seeds 2001 to 2001 with 6 s of faults each
     Then no guarantee was violated
 
+  Scenario: Targets that state rate limits get no more requests than those tolerate
+    When the soak test runs seeds 4001 to 4001 with 6 s of faults each
+    Then no guarantee was violated
+
   Scenario Outline: A violated guarantee is reported
     Given a soak test's history in which <what happened>
     Then the checks report "<finding>"
@@ -30,6 +34,7 @@
       | a daemon accepts an old key after a newer one          | reverted to an older            |
       | a target gets a request 4 s after it began to drain    | sent to a target that has been draining |
       | a process exited unexpectedly                          | process exited unexpectedly     |
+      | a target with a limit of 1 per s gets 12 requests in 4 s | 1.09 times the tolerated        |
       | a request reaches 4 targets 4 s after it crashed three | 4 late arrivals                 |
 
   Scenario Outline: Effects of injected faults are not reported
@@ -42,3 +47,4 @@
       | a key is accepted 4 s after it was revoked, without the store |
       | a target gets a request 1 s after it began to drain    |
       | a request reaches 3 targets 4 s after it crashed three |
+      | a target with a limit of 1 per s gets 11 requests in 4 s |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from cowslipcourse.emulator.limit_oracle import LimitOracle
 from features.support.platform_site import Arrival, PlainExecution, stream_events
 from soak.checks import check
 from soak.history import CallKind, CallRecord, SiteHistory
@@ -59,6 +60,17 @@
     context.site.history.calls.append(_STREAM_CALL._replace(body=None))
 
 
+def _send_to_limited_target(context, count):
+    site, clock = context.site, context.clock
+    clock.now = 1.0
+    site.limit_oracle.record_limit("p1", 1.0)
+    site.history.calls.append(_LOOKUP_CALL)
+    site.executions.append(_EXECUTION)
+    for number in range(count):
+        clock.now = 10.0 + 3.9 * number / count
+        site.limit_oracle.record_arrival("p1", _LOOKUP_CALL.attempt_id)
+
+
 def _replace_key(context, at=6.0):
     context.site.history.key_configured_at |= {1: 1.0, 2: at}
 
@@ -147,6 +159,12 @@
     "a request reaches 3 targets 4 s after it crashed three": lambda context: (
         _crash_targets(context, 3, 4.0)
     ),
+    "a target with a limit of 1 per s gets 12 requests in 4 s": lambda context: (
+        _send_to_limited_target(context, 12)
+    ),
+    "a target with a limit of 1 per s gets 11 requests in 4 s": lambda context: (
+        _send_to_limited_target(context, 11)
+    ),
     "a process exited unexpectedly": lambda context: (
         context.site.history.unexpected_exits.append(("a1", 70))
     ),
@@ -162,6 +180,7 @@
         crashes=[],
         arrivals=[],
         world=SimpleNamespace(violations=[]),
+        limit_oracle=LimitOracle(context.clock.time),
     )
     _EDIT_BY_DESCRIPTION[description](context)
     context.clock.now = 20.0
--- a/features/support/fuzz.py
+++ b/features/support/fuzz.py
@@ -9,6 +9,7 @@
 from features.support.crash_runs import crash_violations
 from features.support.edit_runs import EditRun
 from features.support.group_runs import AnswerFaultInjector, fixed_secrets, group_run
+from features.support.limit_network_runs import limit_violations
 from features.support.membership_runs import random_run, settle
 
 
@@ -51,6 +52,13 @@
     return run
 
 
+def _limits(data_centres, daemons_per_data_centre):
+    def run(seed):
+        return limit_violations(seed, data_centres, daemons_per_data_centre)
+
+    return run
+
+
 KINDS = {
     "duels": _duels("mixed"),
     "divided-duels": _duels("divided"),
@@ -61,6 +69,10 @@
     "overload-duels": _duels("mixed overloaded"),
     "divided-overload-duels": _duels("divided overloaded"),
     "crashes": crash_violations,
+    "limits": _limits(2, 4),
+    "limits-64": _limits(4, 16),
+    "limits-195": _limits(5, 39),
+    "limits-405": _limits(15, 27),
     "membership": _membership,
     "groups": _groups,
     "answers": _answers,
--- a/features/support/limit_network_runs.py
+++ b/features/support/limit_network_runs.py
@@ -24,7 +24,13 @@
 from cowslipcourse.rate_limit_runtime import RateLimiter
 from features.support.daemon_network import DaemonNetwork, NetworkShape
 
-__all__ = ["LimitRun", "LimitScenario", "random_scenario", "simulate_network"]
+__all__ = [
+    "LimitRun",
+    "LimitScenario",
+    "limit_violations",
+    "random_scenario",
+    "simulate_network",
+]
 
 LINK_DELAY_S = 0.001
 RESPONSE_DELAY_RANGE_S = (0.02, 0.4)
@@ -373,5 +379,16 @@
     return results[0]
 
 
+def limit_violations(seed, data_centres, daemons_per_data_centre):
+    """Make a random run and return its violations as texts."""
+    scenario = random_scenario(seed, data_centres, daemons_per_data_centre)
+    run = simulate_network(scenario, seed)
+    return [
+        f"{figure.excess:.2f} times the tolerated requests, {figure.instance}"
+        for figure in run.figures
+        if figure.excess > 1
+    ]
+
+
 def _now():
     return asyncio.get_running_loop().time()
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -297,7 +297,7 @@
         async def run(request):
             attempt_id = request.headers["x-attempt-id"]
             request_name = request.path_params["name"]
-            self.limit_oracle.record_arrival(name, "")
+            self.limit_oracle.record_arrival(name, attempt_id)
             if request_name.startswith(CRASH_PREFIX):
                 await self._run_and_crash(request_name, attempt_id, name)
             now = asyncio.get_running_loop().time()
@@ -404,7 +404,7 @@
         headers = {"x-attempt-id": request.headers["x-attempt-id"]}
         if not engine.is_open_head:
             return Response(status_code=421, headers=headers)
-        self.limit_oracle.record_arrival(engine_id, "")
+        self.limit_oracle.record_arrival(engine_id, headers["x-attempt-id"])
         headers |= self._stated_headers(engine_id)
         after = int(request.headers.get("last-event-id", 0))
         name = request.path_params["name"]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -45,6 +45,7 @@
         *_check_keys(history),
         *_check_draining(site),
         *_check_crashing_requests(site),
+        *_check_rate_limits(site),
     ]
 
 
@@ -197,3 +198,19 @@
                 f"crashed {len(crashes)} targets, {len(late_arrivals)} late arrivals: "
                 f"{request_name}"
             )
+
+
+def _check_rate_limits(site):
+    """Check that targets get no more requests than their rate limits tolerate."""
+    history = site.history
+    calls = {call.attempt_id: call for call in history.calls}
+
+    def is_disturbed(attempt_id, at):
+        call = calls.get(attempt_id)
+        return call is None or not history.is_undisturbed(
+            call.daemon, at, at, SETTLE_TIME_S
+        )
+
+    for figure in site.limit_oracle.figures(is_disturbed):
+        if figure.excess > 1:
+            yield f"{figure.excess:.2f} times the tolerated requests: {figure}"
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -40,6 +40,7 @@
     ENTRY_SPOILED = "entry-spoiled"
     TARGETS_ENDED = "targets-ended"
     STORE_OLDER = "store-older"
+    TARGET_LIMITED = "target-limited"
 
 
 _Kind = FaultKind
@@ -61,7 +62,9 @@
 """First seed that draws these kinds; schedules of smaller seeds must not change."""
 TARGETS_ENDED_MIN_SEED = 2000
 STORE_OLDER_MIN_SEED = 3000
-"""First seeds that draw ``TARGETS_ENDED`` and ``STORE_OLDER``, for the same reason."""
+TARGET_LIMITED_MIN_SEED = 4000
+"""First seeds that draw ``TARGETS_ENDED``, ``STORE_OLDER`` and ``TARGET_LIMITED``, for
+the same reason."""
 _WEIGHTS = dict.fromkeys(FaultKind, 2.0) | {
     _Kind.KILL_ALL: 0.3,
     _Kind.ENGINE_LOST: 5,
@@ -72,6 +75,7 @@
     _Kind.ENTRY_SPOILED: 4,
     _Kind.TARGETS_ENDED: 10,
     _Kind.STORE_OLDER: 8,
+    _Kind.TARGET_LIMITED: 8,
 }
 
 
@@ -102,6 +106,8 @@
         excluded.add(_Kind.TARGETS_ENDED)
     if seed < STORE_OLDER_MIN_SEED:
         excluded.add(_Kind.STORE_OLDER)
+    if seed < TARGET_LIMITED_MIN_SEED:
+        excluded.add(_Kind.TARGET_LIMITED)
     weight_by_kind = {
         kind: weight for kind, weight in _WEIGHTS.items() if kind not in excluded
     }
--- a/soak/site.py
+++ b/soak/site.py
@@ -32,6 +32,9 @@
 CRASHING_REQUEST_COUNT = 2
 """Distinct requests that crash their targets in one run."""
 CRASH_INTERVAL_S = 0.5
+RATE_LIMITS = (1.0, 0.5, 4.0)
+"""Requests per second that limited targets accept."""
+LIMITED_S = 8.0
 SIGNAL_MASK_FIELDS = ("SigIgn:", "SigCgt:")
 """Lines of ``/proc/PID/status`` that hold the ignored and the caught signals."""
 MAX_ENGINES_LOST = 4
@@ -174,6 +177,8 @@
             is_planned = fault.kind in (FaultKind.STOP, FaultKind.RELOAD)
             with self.history.disturbance(name, is_planned):
                 await apply_kind(name, fault)
+        elif fault.kind is FaultKind.TARGET_LIMITED:
+            await apply_kind(fault)
         elif fault.kind.value.startswith("store"):
             with self.history.disturbance("store"):
                 await apply_kind(fault)
@@ -325,6 +330,15 @@
             await self.send_crashing_request(request_name)
             await asyncio.sleep(CRASH_INTERVAL_S)
 
+    async def _do_target_limited(self, fault):
+        """Let a target state a rate limit for long enough to be checked."""
+        heads = [e.id for e in self.world.engines.values() if e.is_open_head]
+        targets = sorted((*heads, *self._plain_addresses))
+        target = targets[int(fault.victim_fraction * len(targets))]
+        self.rate_limits[target] = RATE_LIMITS[len(self.rate_limits) % len(RATE_LIMITS)]
+        await asyncio.sleep(LIMITED_S + fault.duration_s)
+        self.rate_limits[target] = None
+
     async def _do_entry_spoiled(self, fault):
         """Replace an engine's entry by a malformed one until the fault ends."""
         engine = self._pick_engine(fault)
