Log and count the pauses that targets ask for

Cause: not known yet.

What is added: Retry-After of a refusal is decoded once, in platform/, as decimal seconds or an HTTP date, each value with one meaning; a line a pause, the seconds left in the line of a failed attempt, a gauge by service. Nothing depends on it yet.

--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -312,6 +312,9 @@
                 group_counter.count(self._context.table, self._fleet)
             )
             self._metrics.set_limited_counts(self._conditions.limited_counts())
+            self._metrics.set_paused_counts(
+                self._conditions.paused_counts(self._fleet.entries)
+            )
             self._metrics.set_withheld_counts(self._context.withheld_counts)
             self._check_store_era()
 
--- a/cowslipcourse/entry/prometheus_metrics.py
+++ b/cowslipcourse/entry/prometheus_metrics.py
@@ -79,6 +79,12 @@
             ["service"],
             registry=self._registry,
         )
+        self._paused_targets = Gauge(
+            "cowslip_paused_targets",
+            "Targets that have asked for a pause, by service",
+            ["service"],
+            registry=self._registry,
+        )
 
     def observe_request(self, outcome, duration_s):
         """Record the outcome and latency of a finished request."""
@@ -115,9 +121,14 @@
 
         :param counts: number of targets by service.
         """
-        self._limited_targets.clear()
-        for service, count in counts.items():
-            self._limited_targets.labels(service).set(count)
+        _set_by_service(self._limited_targets, counts)
+
+    def set_paused_counts(self, counts):
+        """Set the gauge of targets that have asked for a pause.
+
+        :param counts: number of targets by service.
+        """
+        _set_by_service(self._paused_targets, counts)
 
     def set_withheld_counts(self, counts):
         """Set the gauge of requests that were not sent to a chosen target.
@@ -138,3 +149,9 @@
     def render(self):
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
+
+
+def _set_by_service(gauge, counts):
+    gauge.clear()
+    for service, count in counts.items():
+        gauge.labels(service).set(count)
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -103,5 +103,6 @@
         begun=run.answer_started,
         events=run.relayed_events,
         ended_by_target=run.ended_by_target,
+        pause_left_s=round(context.conditions.pause_left_s(run.entry), 3),
     )
     context.quarantine.record_failed(call, run)
--- a/cowslipcourse/entry/target_conditions.py
+++ b/cowslipcourse/entry/target_conditions.py
@@ -4,9 +4,12 @@
 :meth:`TargetConditions.verify`, whichever component has chosen the target.
 """
 
+import asyncio
+
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.entry.target_pauses import TargetPauses
 from cowslipcourse.exceptions import MalformedHeader
-from cowslipcourse.platform.backpressure import decode_rate_limit
+from cowslipcourse.platform.backpressure import decode_pause_s, decode_rate_limit
 from cowslipcourse.platform.headers import MISDIRECTED_REQUEST
 from cowslipcourse.rate_limits import TargetInstance
 
@@ -23,6 +26,7 @@
 
     def __init__(self, rate_limiter):
         self.rate_limiter = rate_limiter
+        self._pauses = TargetPauses()
         self._malformed_instances = set()
 
     def observe(self, entry, head):
@@ -34,6 +38,10 @@
         if head.status == MISDIRECTED_REQUEST:
             # Another target responds at this address by now.
             return
+        self._observe_limit(entry, head)
+        self._observe_pause(entry, head)
+
+    def _observe_limit(self, entry, head):
         try:
             limit_per_s = decode_rate_limit(head)
         except MalformedHeader as error:
@@ -41,6 +49,31 @@
         else:
             self.rate_limiter.observe(entry, limit_per_s)
 
+    def _observe_pause(self, entry, head):
+        try:
+            pause_s = decode_pause_s(head)
+        except MalformedHeader as error:
+            self._log_malformed(_instance(entry), error)
+            return
+        if pause_s is not None and self._pauses.record(
+            _instance(entry), pause_s, _now()
+        ):
+            log.info(
+                "target-pause",
+                target=entry.id,
+                incarnation=entry.incarnation,
+                service=entry.service,
+                pause_s=pause_s,
+                status=head.status,
+            )
+
+    def pause_left_s(self, entry):
+        """Return the seconds for which a target still wants no requests from here.
+
+        :param entry: :class:`~cowslipcourse.ports.TargetEntry`
+        """
+        return max(0.0, self._pauses.until(_instance(entry)) - _now())
+
     def _log_malformed(self, instance, error):
         """Log a malformed header once for each target."""
         if instance not in self._malformed_instances:
@@ -89,6 +122,18 @@
         """Return the number of targets that state a rate limit, by service."""
         return self.rate_limiter.limited_counts()
 
+    def paused_counts(self, entries):
+        """Return the number of targets that have asked for a pause, by service.
+
+        :param entries: listed :class:`~cowslipcourse.ports.TargetEntry` by id.
+        """
+        counts = {}
+        for instance in self._pauses.paused(_now()):
+            entry = entries.get(instance.id)
+            if entry is not None:
+                counts[entry.service] = counts.get(entry.service, 0) + 1
+        return counts
+
     def retain(self, entries):
         """Forget all targets but the given ones.
 
@@ -96,8 +141,13 @@
         """
         instances = {_instance(entry) for entry in entries}
         self.rate_limiter.retain(instances)
+        self._pauses.retain(instances)
         self._malformed_instances &= instances
 
 
 def _instance(entry):
     return TargetInstance(entry.id, entry.incarnation)
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- a/features/steps/judging_steps.py
+++ b/features/steps/judging_steps.py
@@ -279,7 +279,12 @@
             run.succeeded = True
 
         budget = SharedRetryBudget(RetrySettings())
-        tools = SimpleNamespace(quarantine=quarantine, retry_budget=budget, fleet=None)
+        tools = SimpleNamespace(
+            quarantine=quarantine,
+            retry_budget=budget,
+            fleet=None,
+            conditions=SimpleNamespace(pause_left_s=lambda entry: 0.0),
+        )
         try:
             await quarantine.admit(call)
             await try_targets(tools, call, "s", choose, attempt)
