Failing test: requests to engines within the pauses that they asked for

Cause: not yet confirmed. The emulator's engines refuse for a while and ask for pauses; an oracle counts arrivals within them by engine and daemon.

--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -8,11 +8,12 @@
 from cowslipcourse.emulator.batches import CRASH_DELAY_S, BatchedRequest, GroupBatch
 from cowslipcourse.emulator.crashes import CrashOracle
 from cowslipcourse.emulator.limit_oracle import LimitOracle
+from cowslipcourse.emulator.pause_oracle import PauseOracle
 from cowslipcourse.entry.attempts import CONNECT_TIMEOUT_S, Attempt
 from cowslipcourse.entry.urgency import urgency
 from cowslipcourse.exceptions import TargetUnreachable
 from cowslipcourse.http_client import ResponseHead
-from cowslipcourse.platform.backpressure import encode_rate_limit
+from cowslipcourse.platform.backpressure import encode_pause, encode_rate_limit
 from cowslipcourse.platform.headers import MISDIRECTED_REQUEST, not_executed_head
 
 __all__ = ["EmulatedAttemptSender", "GroupHeads"]
@@ -35,6 +36,7 @@
         self.world = world
         self.crash_oracle = CrashOracle()
         self.limit_oracle = LimitOracle()
+        self.pause_oracle = PauseOracle()
         self._spec = spec
         self._batches = {}
 
@@ -196,11 +198,14 @@
 
     def _submit(self, call, engine, last_event_id):
         self._heads.limit_oracle.record_arrival(_instance(engine), self._name)
+        self._heads.pause_oracle.record_arrival(_instance(engine), self._name)
         stated_headers = functools.partial(self._heads.stated_headers, engine)
         if engine.is_closing_head:
             return _EmulatedConnection(not_executed_head(FULL_STATUS), stated_headers)
         if not engine.is_open_head:
             return _EmulatedConnection(ResponseHead(MISDIRECTED_REQUEST, ()))
+        if engine.pause_s is not None:
+            return self._refuse_with_pause(engine, stated_headers)
         batch = self._heads.batch(engine)
         if batch.is_full:
             return _EmulatedConnection(not_executed_head(FULL_STATUS), stated_headers)
@@ -223,6 +228,14 @@
         batch.submit(connection.request)
         return connection
 
+    def _refuse_with_pause(self, engine, stated_headers):
+        self._heads.pause_oracle.record_pause(
+            _instance(engine), self._name, engine.pause_s
+        )
+        head = not_executed_head(FULL_STATUS)
+        headers = head.headers + encode_pause(engine.pause_s)
+        return _EmulatedConnection(head._replace(headers=headers), stated_headers)
+
     def _crash_callback(self, call, connection):
         """Return the callback for the start of a request that crashes its engine."""
 
--- a/cowslipcourse/emulator/engines.py
+++ b/cowslipcourse/emulator/engines.py
@@ -40,6 +40,7 @@
         self.is_unreachable = False
         self.rate_limit_per_s = None
         self.has_stated_limit = False
+        self.pause_s = None
         self.order_count = 0
         self.membership = None
         self.members = ()
--- a/cowslipcourse/emulator/site.py
+++ b/cowslipcourse/emulator/site.py
@@ -13,6 +13,7 @@
 from cowslipcourse.emulator.group_oracle import Faults, World
 from cowslipcourse.emulator.limit_oracle import LimitFigures
 from cowslipcourse.emulator.messages import MessageNetwork
+from cowslipcourse.emulator.pause_oracle import PauseFigures
 from cowslipcourse.routes import (
     CallerLimits,
     EngineModel,
@@ -57,6 +58,8 @@
         was refused as quarantined.
     :param limits: :class:`~cowslipcourse.emulator.limit_oracle.LimitFigures` list, one
         for each engine that stated a rate limit.
+    :param pauses: :class:`~cowslipcourse.emulator.pause_oracle.PauseFigures` list, one
+        for each engine and daemon that it asked for a pause.
     """
 
     records: list[CallRecord]
@@ -67,6 +70,7 @@
     crashes: list[CrashFigures]
     wrongly_quarantined: int
     limits: list[LimitFigures]
+    pauses: list[PauseFigures]
 
 
 class EmulatedSite:
@@ -181,6 +185,7 @@
             self._heads.crash_oracle.figures(),
             callers.wrongly_quarantined,
             self._heads.limit_oracle.figures(),
+            self._heads.pause_oracle.figures(),
         )
 
     # Messages between daemons, and the list of targets.
@@ -335,6 +340,7 @@
             self._network.isolate(daemon.name, fault.for_s)
             self._heads.crash_oracle.record_disturbance(daemon.name, fault.for_s)
             self._heads.limit_oracle.record_disturbance(daemon.name, fault.for_s)
+            self._heads.pause_oracle.record_disturbance(daemon.name, fault.for_s)
 
     def _forget(self, fault):
         """Make some daemons forget what they know, as a restart does."""
@@ -342,9 +348,24 @@
             daemon.forget()
             self._heads.crash_oracle.record_disturbance(daemon.name, 0.0)
             self._heads.limit_oracle.record_disturbance(daemon.name, 0.0)
+            self._heads.pause_oracle.record_disturbance(daemon.name, 0.0)
 
     def _limit(self, fault):
         """Make heads of open groups state a rate limit for a while."""
+        for head in self._pick_open_heads(fault):
+            head.rate_limit_per_s = fault.limit_per_s
+            loop = asyncio.get_running_loop()
+            loop.call_later(fault.for_s, setattr, head, "rate_limit_per_s", None)
+
+    def _pause(self, fault):
+        """Make heads of open groups refuse all requests for a while."""
+        for head in self._pick_open_heads(fault):
+            head.pause_s = fault.pause_s
+            loop = asyncio.get_running_loop()
+            loop.call_later(fault.for_s, setattr, head, "pause_s", None)
+
+    def _pick_open_heads(self, fault):
+        """Return up to ``fault.count`` random heads of open groups of its model."""
         heads = [
             engine
             for engine in self._world.engines.values()
@@ -352,10 +373,7 @@
         ]
         order_seed = self._fault_rng.random()
         heads.sort(key=lambda e: random.Random(f"{order_seed}-{e.id}").random())
-        loop = asyncio.get_running_loop()
-        for head in heads[: fault.count]:
-            head.rate_limit_per_s = fault.limit_per_s
-            loop.call_later(fault.for_s, _end_limit, head)
+        return heads[: fault.count]
 
     def _burst(self, fault):
         """Do nothing when a burst begins; callers query :meth:`_burst_factor`."""
@@ -370,10 +388,6 @@
         return factor
 
 
-def _end_limit(engine):
-    engine.rate_limit_per_s = None
-
-
 def _coordination_scope(number, data_centres, daemon_count):
     """Return the :class:`DataCentreScope` of a daemon.
 
--- a/cowslipcourse/emulator/site_file.py
+++ b/cowslipcourse/emulator/site_file.py
@@ -92,7 +92,8 @@
         raises the request rate. ``crash`` sends a request that crashes engines to
         ``count`` daemons. ``silence`` isolates daemons from the others. ``forget``
         makes daemons discard what they know of such requests, as a restart does.
-        ``limit`` makes heads of groups state a rate limit for a while.
+        ``limit`` makes heads of groups state a rate limit for a while. ``pause`` makes
+        them refuse all requests for a while and ask for a pause each time.
     :param at_s: first occurrence, from the start of the traffic.
     :param every_s: interval between occurrences; 0 for a single one.
     :param until_s: latest time of an occurrence.
@@ -101,9 +102,10 @@
     :param factor: factor of a burst on the request rate.
     :param request: kind of request of a burst or crash; if empty, all kinds for a
         burst and the first kind for a crash.
-    :param model: restricts ``domain`` and ``limit`` to groups that serve this model;
-        empty for any.
+    :param model: restricts ``domain``, ``limit`` and ``pause`` to groups that serve
+        this model; empty for any.
     :param limit_per_s: rate limit in requests per second.
+    :param pause_s: duration of the pauses.
     """
 
     kind: Literal[
@@ -117,6 +119,7 @@
         "forget",
         "end",
         "limit",
+        "pause",
     ]
     at_s: float = Field(ge=0)
     every_s: float = Field(default=0.0, ge=0)
@@ -127,6 +130,7 @@
     request: str = ""
     model: str = ""
     limit_per_s: float = Field(default=1.0, gt=0)
+    pause_s: Seconds = 3.0
 
     def times(self):
         """Return the times of all occurrences, in seconds."""
--- a/features/steps/limit_run_steps.py
+++ b/features/steps/limit_run_steps.py
@@ -1,4 +1,4 @@
-"""Steps for emulated runs with rate limits."""
+"""Steps for emulated runs with engines that state limits or ask for pauses."""
 
 import logging
 
@@ -24,6 +24,22 @@
     ]
 
 
+@given(
+    "an emulated site where {count:d} heads refuse all requests for {duration:g} s and "
+    "ask for pauses of {pause:g} s"
+)
+def step_pausing_heads(context, count, duration, pause):
+    context.faults = [
+        {
+            "kind": "pause",
+            "at_s": 2,
+            "count": count,
+            "pause_s": pause,
+            "for_s": duration,
+        }
+    ]
+
+
 @when("it is simulated for {seconds:d} s with seeds {first:d} to {last:d}")
 def step_simulate(context, seconds, first, last):
     settings = limit_settings(seconds, context.faults)
@@ -42,3 +58,11 @@
     assert figures, "no engine stated a limit"
     violations = [figure for figure in figures if figure.excess > 1]
     assert not violations, violations
+
+
+@then("no engine gets more than {count:d} requests from a daemon within a pause")
+def step_no_arrivals(context, count):
+    figures = [figure for result in context.results for figure in result.pauses]
+    assert figures, "no engine asked for a pause"
+    violations = [figure for figure in figures if figure.most_arrivals > count]
+    assert not violations, (len(violations), len(figures), violations[:5])
