Log failed probes of a rate-limited target once in a row

Ruled out: nothing else; the line is information, the probe changed nothing.

After: one, until a probe succeeds; limiter.feature has the case.

Conclusion: the number of lines follows the changes of a target's state.

--- a/cowslipcourse/rate_limit_runtime/issuing.py
+++ b/cowslipcourse/rate_limit_runtime/issuing.py
@@ -35,6 +35,7 @@
         self.since = since
         self.requested_at = since
         self.is_probed = False
+        self.probe_failed = False
         self.probes_state_limit = False
 
 
@@ -132,10 +133,13 @@
         try:
             limit_per_s = await self._prober.probe(known.instance)
         except (TargetError, MalformedHeader) as error:
-            log.info("limit-not-probed", target=known.instance.id, why=error)
+            if not assignment.probe_failed:
+                log.info("limit-not-probed", target=known.instance.id, why=error)
+            assignment.probe_failed = True
             return
         finally:
             assignment.is_probed = False
+        assignment.probe_failed = False
         if limit_per_s is not None:
             assignment.probes_state_limit = True
         elif not assignment.probes_state_limit:
--- a/features/rate_limits/limiter.feature
+++ b/features/rate_limits/limiter.feature
@@ -54,6 +54,11 @@
     When it states its limit in a response to a probe and not in the next one
     Then its limit has ended
 
+  Scenario: Probes that fail in a row are logged once
+    Given a target whose permits this daemon has issued for a while
+    When 5 probes of it fail
+    Then one line says so
+
   Scenario: Only targets in demand with old statements are probed
     Given a target whose permits this daemon has issued for a while
     When no request has asked for a permit for 6 s
--- a/features/steps/limiter_steps.py
+++ b/features/steps/limiter_steps.py
@@ -6,7 +6,11 @@
 from behave import given, then, when
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
-from cowslipcourse.exceptions import MalformedResponse, TargetWithheld
+from cowslipcourse.exceptions import (
+    MalformedResponse,
+    TargetUnreachable,
+    TargetWithheld,
+)
 from cowslipcourse.peer_protocol import (
     LimitUpdate,
     PermitRequest,
@@ -32,9 +36,12 @@
     def __init__(self):
         self.limits = []
         self.calls = 0
+        self.fails = False
 
     async def probe(self, instance):
         self.calls += 1
+        if self.fails:
+            raise TargetUnreachable("the target does not respond")
         return self.limits.pop(0) if self.limits else None
 
 
@@ -316,6 +323,23 @@
     assert context.limit_at_end is None
 
 
+@when("{count:d} probes of it fail")
+def step_failing_probes(context, count):
+    async def probe(daemon):
+        daemon.prober.fails = True
+        while daemon.prober.calls < count:
+            await daemon.acquire()
+            await asyncio.sleep(0.5)
+
+    _finish(context, probe)
+
+
+@then("one line says so")
+def step_one_line(context):
+    lines = [r for r in context.records if r.getMessage() == "limit-not-probed"]
+    assert len(lines) == 1, lines
+
+
 @when("no request has asked for a permit for {seconds:d} s")
 def step_no_demand(context, seconds):
     async def wait(daemon):
