Keep the pauses that targets ask for when they refuse requests

What callers saw: late answers and refusals; where five of 16 heads refused for 9 s, 53 of 241 requests were late or refused.

Cause: a refusal counted for the refused request only. The next request chose the target again, and more often than before: it refuses at once, so it has nothing in flight. The class: a response was taken for the outcome of one request only.

Evidence: in the failing test no request comes twice; each new one chooses the target anew, throughout the pause, so it is not what was under way either.

The fix: TargetConditions keeps the pause; choosing leaves the target out, and the check immediately before the send covers what had been chosen, queued or resumed. After the pause one request is sent until the target accepts one.

Eight processes: fails on the code before, passes.

--- a/cowslipcourse/emulator/pause_oracle.py
+++ b/cowslipcourse/emulator/pause_oracle.py
@@ -10,74 +10,79 @@
 
 
 class PauseFigures(NamedTuple):
-    """Arrivals within the pauses that one engine asked one daemon for.
+    """Pauses that one engine asked one daemon for, and its arrivals from there.
 
-    :param engine: id and incarnation of the engine.
+    :param engine: the engine; in the emulator its id and incarnation.
     :param daemon: name of the daemon.
-    :param pauses: number of responses that asked for a pause.
-    :param most_arrivals: most arrivals within one pause, later than ``REACTION_S``.
+    :param pauses: ``(time, duration in seconds)`` of each response that asked for one.
+    :param arrivals: times of all arrivals.
+    :param most_arrivals: most arrivals within one pause, later than ``REACTION_S``, of
+        pauses in which the daemon was undisturbed.
     """
 
-    engine: tuple[str, int]
+    engine: object
     daemon: str
-    pauses: int
+    pauses: tuple[tuple[float, float], ...]
+    arrivals: tuple[float, ...]
     most_arrivals: int
 
 
-class _Pair:
-    def __init__(self):
-        self.pauses = []
-        self.arrivals = []
-
-
 class PauseOracle:
-    """Records pauses by engine and daemon, arrivals, and disturbed daemons.
+    """Records pauses and arrivals by engine and sender, and disturbed daemons.
 
     :param clock: callable that returns the time in seconds; the loop's if omitted.
     """
 
     def __init__(self, clock=None):
         self._now = clock or (lambda: asyncio.get_running_loop().time())
-        self._pairs = {}
+        self._pauses = []
+        self._arrivals = []
         self._disturbances = {}
 
-    def record_pause(self, engine, daemon, pause_s):
-        """Record that an engine asks a daemon for a pause of ``pause_s`` seconds."""
-        pair = self._pairs.setdefault((engine, daemon), _Pair())
-        pair.pauses.append((self._now(), pause_s))
+    def record_pause(self, engine, sender, pause_s):
+        """Record that an engine asks a sender for a pause of ``pause_s`` seconds."""
+        self._pauses.append((engine, sender, self._now(), pause_s))
 
-    def record_arrival(self, engine, daemon):
-        """Record that a request of a daemon reaches an engine."""
-        pair = self._pairs.setdefault((engine, daemon), _Pair())
-        pair.arrivals.append(self._now())
+    def record_arrival(self, engine, sender):
+        """Record that a request of a sender reaches an engine."""
+        self._arrivals.append((engine, sender, self._now()))
 
     def record_disturbance(self, daemon, duration_s):
         """Record that a daemon is disturbed for ``duration_s`` seconds from now on."""
         now = self._now()
         self._disturbances.setdefault(daemon, []).append((now, now + duration_s))
 
-    def figures(self, is_disturbed=None):
+    def figures(self, daemon_of=str, is_disturbed=None):
         """Return the :class:`PauseFigures` of each engine and daemon with a pause.
 
+        :param daemon_of: callable that returns the daemon of a sender, or ``None`` if
+            it is unknown; by default a sender is the name of its daemon.
         :param is_disturbed: callable that takes a daemon and the begin and end of a
             pause and returns whether it is not counted; by the recorded disturbances if
             omitted.
         """
         is_disturbed = is_disturbed or self._is_disturbed
+        pauses, arrivals = {}, {}
+        for engine, sender, at, pause_s in self._pauses:
+            pauses.setdefault((engine, daemon_of(sender)), []).append((at, pause_s))
+        for engine, sender, at in self._arrivals:
+            arrivals.setdefault((engine, daemon_of(sender)), []).append(at)
         return [
             PauseFigures(
-                engine,
-                daemon,
-                len(pair.pauses),
-                max(
-                    _arrivals_within(pair, at, pause_s)
-                    if not is_disturbed(daemon, at, at + pause_s)
-                    else 0
-                    for at, pause_s in pair.pauses
+                *pair,
+                tuple(pauses_of_pair),
+                tuple(arrivals.get(pair, ())),
+                _most_arrivals(
+                    arrivals.get(pair, ()),
+                    [
+                        (at, pause_s)
+                        for at, pause_s in pauses_of_pair
+                        if not is_disturbed(pair[1], at, at + pause_s)
+                    ],
                 ),
             )
-            for (engine, daemon), pair in self._pairs.items()
-            if pair.pauses
+            for pair, pauses_of_pair in pauses.items()
+            if pair[1] is not None
         ]
 
     def _is_disturbed(self, daemon, begin, end):
@@ -87,5 +92,11 @@
         )
 
 
-def _arrivals_within(pair, at, pause_s):
-    return sum(at + REACTION_S < arrival < at + pause_s for arrival in pair.arrivals)
+def _most_arrivals(arrivals, pauses):
+    return max(
+        (
+            sum(at + REACTION_S < arrival < at + pause_s for arrival in arrivals)
+            for at, pause_s in pauses
+        ),
+        default=0,
+    )
--- a/cowslipcourse/entry/target_conditions.py
+++ b/cowslipcourse/entry/target_conditions.py
@@ -8,8 +8,12 @@
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.entry.target_pauses import TargetPauses
-from cowslipcourse.exceptions import MalformedHeader
-from cowslipcourse.platform.backpressure import decode_pause_s, decode_rate_limit
+from cowslipcourse.exceptions import MalformedHeader, TargetWithheld
+from cowslipcourse.platform.backpressure import (
+    REFUSING_STATUSES,
+    decode_pause_s,
+    decode_rate_limit,
+)
 from cowslipcourse.platform.headers import MISDIRECTED_REQUEST
 from cowslipcourse.rate_limits import TargetInstance
 
@@ -55,9 +59,11 @@
         except MalformedHeader as error:
             self._log_malformed(_instance(entry), error)
             return
-        if pause_s is not None and self._pauses.record(
-            _instance(entry), pause_s, _now()
-        ):
+        instance = _instance(entry)
+        if pause_s is None:
+            if head.status not in REFUSING_STATUSES:
+                self._pauses.record_accepted(instance, _now())
+        elif self._pauses.record(instance, pause_s, _now()):
             log.info(
                 "target-pause",
                 target=entry.id,
@@ -99,7 +105,10 @@
         )
 
     def _withheld_until(self, entry):
-        return self.rate_limiter.withheld_until(entry)
+        return max(
+            self.rate_limiter.withheld_until(entry),
+            self._pauses.withheld_until(_instance(entry)),
+        )
 
     async def admit(self, entry):
         """Return what a request needs to be sent, for :meth:`verify`.
@@ -107,6 +116,7 @@
         :param entry: :class:`~cowslipcourse.ports.TargetEntry`
         :raises TargetWithheld: the target accepts no request from here now.
         """
+        self._check_pause(entry)
         return await self.rate_limiter.acquire(entry)
 
     def verify(self, entry, permit):
@@ -117,6 +127,13 @@
         :raises TargetWithheld: the target accepts no request from here now.
         """
         self.rate_limiter.verify(entry, permit)
+        self._check_pause(entry)
+        self._pauses.begin_trial(_instance(entry), _now())
+
+    def _check_pause(self, entry):
+        withheld_until = self._pauses.withheld_until(_instance(entry))
+        if _now() < withheld_until:
+            raise TargetWithheld("pause", withheld_until)
 
     def limited_counts(self):
         """Return the number of targets that state a rate limit, by service."""
--- a/cowslipcourse/platform/backpressure.py
+++ b/cowslipcourse/platform/backpressure.py
@@ -6,7 +6,13 @@
 
 from cowslipcourse.exceptions import MalformedHeader
 
-__all__ = ["decode_pause_s", "decode_rate_limit", "encode_pause", "encode_rate_limit"]
+__all__ = [
+    "REFUSING_STATUSES",
+    "decode_pause_s",
+    "decode_rate_limit",
+    "encode_pause",
+    "encode_rate_limit",
+]
 
 REFUSING_STATUSES = (429, 503)
 """Statuses with which an engine refuses a request and may ask for a pause."""
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -18,6 +18,10 @@
     When the soak test runs seeds 4001 to 4001 with 6 s of faults each
     Then no guarantee was violated
 
+  Scenario: Targets that ask for pauses get no requests within them
+    When the soak test runs seeds 5001 to 5001 with 6 s of faults each
+    Then no guarantee was violated
+
   Scenario Outline: A violated guarantee is reported
     Given a soak test's history in which <what happened>
     Then the checks report "<finding>"
@@ -35,6 +39,7 @@
       | a target gets a request 4 s after it began to drain    | sent to a target that has been draining |
       | a process exited unexpectedly                          | process exited unexpectedly     |
       | a target with a limit of 1 per s gets 12 requests in 4 s | 1.09 times the tolerated        |
+      | a target gets 3 requests within a pause that it asked for | 3 requests within a pause       |
       | a request reaches 4 targets 4 s after it crashed three | 4 late arrivals                 |
 
   Scenario Outline: Effects of injected faults are not reported
@@ -48,3 +53,4 @@
       | a target gets a request 1 s after it began to drain    |
       | a request reaches 3 targets 4 s after it crashed three |
       | a target with a limit of 1 per s gets 11 requests in 4 s |
+      | a target gets 2 requests within a pause that it asked for |
--- a/features/steps/limit_process_steps.py
+++ b/features/steps/limit_process_steps.py
@@ -1,4 +1,4 @@
-"""Steps for real processes and targets that state rate limits."""
+"""Steps for real processes and targets that state limits or ask for pauses."""
 
 import asyncio
 import itertools
@@ -43,8 +43,9 @@
     while True:
         number = next(numbers)
         front = fronts[number % len(fronts)]
-        status, _, _ = await _call(session, front, f"/{kind}/n{number}")
+        status, _, attempt_id = await _call(session, front, f"/{kind}/n{number}")
         context.statuses.append(status)
+        context.daemon_by_attempt[attempt_id] = front
         await asyncio.sleep(CALL_INTERVAL_S)
 
 
@@ -53,8 +54,29 @@
     "{duration:d} s, under a steady load"
 )
 def step_limits(context, limit, duration):
+    _run_under_load(context, context.platform.rate_limits, limit, duration)
+
+    async def collect():
+        context.figures = context.platform.limit_oracle.figures()
+
+    _run_in_loop(context, collect())
+
+
+@when(
+    "the head of a group and a plain target refuse all requests for {duration:d} s and "
+    "ask for pauses of {pause:g} s, under a steady load"
+)
+def step_pauses(context, duration, pause):
+    _run_under_load(context, context.platform.pauses, pause, duration)
+    context.figures = context.platform.pause_oracle.figures(
+        context.daemon_by_attempt.get
+    )
+
+
+def _run_under_load(context, setting_by_target, value, duration_s):
+    """Set a value for a head and a plain target for a while, under a steady load."""
     site = context.platform
-    context.statuses = []
+    context.statuses, context.daemon_by_attempt = [], {}
 
     async def actions():
         numbers = itertools.count(1)
@@ -71,21 +93,17 @@
                 for _ in range(CALLER_COUNT)
             ]
             await asyncio.sleep(1.0)
-            site.rate_limits = dict.fromkeys(context.peers_by_target, limit)
-            await asyncio.sleep(duration)
-            site.rate_limits = dict.fromkeys(context.peers_by_target)
-            await asyncio.sleep(RECOVERY_S)
+            setting_by_target.update(dict.fromkeys(context.peers_by_target, value))
+            await asyncio.sleep(duration_s)
+            setting_by_target.update(dict.fromkeys(context.peers_by_target))
+            await asyncio.sleep(max(value, RECOVERY_S))
             context.recovered_at = asyncio.get_running_loop().time()
             await asyncio.sleep(OBSERVED_S)
             for caller in callers:
                 caller.cancel()
             await asyncio.gather(*callers, return_exceptions=True)
 
-    async def run():
-        await actions()
-        context.figures = site.limit_oracle.figures()
-
-    _run_in_loop(context, run())
+    _run_in_loop(context, actions())
 
 
 @then("neither got more than its limit tolerates")
@@ -94,6 +112,14 @@
     assert all(figure.excess <= 1 for figure in context.figures), context.figures
 
 
+@then("neither got more than {most:d} requests from a daemon within a pause")
+def step_no_arrivals(context, most):
+    engines = {figure.engine for figure in context.figures}
+    assert len(engines) == 2, engines
+    violations = [f for f in context.figures if f.most_arrivals > most]
+    assert not violations, violations
+
+
 @then("all requests were answered")
 def step_all_answered(context):
     failed = [status for status in context.statuses if status != 200]
@@ -101,10 +127,10 @@
 
 
 @then(
-    "{delay:d} s after the limits had ended, both got at least {fraction:g} of an even "
+    "{delay:d} s after {what} had ended, both got at least {fraction:g} of an even "
     "share"
 )
-def step_recovered(context, delay, fraction):
+def step_recovered(context, delay, what, fraction):
     oracle = context.platform.limit_oracle
     for target, peers in context.peers_by_target.items():
         counts = {
--- a/features/steps/limit_run_steps.py
+++ b/features/steps/limit_run_steps.py
@@ -6,6 +6,8 @@
 
 from features.support.limit_runs import limit_settings, simulate_limits
 
+PAUSES_BEGIN_S = 2
+
 
 @given(
     "an emulated site where {count:d} heads state a limit of {limit:g} requests per s "
@@ -32,7 +34,7 @@
     context.faults = [
         {
             "kind": "pause",
-            "at_s": 2,
+            "at_s": PAUSES_BEGIN_S,
             "count": count,
             "pause_s": pause,
             "for_s": duration,
@@ -66,3 +68,43 @@
     assert figures, "no engine asked for a pause"
     violations = [figure for figure in figures if figure.most_arrivals > count]
     assert not violations, (len(violations), len(figures), violations[:5])
+
+
+@then(
+    "no head gets more than {most:d} requests in {window:g} s after its pauses, one "
+    "from each daemon"
+)
+def step_not_flooded(context, most, window):
+    for result in context.results:
+        arrivals_by_head, paused_until = {}, {}
+        for figure in result.pauses:
+            arrivals_by_head.setdefault(figure.engine, []).extend(figure.arrivals)
+            end = max(at + pause_s for at, pause_s in figure.pauses)
+            paused_until[figure.engine] = max(end, paused_until.get(figure.engine, 0))
+        for head, arrivals in arrivals_by_head.items():
+            returning = [at for at in arrivals if at < paused_until[head] + 1.0]
+            counts = [
+                sum(first <= at < first + window for at in returning)
+                for first in returning
+            ]
+            assert max(counts) <= most, (head, max(counts))
+
+
+@then(
+    "later than {delay:g} s after the last refusals the heads get at least "
+    "{fraction:g} of the requests per s that they got before"
+)
+def step_share_after_pauses(context, delay, fraction):
+    before = after = 0.0
+    for result in context.results:
+        pauses = [pause for figure in result.pauses for pause in figure.pauses]
+        arrivals = [at for figure in result.pauses for at in figure.arrivals]
+        first_refusal = min(at for at, _ in pauses)
+        settled_at = max(at + pause_s for at, pause_s in pauses) + delay
+        # Arrivals of the last requests end with the run.
+        last = max(arrivals) - 1.0
+        before += sum(at < first_refusal for at in arrivals) / (
+            first_refusal - min(arrivals)
+        )
+        after += sum(settled_at <= at < last for at in arrivals) / (last - settled_at)
+    assert after >= fraction * before, (before, after)
--- a/features/steps/pause_steps.py
+++ b/features/steps/pause_steps.py
@@ -1,14 +1,19 @@
 """Steps for pauses that targets ask for."""
 
 import asyncio
+import logging
 import random
+from types import SimpleNamespace
+from unittest import mock
 
-from behave import then, when
+from behave import given, then, when
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
+from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.target_conditions import TargetConditions
 from cowslipcourse.entry.target_pauses import TargetPauses
-from cowslipcourse.exceptions import MalformedHeader
+from cowslipcourse.entry.unary_forwarder import UnaryForwarder
+from cowslipcourse.exceptions import MalformedHeader, TargetWithheld
 from cowslipcourse.http_client import ResponseHead
 from cowslipcourse.platform.backpressure import decode_pause_s
 from cowslipcourse.ports import TargetEntry
@@ -16,6 +21,7 @@
 from cowslipcourse.rate_limits import TargetInstance
 from features.support.limiter_peers import RecordingPeers
 from features.support.log_records import recorded_logs
+from features.support.pause_runs import pause_violations
 
 INSTANCE = TargetInstance("t1", 1)
 
@@ -91,3 +97,167 @@
 def step_lines(context):
     lines = [(r.getMessage(), r.fields["target"]) for r in context.records]
     assert lines == [("target-pause", "t1"), ("target-header-malformed", "t2")], lines
+
+
+class _PausingTarget:
+    """Conditions of one target, in virtual time."""
+
+    def __init__(self):
+        limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
+        self.conditions = TargetConditions(limiter)
+        self.entry = _entry("t1")
+
+    async def may_send(self):
+        """Send a request if the target accepts one now; return whether it was sent."""
+        try:
+            permit = await self.conditions.admit(self.entry)
+            self.conditions.verify(self.entry, permit)
+        except TargetWithheld:
+            return False
+        return True
+
+    def pause(self, pause_s):
+        self.conditions.observe(self.entry, _head(503, f"retry-after: {pause_s}"))
+
+    def accept(self):
+        self.conditions.observe(self.entry, ResponseHead(200, ()))
+
+
+@given("a target whose pause of {pause:d} s has ended")
+def step_ended_pause(context, pause):
+    context.pause = pause
+
+
+@when("a request is sent to it")
+def step_trial(context):
+    context.is_accepted = False
+
+
+@when("a request is sent to it and accepted")
+def step_accepted_trial(context):
+    context.is_accepted = True
+
+
+@then("no other one is sent within {trial:d} s, and one after that")
+def step_one_at_a_time(context, trial):
+    async def run():
+        target = _PausingTarget()
+        target.pause(context.pause)
+        assert not await target.may_send()
+        await asyncio.sleep(context.pause)
+        sent_after = []
+        for step in range(21):
+            if await target.may_send():
+                sent_after.append(step / 10)
+            await asyncio.sleep(0.1)
+        assert sent_after == [0.0, float(trial), 2.0 * trial], sent_after
+
+    run_in_virtual_time(run())
+
+
+@then("others are sent at once")
+def step_others_at_once(context):
+    async def run():
+        target = _PausingTarget()
+        target.pause(context.pause)
+        await asyncio.sleep(context.pause)
+        assert await target.may_send()
+        target.accept()
+        assert await target.may_send() and await target.may_send()
+
+    run_in_virtual_time(run())
+
+
+@given("a target that asks for a pause of {pause:d} s")
+def step_pausing(context, pause):
+    context.pause = pause
+
+
+@when("it accepts another request {delay:d} s later")
+def step_late_acceptance(context, delay):
+    context.delay = delay
+
+
+@then("it gets no request for {rest:d} s")
+def step_still_paused(context, rest):
+    async def run():
+        target = _PausingTarget()
+        target.pause(context.pause)
+        await asyncio.sleep(context.delay)
+        target.accept()
+        for _ in range(10 * rest - 1):
+            assert not await target.may_send()
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(0.2)
+        assert await target.may_send()
+
+    run_in_virtual_time(run())
+
+
+@given("targets that ask for pauses of {first:d} s and {second:d} s")
+def step_pausing_targets(context, first, second):
+    context.pauses = first, second
+
+
+@when("a request for them arrives")
+def step_request_arrives(context):
+    async def run():
+        target = _PausingTarget()
+        fleet = FleetView()
+        for number, pause_s in enumerate(context.pauses):
+            target.entry = _entry(f"t{number}")
+            fleet.apply([target.entry], ())
+            target.pause(pause_s)
+        started_at = asyncio.get_running_loop().time()
+        tools = SimpleNamespace(
+            fleet=fleet,
+            conditions=target.conditions,
+            data_centre="x",
+            rng=random.Random(1),
+        )
+        context.choice = UnaryForwarder(tools)._choose("s", ())
+        context.elapsed_s = asyncio.get_running_loop().time() - started_at
+
+    run_in_virtual_time(run())
+
+
+@then(
+    "it is refused within {limit:g} s, and its caller is to return after {low:d} s to "
+    "{high:d} s"
+)
+def step_refused_at_once(context, limit, low, high):
+    assert context.choice.entry is None and context.elapsed_s <= limit
+    assert low <= context.choice.retry_after_s <= high, context.choice
+
+
+def _violations(first, last):
+    logging.disable(logging.CRITICAL)
+    try:
+        seeds = range(first, last + 1)
+        return [each for seed in seeds for each in pause_violations(seed)]
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+@when("random runs with pauses are made with seeds {first:d} to {last:d}")
+def step_random_runs(context, first, last):
+    context.violations = _violations(first, last)
+
+
+@when(
+    "random runs with pauses are made with seeds {first:d} to {last:d}, by daemons "
+    "that keep none"
+)
+def step_random_runs_without(context, first, last):
+    with mock.patch.object(TargetPauses, "record", lambda *arguments: False):
+        context.violations = _violations(first, last)
+
+
+@then("no run violates the bound")
+def step_no_violations(context):
+    assert not context.violations, context.violations[:5]
+
+
+@then("some run violates the bound")
+def step_violations(context):
+    assert context.violations
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from cowslipcourse.emulator.limit_oracle import LimitOracle
+from cowslipcourse.emulator.pause_oracle import PauseOracle
 from features.support.platform_site import Arrival, PlainExecution, stream_events
 from soak.checks import check
 from soak.history import CallKind, CallRecord, SiteHistory
@@ -71,6 +72,17 @@
         site.limit_oracle.record_arrival("p1", _LOOKUP_CALL.attempt_id)
 
 
+def _send_to_pausing_target(context, count):
+    site, clock = context.site, context.clock
+    site.history.calls.append(_LOOKUP_CALL)
+    site.executions.append(_EXECUTION)
+    clock.now = 10.0
+    site.pause_oracle.record_pause("p1", _LOOKUP_CALL.attempt_id, 3.0)
+    clock.now = 11.0
+    for _ in range(count):
+        site.pause_oracle.record_arrival("p1", _LOOKUP_CALL.attempt_id)
+
+
 def _replace_key(context, at=6.0):
     context.site.history.key_configured_at |= {1: 1.0, 2: at}
 
@@ -165,6 +177,12 @@
     "a target with a limit of 1 per s gets 11 requests in 4 s": lambda context: (
         _send_to_limited_target(context, 11)
     ),
+    "a target gets 3 requests within a pause that it asked for": lambda context: (
+        _send_to_pausing_target(context, 3)
+    ),
+    "a target gets 2 requests within a pause that it asked for": lambda context: (
+        _send_to_pausing_target(context, 2)
+    ),
     "a process exited unexpectedly": lambda context: (
         context.site.history.unexpected_exits.append(("a1", 70))
     ),
@@ -181,6 +199,7 @@
         arrivals=[],
         world=SimpleNamespace(violations=[]),
         limit_oracle=LimitOracle(context.clock.time),
+        pause_oracle=PauseOracle(context.clock.time),
     )
     _EDIT_BY_DESCRIPTION[description](context)
     context.clock.now = 20.0
--- a/features/steps/withheld_steps.py
+++ b/features/steps/withheld_steps.py
@@ -25,6 +25,7 @@
 SERVICE = "s"
 ROUTE = Route("r", "h", "/", RequestKind.STREAMING, ((SERVICE, 1.0),), 3.0, 0.3, 1, 2)
 LIMIT_HEAD = ResponseHead(200, ((b"server-limit", b"2"),))
+PAUSE_HEAD = ResponseHead(503, ((b"retry-after", b"3"),))
 
 
 def _entry(number):
@@ -116,6 +117,15 @@
     run_in_virtual_time(_open_attempt(context))
 
 
+@given("a target that asks for a pause while a request waits for a connection to it")
+def step_pause_while_connecting(context):
+    async def ask_for_pause(conditions):
+        conditions.observe(_entry(1), PAUSE_HEAD)
+
+    context.while_connecting = ask_for_pause
+    run_in_virtual_time(_open_attempt(context))
+
+
 @given("a target to which connecting takes longer than a permit is valid")
 def step_slow_connection(context):
     async def connect_slowly(conditions):
--- a/features/support/fuzz.py
+++ b/features/support/fuzz.py
@@ -11,6 +11,7 @@
 from features.support.group_runs import AnswerFaultInjector, fixed_secrets, group_run
 from features.support.limit_network_runs import limit_violations
 from features.support.membership_runs import random_run, settle
+from features.support.pause_runs import pause_violations
 
 
 def _membership(seed):
@@ -73,6 +74,8 @@
     "limits-64": _limits(4, 16),
     "limits-195": _limits(5, 39),
     "limits-405": _limits(15, 27),
+    "pauses": pause_violations,
+    "pauses-64": lambda seed: pause_violations(seed, daemon_count=64),
     "membership": _membership,
     "groups": _groups,
     "answers": _answers,
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -25,7 +25,9 @@
 from cowslipcourse.adapters.http_server import WebServer
 from cowslipcourse.emulator import Faults, World
 from cowslipcourse.emulator.limit_oracle import LimitOracle
-from cowslipcourse.platform.backpressure import encode_rate_limit
+from cowslipcourse.emulator.pause_oracle import PauseOracle
+from cowslipcourse.platform.backpressure import encode_pause, encode_rate_limit
+from cowslipcourse.platform.headers import not_executed_head
 from cowslipcourse.ports import EngineOrder, OrderOperation, OrderResult
 from features.support.engine_world import LARGE, SERVICE, SMALL
 from features.support.platform_store import Store
@@ -49,6 +51,7 @@
 EVENT_INTERVAL_S = 0.02
 PLAIN_EXECUTION_S = 0.01
 EVENT_COUNT = 25
+FULL_STATUS = 503
 CRASH_PREFIX = "end-"
 """Prefix of the last path segment of requests that crash each target that runs them."""
 CRASH_DELAY_S = 0.08
@@ -105,6 +108,10 @@
     ]
 
 
+def _decoded(headers):
+    return {name.decode(): value.decode() for name, value in headers}
+
+
 def _route_entry(name, prefix, kind, service, **extra):
     route = {
         "name": name,
@@ -151,6 +158,10 @@
         """Rate limits that targets state by target; ``None`` for a limit that has
         ended."""
         self.limit_oracle = LimitOracle()
+        self.pauses = {}
+        """Pauses in seconds that targets ask for, by target; such targets refuse all
+        requests."""
+        self.pause_oracle = PauseOracle()
         self._tasks = []
 
     async def start(self):
@@ -252,8 +263,22 @@
             return {}
         limit_per_s = self.rate_limits[target]
         self.limit_oracle.record_limit(target, limit_per_s)
-        headers = encode_rate_limit(limit_per_s)
-        return {name.decode(): value.decode() for name, value in headers}
+        return _decoded(encode_rate_limit(limit_per_s))
+
+    def _record_arrival(self, target, attempt_id):
+        self.limit_oracle.record_arrival(target, attempt_id)
+        self.pause_oracle.record_arrival(target, attempt_id)
+
+    def _refusal(self, target, attempt_id):
+        """Return the response of a target that asks for a pause, or ``None``."""
+        pause_s = self.pauses.get(target)
+        if pause_s is None:
+            return None
+        self.pause_oracle.record_pause(target, attempt_id, pause_s)
+        head = not_executed_head(FULL_STATUS)
+        headers = _decoded((*head.headers, *encode_pause(pause_s)))
+        headers |= {"x-attempt-id": attempt_id} | self._stated_headers(target)
+        return Response(status_code=head.status, headers=headers)
 
     async def _run_and_crash(self, request_name, attempt_id, target):
         """Run a crashing request until it crashes its target."""
@@ -297,7 +322,9 @@
         async def run(request):
             attempt_id = request.headers["x-attempt-id"]
             request_name = request.path_params["name"]
-            self.limit_oracle.record_arrival(name, attempt_id)
+            self._record_arrival(name, attempt_id)
+            if (refusal := self._refusal(name, attempt_id)) is not None:
+                return refusal
             if request_name.startswith(CRASH_PREFIX):
                 await self._run_and_crash(request_name, attempt_id, name)
             now = asyncio.get_running_loop().time()
@@ -404,7 +431,10 @@
         headers = {"x-attempt-id": request.headers["x-attempt-id"]}
         if not engine.is_open_head:
             return Response(status_code=421, headers=headers)
-        self.limit_oracle.record_arrival(engine_id, headers["x-attempt-id"])
+        self._record_arrival(engine_id, headers["x-attempt-id"])
+        refusal = self._refusal(engine_id, headers["x-attempt-id"])
+        if refusal is not None:
+            return refusal
         headers |= self._stated_headers(engine_id)
         after = int(request.headers.get("last-event-id", 0))
         name = request.path_params["name"]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,6 +15,8 @@
 CRASHES_ALLOWED = 3
 LATE_ARRIVALS_ALLOWED = 3
 """Targets that a request may crash, and may reach after the bound has passed."""
+ARRIVALS_IN_PAUSE_ALLOWED = 2
+"""Requests of a daemon that may reach a target within a pause."""
 LOOP_MARGIN_S = 0.5
 """Tolerance for delays of the observer's own event loop."""
 
@@ -46,6 +48,7 @@
         *_check_draining(site),
         *_check_crashing_requests(site),
         *_check_rate_limits(site),
+        *_check_pauses(site),
     ]
 
 
@@ -214,3 +217,22 @@
     for figure in site.limit_oracle.figures(is_disturbed):
         if figure.excess > 1:
             yield f"{figure.excess:.2f} times the tolerated requests: {figure}"
+
+
+def _check_pauses(site):
+    """Check that targets get nothing from daemons that they asked for a pause."""
+    history = site.history
+    daemons = {call.attempt_id: call.daemon for call in history.calls}
+
+    def is_disturbed(daemon, began_at, ended_at):
+        return not all(
+            history.is_undisturbed(subject, began_at, ended_at, SETTLE_TIME_S)
+            for subject in (daemon, "targets")
+        )
+
+    for figure in site.pause_oracle.figures(daemons.get, is_disturbed):
+        if figure.most_arrivals > ARRIVALS_IN_PAUSE_ALLOWED:
+            yield (
+                f"{figure.most_arrivals} requests within a pause: {figure.engine}, "
+                f"{figure.daemon}"
+            )
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -41,6 +41,7 @@
     TARGETS_ENDED = "targets-ended"
     STORE_OLDER = "store-older"
     TARGET_LIMITED = "target-limited"
+    TARGET_PAUSES = "target-pauses"
 
 
 _Kind = FaultKind
@@ -63,8 +64,9 @@
 TARGETS_ENDED_MIN_SEED = 2000
 STORE_OLDER_MIN_SEED = 3000
 TARGET_LIMITED_MIN_SEED = 4000
-"""First seeds that draw ``TARGETS_ENDED``, ``STORE_OLDER`` and ``TARGET_LIMITED``, for
-the same reason."""
+TARGET_PAUSES_MIN_SEED = 5000
+"""First seeds that draw ``TARGETS_ENDED``, ``STORE_OLDER``, ``TARGET_LIMITED`` and
+``TARGET_PAUSES``, for the same reason."""
 _WEIGHTS = dict.fromkeys(FaultKind, 2.0) | {
     _Kind.KILL_ALL: 0.3,
     _Kind.ENGINE_LOST: 5,
@@ -76,6 +78,7 @@
     _Kind.TARGETS_ENDED: 10,
     _Kind.STORE_OLDER: 8,
     _Kind.TARGET_LIMITED: 8,
+    _Kind.TARGET_PAUSES: 8,
 }
 
 
@@ -108,6 +111,8 @@
         excluded.add(_Kind.STORE_OLDER)
     if seed < TARGET_LIMITED_MIN_SEED:
         excluded.add(_Kind.TARGET_LIMITED)
+    if seed < TARGET_PAUSES_MIN_SEED:
+        excluded.add(_Kind.TARGET_PAUSES)
     weight_by_kind = {
         kind: weight for kind, weight in _WEIGHTS.items() if kind not in excluded
     }
--- a/soak/site.py
+++ b/soak/site.py
@@ -35,6 +35,7 @@
 RATE_LIMITS = (1.0, 0.5, 4.0)
 """Requests per second that limited targets accept."""
 LIMITED_S = 8.0
+PAUSE_S = 2.5
 SIGNAL_MASK_FIELDS = ("SigIgn:", "SigCgt:")
 """Lines of ``/proc/PID/status`` that hold the ignored and the caught signals."""
 MAX_ENGINES_LOST = 4
@@ -177,7 +178,7 @@
             is_planned = fault.kind in (FaultKind.STOP, FaultKind.RELOAD)
             with self.history.disturbance(name, is_planned):
                 await apply_kind(name, fault)
-        elif fault.kind is FaultKind.TARGET_LIMITED:
+        elif fault.kind in (FaultKind.TARGET_LIMITED, FaultKind.TARGET_PAUSES):
             await apply_kind(fault)
         elif fault.kind.value.startswith("store"):
             with self.history.disturbance("store"):
@@ -332,13 +333,24 @@
 
     async def _do_target_limited(self, fault):
         """Let a target state a rate limit for long enough to be checked."""
-        heads = [e.id for e in self.world.engines.values() if e.is_open_head]
-        targets = sorted((*heads, *self._plain_addresses))
-        target = targets[int(fault.victim_fraction * len(targets))]
+        target = self._pick_target(fault)
         self.rate_limits[target] = RATE_LIMITS[len(self.rate_limits) % len(RATE_LIMITS)]
         await asyncio.sleep(LIMITED_S + fault.duration_s)
         self.rate_limits[target] = None
 
+    async def _do_target_pauses(self, fault):
+        """Let a target refuse all requests and ask for a pause each time."""
+        target = self._pick_target(fault)
+        self.pauses[target] = PAUSE_S
+        await asyncio.sleep(fault.duration_s)
+        self.pauses[target] = None
+
+    def _pick_target(self, fault):
+        """Return the head of a group or a plain target."""
+        heads = [e.id for e in self.world.engines.values() if e.is_open_head]
+        targets = sorted((*heads, *self._plain_addresses))
+        return targets[int(fault.victim_fraction * len(targets))]
+
     async def _do_entry_spoiled(self, fault):
         """Replace an engine's entry by a malformed one until the fault ends."""
         engine = self._pick_engine(fault)
