Send nothing to targets that state that they leave

A target that leaves states it in its responses, some without changing their entry in the list before they stop.

Cause: the header was not read. The class is that of ignored limits and pauses: a response was taken for the outcome of one request only.

Ruled out: that the list covers it. Entries may be removed without having been changed, and daemons may be cut off from the store.

The fix: the response makes that incarnation of the target a leaving one in the daemon's view, whatever the list says, so that its group gets nothing new; the check before the send covers what had been chosen; its exit is no crash.

Before and after: three real daemons under a steady load go on sending to a plain target and a head that leave on the code before (the scenario fails), and send nothing later than 2 s after the response now.

--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -13,7 +13,11 @@
 from cowslipcourse.entry.urgency import urgency
 from cowslipcourse.exceptions import TargetUnreachable
 from cowslipcourse.http_client import ResponseHead
-from cowslipcourse.platform.backpressure import encode_pause, encode_rate_limit
+from cowslipcourse.platform.backpressure import (
+    encode_leaving,
+    encode_pause,
+    encode_rate_limit,
+)
 from cowslipcourse.platform.headers import MISDIRECTED_REQUEST, not_executed_head
 
 __all__ = ["EmulatedAttemptSender", "GroupHeads"]
@@ -37,6 +41,7 @@
         self.crash_oracle = CrashOracle()
         self.limit_oracle = LimitOracle()
         self.pause_oracle = PauseOracle()
+        self.leaving_oracle = PauseOracle()
         self._spec = spec
         self._batches = {}
 
@@ -49,12 +54,15 @@
         """Return the loop time in seconds."""
         return asyncio.get_running_loop().time()
 
-    def stated_headers(self, engine):
-        """Return the headers in which an engine states its rate limit."""
+    def stated_headers(self, engine, daemon):
+        """Return the headers in which an engine states its conditions to a daemon."""
+        if engine.states_leaving:
+            self.leaving_oracle.record_pause(_instance(engine), daemon, float("inf"))
         if engine.rate_limit_per_s is not None or engine.has_stated_limit:
             engine.has_stated_limit = True
             self.limit_oracle.record_limit(_instance(engine), engine.rate_limit_per_s)
-        return encode_rate_limit(engine.rate_limit_per_s)
+        limit_headers = encode_rate_limit(engine.rate_limit_per_s)
+        return limit_headers + encode_leaving(engine.states_leaving)
 
     def batch(self, engine):
         """Return the :class:`~.GroupBatch` of an open head."""
@@ -199,7 +207,10 @@
     def _submit(self, call, engine, last_event_id):
         self._heads.limit_oracle.record_arrival(_instance(engine), self._name)
         self._heads.pause_oracle.record_arrival(_instance(engine), self._name)
-        stated_headers = functools.partial(self._heads.stated_headers, engine)
+        self._heads.leaving_oracle.record_arrival(_instance(engine), self._name)
+        stated_headers = functools.partial(
+            self._heads.stated_headers, engine, self._name
+        )
         if engine.is_closing_head:
             return _EmulatedConnection(not_executed_head(FULL_STATUS), stated_headers)
         if not engine.is_open_head:
--- a/cowslipcourse/emulator/daemons.py
+++ b/cowslipcourse/emulator/daemons.py
@@ -87,7 +87,7 @@
     ):
         settings = _entry_settings(name, data_centre)
         self.fleet = FleetView()
-        self._conditions = TargetConditions(None)
+        self._conditions = TargetConditions(None, self.fleet)
         self.coordinators = ()
         self._silence_detector = SilenceDetector(self.fleet, self._on_suspect)
         context = DaemonContext(
--- a/cowslipcourse/emulator/engines.py
+++ b/cowslipcourse/emulator/engines.py
@@ -41,6 +41,7 @@
         self.rate_limit_per_s = None
         self.has_stated_limit = False
         self.pause_s = None
+        self.states_leaving = False
         self.order_count = 0
         self.membership = None
         self.members = ()
--- a/cowslipcourse/emulator/site.py
+++ b/cowslipcourse/emulator/site.py
@@ -60,6 +60,8 @@
         for each engine that stated a rate limit.
     :param pauses: :class:`~cowslipcourse.emulator.pause_oracle.PauseFigures` list, one
         for each engine and daemon that it asked for a pause.
+    :param departures: the same for each engine and daemon to which it stated that it
+        leaves, as an endless pause.
     """
 
     records: list[CallRecord]
@@ -71,6 +73,7 @@
     wrongly_quarantined: int
     limits: list[LimitFigures]
     pauses: list[PauseFigures]
+    departures: list[PauseFigures]
 
 
 class EmulatedSite:
@@ -186,6 +189,7 @@
             callers.wrongly_quarantined,
             self._heads.limit_oracle.figures(),
             self._heads.pause_oracle.figures(),
+            self._heads.leaving_oracle.figures(),
         )
 
     # Messages between daemons, and the list of targets.
@@ -290,8 +294,7 @@
 
     def _lose(self, fault):
         for engine in self._pick_group_engines(fault.count):
-            engine.is_unreachable = True
-            del self._world.engines[engine.id]
+            self._remove_engine(engine)
 
     def _end(self, fault):
         for engine in self._pick_group_engines(fault.count):
@@ -364,6 +367,18 @@
             loop = asyncio.get_running_loop()
             loop.call_later(fault.for_s, setattr, head, "pause_s", None)
 
+    def _leave(self, fault):
+        """Make heads of open groups state that they leave, and stop after a while."""
+        for head in self._pick_open_heads(fault):
+            head.states_leaving = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(fault.for_s, self._remove_engine, head)
+
+    def _remove_engine(self, engine):
+        engine.is_unreachable = True
+        if self._world.engines.get(engine.id) is engine:
+            del self._world.engines[engine.id]
+
     def _pick_open_heads(self, fault):
         """Return up to ``fault.count`` random heads of open groups of its model."""
         heads = [
--- a/cowslipcourse/emulator/site_file.py
+++ b/cowslipcourse/emulator/site_file.py
@@ -93,7 +93,8 @@
         ``count`` daemons. ``silence`` isolates daemons from the others. ``forget``
         makes daemons discard what they know of such requests, as a restart does.
         ``limit`` makes heads of groups state a rate limit for a while. ``pause`` makes
-        them refuse all requests for a while and ask for a pause each time.
+        them refuse all requests for a while and ask for a pause each time. ``leave``
+        makes them state that they leave; they stop after a while.
     :param at_s: first occurrence, from the start of the traffic.
     :param every_s: interval between occurrences; 0 for a single one.
     :param until_s: latest time of an occurrence.
@@ -102,8 +103,8 @@
     :param factor: factor of a burst on the request rate.
     :param request: kind of request of a burst or crash; if empty, all kinds for a
         burst and the first kind for a crash.
-    :param model: restricts ``domain``, ``limit`` and ``pause`` to groups that serve
-        this model; empty for any.
+    :param model: restricts ``domain``, ``limit``, ``pause`` and ``leave`` to groups
+        that serve this model; empty for any.
     :param limit_per_s: rate limit in requests per second.
     :param pause_s: duration of the pauses.
     """
@@ -120,6 +121,7 @@
         "end",
         "limit",
         "pause",
+        "leave",
     ]
     at_s: float = Field(ge=0)
     every_s: float = Field(default=0.0, ge=0)
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -85,7 +85,7 @@
         self._peer_link = PeerLink(settings, self._registry, self)
         prober = ListedTargetProber(self._fleet, self._control, self._health_path)
         self.rate_limiter = RateLimiter(self._peer_link, prober, rng)
-        self._conditions = TargetConditions(self.rate_limiter)
+        self._conditions = TargetConditions(self.rate_limiter, self._fleet)
         attempt_sender = AttemptSender(self._fleet, self._conditions)
         exit_detector = TargetExitDetector(self._fleet.is_expected)
         verdict_store = VerdictStore(self._store, time.time)
@@ -312,9 +312,8 @@
                 group_counter.count(self._context.table, self._fleet)
             )
             self._metrics.set_limited_counts(self._conditions.limited_counts())
-            self._metrics.set_paused_counts(
-                self._conditions.paused_counts(self._fleet.entries)
-            )
+            self._metrics.set_paused_counts(self._conditions.paused_counts())
+            self._metrics.set_leaving_counts(self._fleet.leaving_counts())
             self._metrics.set_withheld_counts(self._context.withheld_counts)
             self._check_store_era()
 
--- a/cowslipcourse/entry/fleet_view.py
+++ b/cowslipcourse/entry/fleet_view.py
@@ -6,6 +6,8 @@
 
 __all__ = ["Candidate", "FleetView"]
 
+MAX_LEAVING_INSTANCES = 1000
+"""Limit on remembered targets that have stated that they leave, about 100 KB."""
 MIN_SUSPICION_S = 1.0
 """Duration of a first suspicion. A repair takes 2.5 s and changes the epoch of the
 group, which clears the suspicion earlier."""
@@ -46,6 +48,7 @@
         self._in_flight = {}
         self._peers_in_flight = {}
         self._suspicions = {}
+        self._leaving_instances = {}
         self._heads = GroupHeads()
         self.version = 0
 
@@ -71,11 +74,53 @@
     def apply(self, entries, removed_ids):
         """Apply changed entries and the ids of removed ones."""
         for entry in entries:
-            self._entries[entry.id] = entry
+            self._entries[entry.id] = self._with_stated_leaving(entry)
         for target in removed_ids:
             self._entries.pop(target, None)
         self._entries_changed()
 
+    def _with_stated_leaving(self, entry):
+        """Return an entry that is leaving if its target has stated so."""
+        if (entry.id, entry.incarnation) in self._leaving_instances:
+            return entry._replace(is_leaving=True)
+        return entry
+
+    def mark_leaving(self, entry):
+        """Treat a target as leaving, whatever its entry says.
+
+        Some targets never change their entries before they stop.
+
+        :returns: whether it was not known to leave.
+        """
+        if self.is_leaving(entry):
+            return False
+        self._leaving_instances[entry.id, entry.incarnation] = True
+        if len(self._leaving_instances) > MAX_LEAVING_INSTANCES:
+            del self._leaving_instances[next(iter(self._leaving_instances))]
+        listed = self._entries.get(entry.id)
+        if listed is not None:
+            self.apply([listed], ())
+        return True
+
+    def is_leaving(self, entry):
+        """Whether this incarnation of a target is known to leave."""
+        if (entry.id, entry.incarnation) in self._leaving_instances:
+            return True
+        listed = self._entries.get(entry.id)
+        return (
+            listed is not None
+            and listed.incarnation == entry.incarnation
+            and listed.is_leaving
+        )
+
+    def leaving_counts(self):
+        """Return the number of listed targets that are leaving, by service."""
+        counts = {}
+        for entry in self._entries.values():
+            if entry.is_leaving:
+                counts[entry.service] = counts.get(entry.service, 0) + 1
+        return counts
+
     def _entries_changed(self):
         self.version += 1
         self._heads.update_entries(self._entries.values())
--- a/cowslipcourse/entry/prometheus_metrics.py
+++ b/cowslipcourse/entry/prometheus_metrics.py
@@ -79,6 +79,12 @@
             ["service"],
             registry=self._registry,
         )
+        self._leaving_targets = Gauge(
+            "cowslip_leaving_targets",
+            "Listed targets that are leaving, by service",
+            ["service"],
+            registry=self._registry,
+        )
         self._paused_targets = Gauge(
             "cowslip_paused_targets",
             "Targets that have asked for a pause, by service",
@@ -138,6 +144,13 @@
         for service, count in counts.items():
             self._withheld_requests.labels(service).set(count)
 
+    def set_leaving_counts(self, counts):
+        """Set the gauge of targets that are leaving.
+
+        :param counts: number of targets by service.
+        """
+        _set_by_service(self._leaving_targets, counts)
+
     def event_counter(self):
         """Return a log handler that counts log records by event."""
         return _EventCounter(self._events)
--- a/cowslipcourse/entry/target_conditions.py
+++ b/cowslipcourse/entry/target_conditions.py
@@ -11,6 +11,7 @@
 from cowslipcourse.exceptions import MalformedHeader, TargetWithheld
 from cowslipcourse.platform.backpressure import (
     REFUSING_STATUSES,
+    decode_is_leaving,
     decode_pause_s,
     decode_rate_limit,
 )
@@ -26,10 +27,12 @@
     """Records the conditions that targets state, and applies them.
 
     :param rate_limiter: :class:`~cowslipcourse.rate_limit_runtime.RateLimiter`
+    :param fleet: :class:`~cowslipcourse.entry.fleet_view.FleetView`
     """
 
-    def __init__(self, rate_limiter):
+    def __init__(self, rate_limiter, fleet):
         self.rate_limiter = rate_limiter
+        self._fleet = fleet
         self._pauses = TargetPauses()
         self._malformed_instances = set()
 
@@ -44,6 +47,7 @@
             return
         self._observe_limit(entry, head)
         self._observe_pause(entry, head)
+        self._observe_leaving(entry, head)
 
     def _observe_limit(self, entry, head):
         try:
@@ -73,6 +77,20 @@
                 status=head.status,
             )
 
+    def _observe_leaving(self, entry, head):
+        try:
+            is_leaving = decode_is_leaving(head)
+        except MalformedHeader as error:
+            self._log_malformed(_instance(entry), error)
+            return
+        if is_leaving and self._fleet.mark_leaving(entry):
+            log.info(
+                "target-leaving",
+                target=entry.id,
+                incarnation=entry.incarnation,
+                service=entry.service,
+            )
+
     def pause_left_s(self, entry):
         """Return the seconds for which a target still wants no requests from here.
 
@@ -116,6 +134,7 @@
         :param entry: :class:`~cowslipcourse.ports.TargetEntry`
         :raises TargetWithheld: the target accepts no request from here now.
         """
+        self._check_leaving(entry)
         self._check_pause(entry)
         return await self.rate_limiter.acquire(entry)
 
@@ -127,9 +146,14 @@
         :raises TargetWithheld: the target accepts no request from here now.
         """
         self.rate_limiter.verify(entry, permit)
+        self._check_leaving(entry)
         self._check_pause(entry)
         self._pauses.begin_trial(_instance(entry), _now())
 
+    def _check_leaving(self, entry):
+        if self._fleet.is_leaving(entry):
+            raise TargetWithheld("leaving", float("inf"))
+
     def _check_pause(self, entry):
         withheld_until = self._pauses.withheld_until(_instance(entry))
         if _now() < withheld_until:
@@ -139,14 +163,11 @@
         """Return the number of targets that state a rate limit, by service."""
         return self.rate_limiter.limited_counts()
 
-    def paused_counts(self, entries):
-        """Return the number of targets that have asked for a pause, by service.
-
-        :param entries: listed :class:`~cowslipcourse.ports.TargetEntry` by id.
-        """
+    def paused_counts(self):
+        """Return the number of targets that have asked for a pause, by service."""
         counts = {}
         for instance in self._pauses.paused(_now()):
-            entry = entries.get(instance.id)
+            entry = self._fleet.entries.get(instance.id)
             if entry is not None:
                 counts[entry.service] = counts.get(entry.service, 0) + 1
         return counts
--- a/cowslipcourse/platform/backpressure.py
+++ b/cowslipcourse/platform/backpressure.py
@@ -8,8 +8,10 @@
 
 __all__ = [
     "REFUSING_STATUSES",
+    "decode_is_leaving",
     "decode_pause_s",
     "decode_rate_limit",
+    "encode_leaving",
     "encode_pause",
     "encode_rate_limit",
 ]
@@ -17,6 +19,8 @@
 REFUSING_STATUSES = (429, 503)
 """Statuses with which an engine refuses a request and may ask for a pause."""
 _DATE = b"date"
+_LEAVING = b"server-leaving"
+_IS_LEAVING = b"1"
 _RETRY_AFTER = b"retry-after"
 _RATE_LIMIT = b"server-limit"
 # It is named after the engine, but it holds for the requests of all daemons together.
@@ -85,6 +89,23 @@
     return date if date.tzinfo else date.replace(tzinfo=UTC)
 
 
+def decode_is_leaving(head):
+    """Return whether an engine states that it is about to stop.
+
+    :param head: :class:`~cowslipcourse.http_client.ResponseHead`
+    :raises MalformedHeader: the header has another value or occurs more than once.
+    """
+    value = _single_value(head, _LEAVING)
+    if value not in (None, _IS_LEAVING):
+        raise MalformedHeader(f"{value[:40]!r} does not state whether it leaves")
+    return value is not None
+
+
+def encode_leaving(is_leaving):
+    """Return the headers with which an engine states whether it is about to stop."""
+    return ((_LEAVING, _IS_LEAVING),) if is_leaving else ()
+
+
 def encode_pause(pause_s):
     """Return the headers with which an engine asks for a pause.
 
--- a/features/steps/limit_process_steps.py
+++ b/features/steps/limit_process_steps.py
@@ -37,7 +37,8 @@
     _run_in_loop(context, actions())
 
 
-async def _call_forever(context, session, kind, numbers):
+async def call_forever(context, session, kind, numbers):
+    """Call the daemons by turns, and record the status and daemon of each call."""
     site = context.platform
     fronts = list(site.front_addresses.values())
     while True:
@@ -88,7 +89,7 @@
         context.peers_by_target = {heads[0]: heads, "p1": ["p1", "p2"]}
         async with aiohttp.ClientSession() as session:
             callers = [
-                asyncio.create_task(_call_forever(context, session, kind, numbers))
+                asyncio.create_task(call_forever(context, session, kind, numbers))
                 for kind in ("draft", "look")
                 for _ in range(CALLER_COUNT)
             ]
--- a/features/steps/pause_steps.py
+++ b/features/steps/pause_steps.py
@@ -84,7 +84,7 @@
 
     async def observe():
         limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
-        conditions = TargetConditions(limiter)
+        conditions = TargetConditions(limiter, FleetView())
         for entry, head in context.heads:
             conditions.observe(entry, head)
             await asyncio.sleep(0.1)
@@ -104,7 +104,7 @@
 
     def __init__(self):
         limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
-        self.conditions = TargetConditions(limiter)
+        self.conditions = TargetConditions(limiter, FleetView())
         self.entry = _entry("t1")
 
     async def may_send(self):
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
+from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.target_conditions import TargetConditions
 from cowslipcourse.exceptions import MalformedHeader
 from cowslipcourse.http_client import ResponseHead
@@ -30,7 +31,7 @@
 
     def __init__(self):
         self.limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
-        self.conditions = TargetConditions(self.limiter)
+        self.conditions = TargetConditions(self.limiter, FleetView())
         self.records = []
 
     def observe(self, *heads, entry=ENTRY):
--- a/features/steps/withheld_steps.py
+++ b/features/steps/withheld_steps.py
@@ -25,6 +25,7 @@
 SERVICE = "s"
 ROUTE = Route("r", "h", "/", RequestKind.STREAMING, ((SERVICE, 1.0),), 3.0, 0.3, 1, 2)
 LIMIT_HEAD = ResponseHead(200, ((b"server-limit", b"2"),))
+LEAVING_HEAD = ResponseHead(200, ((b"server-leaving", b"1"),))
 PAUSE_HEAD = ResponseHead(503, ((b"retry-after", b"3"),))
 
 
@@ -92,7 +93,7 @@
 async def _open_attempt(context):
     fleet, connection = FleetView(), _Connection()
     limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
-    conditions = TargetConditions(limiter)
+    conditions = TargetConditions(limiter, FleetView())
     sender = AttemptSender(fleet, conditions)
 
     async def while_connecting():
@@ -126,6 +127,17 @@
     run_in_virtual_time(_open_attempt(context))
 
 
+@given(
+    "a target that states that it leaves while a request waits for a connection to it"
+)
+def step_leaving_while_connecting(context):
+    async def state_leaving(conditions):
+        conditions.observe(_entry(1), LEAVING_HEAD)
+
+    context.while_connecting = state_leaving
+    run_in_virtual_time(_open_attempt(context))
+
+
 @given("a target to which connecting takes longer than a permit is valid")
 def step_slow_connection(context):
     async def connect_slowly(conditions):
--- a/features/support/limit_network_runs.py
+++ b/features/support/limit_network_runs.py
@@ -12,7 +12,7 @@
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from cowslipcourse.emulator.limit_oracle import LimitOracle
-from cowslipcourse.entry.fleet_view import Candidate
+from cowslipcourse.entry.fleet_view import Candidate, FleetView
 from cowslipcourse.entry.target_conditions import TargetConditions
 from cowslipcourse.entry.target_selection import choose_target
 from cowslipcourse.exceptions import TargetUnreachable, TargetWithheld
@@ -145,7 +145,7 @@
         self.links.append((daemon, link))
         rng = random.Random(self.rng.random())
         daemon.rate_limiter = RateLimiter(link, self, rng)
-        self.conditions[daemon] = TargetConditions(daemon.rate_limiter)
+        self.conditions[daemon] = TargetConditions(daemon.rate_limiter, FleetView())
         daemon.limiter_task = asyncio.create_task(daemon.rate_limiter.run())
 
     async def run(self):
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -26,7 +26,11 @@
 from cowslipcourse.emulator import Faults, World
 from cowslipcourse.emulator.limit_oracle import LimitOracle
 from cowslipcourse.emulator.pause_oracle import PauseOracle
-from cowslipcourse.platform.backpressure import encode_pause, encode_rate_limit
+from cowslipcourse.platform.backpressure import (
+    encode_leaving,
+    encode_pause,
+    encode_rate_limit,
+)
 from cowslipcourse.platform.headers import not_executed_head
 from cowslipcourse.ports import EngineOrder, OrderOperation, OrderResult
 from features.support.engine_world import LARGE, SERVICE, SMALL
@@ -162,6 +166,9 @@
         """Pauses in seconds that targets ask for, by target; such targets refuse all
         requests."""
         self.pause_oracle = PauseOracle()
+        self.leaving = set()
+        """Targets that state that they leave."""
+        self.leaving_oracle = PauseOracle()
         self._tasks = []
 
     async def start(self):
@@ -257,17 +264,22 @@
         server = await self._serve(Starlette(routes=routes), address)
         self._target_servers[engine.id] = server
 
-    def _stated_headers(self, target):
-        """Return the headers in which a target states its rate limit."""
-        if target not in self.rate_limits:
-            return {}
-        limit_per_s = self.rate_limits[target]
-        self.limit_oracle.record_limit(target, limit_per_s)
-        return _decoded(encode_rate_limit(limit_per_s))
+    def _stated_headers(self, target, attempt_id):
+        """Return the headers in which a target states its conditions."""
+        headers = {}
+        if target in self.rate_limits:
+            limit_per_s = self.rate_limits[target]
+            self.limit_oracle.record_limit(target, limit_per_s)
+            headers |= _decoded(encode_rate_limit(limit_per_s))
+        if target in self.leaving:
+            self.leaving_oracle.record_pause(target, attempt_id, float("inf"))
+            headers |= _decoded(encode_leaving(True))
+        return headers
 
     def _record_arrival(self, target, attempt_id):
         self.limit_oracle.record_arrival(target, attempt_id)
         self.pause_oracle.record_arrival(target, attempt_id)
+        self.leaving_oracle.record_arrival(target, attempt_id)
 
     def _refusal(self, target, attempt_id):
         """Return the response of a target that asks for a pause, or ``None``."""
@@ -277,7 +289,8 @@
         self.pause_oracle.record_pause(target, attempt_id, pause_s)
         head = not_executed_head(FULL_STATUS)
         headers = _decoded((*head.headers, *encode_pause(pause_s)))
-        headers |= {"x-attempt-id": attempt_id} | self._stated_headers(target)
+        headers |= self._stated_headers(target, attempt_id)
+        headers["x-attempt-id"] = attempt_id
         return Response(status_code=head.status, headers=headers)
 
     async def _run_and_crash(self, request_name, attempt_id, target):
@@ -333,7 +346,7 @@
             )
             await asyncio.sleep(PLAIN_EXECUTION_S)
             headers = {"x-attempt-id": attempt_id, "x-response-seal": name}
-            headers |= self._stated_headers(name)
+            headers |= self._stated_headers(name, attempt_id)
             return Response(b"done", headers=headers)
 
         path = Route("/{kind}/{name}", run, methods=["GET", "POST"])
@@ -435,7 +448,7 @@
         refusal = self._refusal(engine_id, headers["x-attempt-id"])
         if refusal is not None:
             return refusal
-        headers |= self._stated_headers(engine_id)
+        headers |= self._stated_headers(engine_id, headers["x-attempt-id"])
         after = int(request.headers.get("last-event-id", 0))
         name = request.path_params["name"]
         events = stream_events(name)[after:]
