--- a/cowslipcourse/entry/failure_attribution.py
+++ b/cowslipcourse/admission/failure_attribution.py
@@ -67,7 +67,7 @@
 def no_target_cause(candidates, tried_ids):
     """Return the :class:`LossCause` of a request for which no target was found.
 
-    :param candidates: list of :class:`~cowslipcourse.entry.fleet_view.Candidate`
+    :param candidates: list of :class:`~cowslipcourse.load_balancing.Candidate`
     :param tried_ids: ids of targets that it was sent to already.
     """
     if not candidates:
--- a/cowslipcourse/emulator/ablations.py
+++ b/cowslipcourse/emulator/ablations.py
@@ -2,10 +2,11 @@
 
 import contextlib
 
-from cowslipcourse.entry import coordinator, silence_detector, target_selection
+from cowslipcourse.entry import coordinator, silence_detector
 from cowslipcourse.exceptions import ConfigurationError, Problem
 from cowslipcourse.group_plans import revision
 from cowslipcourse.group_plans.domain_assignment import MIXED_ASSIGNMENT
+from cowslipcourse.load_balancing import target_selection
 
 __all__ = ["POLICIES", "active_policy"]
 
@@ -51,7 +52,7 @@
 
 def _least_loaded():
     """Compare all groups for each request instead of two."""
-    return _patched(target_selection.choose_group, "__defaults__", (1000,))
+    return _patched(target_selection.choose_group, "__defaults__", (1000, False))
 
 
 def _without_silence_detection():
--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -5,12 +5,12 @@
 from collections import deque
 from contextlib import asynccontextmanager
 
+from cowslipcourse.admission.urgency import urgency
 from cowslipcourse.emulator.batches import CRASH_DELAY_S, BatchedRequest, GroupBatch
 from cowslipcourse.emulator.crashes import CrashOracle
 from cowslipcourse.emulator.limit_oracle import LimitOracle
 from cowslipcourse.emulator.pause_oracle import PauseOracle
 from cowslipcourse.entry.attempts import CONNECT_TIMEOUT_S, Attempt
-from cowslipcourse.entry.urgency import urgency
 from cowslipcourse.exceptions import TargetUnreachable
 from cowslipcourse.http_client import ResponseHead
 from cowslipcourse.platform.backpressure import (
--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -4,7 +4,7 @@
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
-from cowslipcourse.entry.urgency import urgency
+from cowslipcourse.admission.urgency import urgency
 from cowslipcourse.exceptions import TargetUnreachable
 from cowslipcourse.http_client import ConnectionPool, TargetRequest
 from cowslipcourse.platform.headers import attempt_id_header, target_headers
--- a/cowslipcourse/entry/caller_app.py
+++ b/cowslipcourse/entry/caller_app.py
@@ -5,8 +5,8 @@
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.adapters.responses import problem_response
+from cowslipcourse.admission.failure_attribution import SERVED
 from cowslipcourse.entry.calls import Responder, read_call
-from cowslipcourse.entry.failure_attribution import SERVED
 from cowslipcourse.entry.graceful_stop import RequestDurations, can_finish
 from cowslipcourse.exceptions import CallerDisconnected, GatewayDraining, RequestError
 from cowslipcourse.platform.headers import attempt_id, retry_after_header
--- a/cowslipcourse/entry/fleet_view.py
+++ b/cowslipcourse/entry/fleet_view.py
@@ -3,8 +3,9 @@
 from typing import NamedTuple
 
 from cowslipcourse.entry.group_heads import GroupHeads
+from cowslipcourse.load_balancing import Candidate
 
-__all__ = ["Candidate", "FleetView"]
+__all__ = ["FleetView"]
 
 MAX_LEAVING_INSTANCES = 1000
 """Limit on remembered targets that have stated that they leave, about 100 KB."""
@@ -22,19 +23,6 @@
     duration_s: float
 
 
-class Candidate(NamedTuple):
-    """A target that a request may be sent to.
-
-    :param entry: :class:`~cowslipcourse.ports.TargetEntry`
-    :param in_flight: requests of all daemons in flight at the target.
-    :param slots: requests that the target runs concurrently.
-    """
-
-    entry: object
-    in_flight: int
-    slots: int
-
-
 class FleetView:
     """Targets by id, with in-flight counts and suspicions.
 
--- a/cowslipcourse/entry/forwarder.py
+++ b/cowslipcourse/entry/forwarder.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
-from cowslipcourse.entry.prior_wait import PriorWaitEstimator
+from cowslipcourse.admission.prior_wait import PriorWaitEstimator
 from cowslipcourse.entry.stream_forwarder import StreamForwarder
 from cowslipcourse.entry.unary_forwarder import UnaryForwarder
 from cowslipcourse.exceptions import DeadlineWhileRunning
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -4,9 +4,9 @@
 from typing import NamedTuple
 
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.admission.failure_attribution import LossCause
 from cowslipcourse.entry.attempt_outcomes import final_error, may_have_run, may_retry
 from cowslipcourse.entry.attempts import TargetRun
-from cowslipcourse.entry.failure_attribution import LossCause
 from cowslipcourse.exceptions import TargetError, TargetUnreachable, TargetWithheld
 
 __all__ = ["Delivery", "try_targets"]
@@ -34,7 +34,7 @@
     :param call: :class:`~cowslipcourse.entry.calls.Call`
     :param service: name of the service.
     :param choose: coroutine function that takes the ids of tried targets and returns a
-        :class:`~cowslipcourse.entry.failure_attribution.TargetChoice`.
+        :class:`~cowslipcourse.admission.failure_attribution.TargetChoice`.
     :param attempt: coroutine function that takes the
         :class:`~cowslipcourse.entry.attempts.TargetRun` and whether this is the last
         allowed attempt; raises :class:`~cowslipcourse.exceptions.TargetError`.
--- a/cowslipcourse/entry/stream_forwarder.py
+++ b/cowslipcourse/entry/stream_forwarder.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.admission.failure_attribution import StreamTimes, late_cause
 from cowslipcourse.entry.attempt_outcomes import NOT_EXECUTED_STATUSES
-from cowslipcourse.entry.failure_attribution import StreamTimes, late_cause
 from cowslipcourse.entry.retries import try_targets
 from cowslipcourse.entry.silence_detector import WatchedStream
 from cowslipcourse.entry.stream_target_selection import StreamTargetChooser
--- a/cowslipcourse/entry/stream_target_selection.py
+++ b/cowslipcourse/entry/stream_target_selection.py
@@ -3,10 +3,10 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
-from cowslipcourse.entry.failure_attribution import TargetChoice
-from cowslipcourse.entry.no_target import all_withheld_until, no_target_choice
-from cowslipcourse.entry.target_selection import choose_group
-from cowslipcourse.entry.urgency import can_meet_objective
+from cowslipcourse.admission.failure_attribution import TargetChoice
+from cowslipcourse.admission.no_target import all_withheld_until, no_target_choice
+from cowslipcourse.admission.urgency import can_meet_objective
+from cowslipcourse.load_balancing.target_selection import choose_group
 
 __all__ = ["StreamTargetChooser"]
 
@@ -46,9 +46,17 @@
             if candidate is not None:
                 progress.slot_wait_s += now - wait_started_at
                 return TargetChoice(candidate.entry)
-            usable_at = all_withheld_until(self._context, candidates, tried_ids, now)
+            usable_at = all_withheld_until(
+                self._context.conditions, candidates, tried_ids, now
+            )
             if now >= give_up_at or (usable_at is not None and usable_at > give_up_at):
-                choice = no_target_choice(self._context, candidates, tried_ids, now)
+                choice = no_target_choice(
+                    self._context.conditions,
+                    self._context.rng,
+                    candidates,
+                    tried_ids,
+                    now,
+                )
                 _log_no_target(call, choice.cause, candidates, tried_ids)
                 return choice
             await asyncio.sleep(POLL_INTERVAL_S)
--- a/cowslipcourse/entry/target_conditions.py
+++ b/cowslipcourse/entry/target_conditions.py
@@ -107,7 +107,7 @@
     def usable(self, candidates, now):
         """Return the candidates that may accept a request now.
 
-        :param candidates: list of :class:`~cowslipcourse.entry.fleet_view.Candidate`
+        :param candidates: list of :class:`~cowslipcourse.load_balancing.Candidate`
         :param now: loop time.
         """
         return [c for c in candidates if self._withheld_until(c.entry) <= now]
@@ -115,7 +115,7 @@
     def usable_at(self, candidates):
         """Return the earliest loop time at which a candidate may accept a request.
 
-        :param candidates: list of :class:`~cowslipcourse.entry.fleet_view.Candidate`
+        :param candidates: list of :class:`~cowslipcourse.load_balancing.Candidate`
         """
         return min(
             (self._withheld_until(candidate.entry) for candidate in candidates),
--- a/cowslipcourse/entry/unary_forwarder.py
+++ b/cowslipcourse/entry/unary_forwarder.py
@@ -3,12 +3,12 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.admission.failure_attribution import TargetChoice
+from cowslipcourse.admission.no_target import no_target_choice
 from cowslipcourse.entry.attempt_outcomes import NOT_EXECUTED_STATUSES
-from cowslipcourse.entry.failure_attribution import TargetChoice
-from cowslipcourse.entry.no_target import no_target_choice
 from cowslipcourse.entry.retries import try_targets
-from cowslipcourse.entry.target_selection import choose_target
 from cowslipcourse.exceptions import IncompleteResponse, TargetError, TargetRefused
+from cowslipcourse.load_balancing.target_selection import choose_target
 from cowslipcourse.platform.headers import is_not_executed, response_headers
 
 __all__ = ["UnaryForwarder"]
@@ -53,7 +53,9 @@
             self._context.rng,
         )
         if candidate is None:
-            return no_target_choice(self._context, candidates, tried_ids, now)
+            return no_target_choice(
+                self._context.conditions, self._context.rng, candidates, tried_ids, now
+            )
         return TargetChoice(candidate.entry)
 
     async def _attempt(self, call, run, is_last):
--- a/cowslipcourse/load_balancing/__init__.py
+++ b/cowslipcourse/load_balancing/__init__.py
@@ -1,6 +1,11 @@
 """Routing policies: choice of the target of a request."""
 
 from cowslipcourse.load_balancing.affinity import PrefixMap, prefix_hashes
+from cowslipcourse.load_balancing.candidates import (
+    Candidate,
+    CandidateCost,
+    RequestSize,
+)
 from cowslipcourse.load_balancing.policies import (
     LeastExpectedWait,
     LeastInFlight,
@@ -12,11 +17,14 @@
 from cowslipcourse.load_balancing.views import InFlight, TargetView
 
 __all__ = [
+    "Candidate",
+    "CandidateCost",
     "InFlight",
     "LeastExpectedWait",
     "LeastInFlight",
     "PrefixMap",
     "RandomChoice",
+    "RequestSize",
     "RoundRobin",
     "RoutingPolicy",
     "StragglerFilter",
--- a/cowslipcourse/entry/target_selection.py
+++ b/cowslipcourse/load_balancing/target_selection.py
@@ -16,7 +16,7 @@
     Under overload, as in a long burst or when callers retry after an outage, capacity
     goes first to the requests that can still meet their objective.
 
-    :param candidates: list of :class:`~cowslipcourse.entry.fleet_view.Candidate`
+    :param candidates: list of :class:`~cowslipcourse.load_balancing.Candidate`
     :param tried_ids: ids of targets that this request must not be sent to again.
     :param rng: :class:`random.Random`
     :param sample_size: number of candidates that are compared.
@@ -39,7 +39,7 @@
 def choose_target(candidates, tried_ids, data_centre, rng):
     """Return the least loaded candidate of a service without groups, or ``None``.
 
-    :param candidates: list of :class:`~cowslipcourse.entry.fleet_view.Candidate`
+    :param candidates: list of :class:`~cowslipcourse.load_balancing.Candidate`
     :param tried_ids: ids of targets that this request must not be sent to again.
     :param data_centre: the daemon's own; targets in it are preferred at equal load.
     :param rng: :class:`random.Random`
--- a/cowslipcourse/platform/configuration.py
+++ b/cowslipcourse/platform/configuration.py
@@ -86,6 +86,11 @@
     warmS: Quantity | None = None  # noqa: N815
 
 
+class _WireUsualTokens(msgspec.Struct, frozen=True):
+    prompt: Quantity | None = None
+    answer: Quantity | None = None
+
+
 class _WireEngine(msgspec.Struct, frozen=True):
     models: tuple[_WireModel, ...] | None = None
     # Per group, not per engine.
@@ -99,6 +104,10 @@
     stride: Positive | None = None
     read_per_s: Quantity | None = None
     chunk: Positive | None = None
+    # Tokens that a group's memory holds.
+    kvCapacity: Positive | None = None  # noqa: N815
+    # Mean token counts of a request.
+    usual: _WireUsualTokens | None = None
 
 
 class _WireService(msgspec.Struct, frozen=True):
@@ -106,6 +115,10 @@
     healthPath: Path | None = None  # noqa: N815
     maxConns: Positive | None = None  # noqa: N815
     engine: _WireEngine | None = None
+    # Time after a start during which a target is cold, and the requests per second that
+    # it tolerates meanwhile.
+    coldS: Quantity | None = None  # noqa: N815
+    coldPerS: Quantity | None = None  # noqa: N815
 
 
 class _WireWorkspace(msgspec.Struct, frozen=True):
@@ -188,6 +201,7 @@
 
 def _to_service(fields):
     engine = fields.engine or _WireEngine()
+    usual = engine.usual or _WireUsualTokens()
     return ServiceSpec(
         name=fields.name,
         max_connections=fields.maxConns or DEFAULT_MAX_CONNECTIONS,
@@ -197,6 +211,11 @@
         loads_per_s=engine.loadsPerS or 1.0,
         times=_to_engine_times(engine),
         health_path=fields.healthPath or "",
+        memory_tokens=engine.kvCapacity or 0,
+        usual_prompt_tokens=usual.prompt or 0.0,
+        usual_answer_tokens=usual.answer or 0.0,
+        cold_s=fields.coldS or 0.0,
+        cold_requests_per_s=fields.coldPerS or 0.0,
     )
 
 
--- a/cowslipcourse/platform/entries.py
+++ b/cowslipcourse/platform/entries.py
@@ -23,6 +23,8 @@
 
 __all__ = ["decode_entry", "decode_report"]
 
+MS_PER_S = 1000.0
+
 
 class _WireModel(msgspec.Struct, frozen=True):
     name: Name
@@ -51,7 +53,7 @@
     slots: Positive
     # Whether the target accepts new work; its state in a group is a separate field.
     state: Literal["ready", "draining"]
-    # Unused: the effect of a cold engine shows in its measured times.
+    # Time for which the target remains cold, in ms as of the write of the row.
     coldLeftMs: Quantity  # noqa: N815
     # Counts the engine's own writes to the list. In a report the same field counts
     # accepted orders, so this one must not be used for orders.
@@ -97,6 +99,7 @@
         staged=fields.staged,
         membership=_to_membership(fields, description),
         incarnation=fields.born or UNKNOWN_INCARNATION,
+        cold_left_s=fields.coldLeftMs / MS_PER_S,
     )
 
 
--- a/cowslipcourse/platform/headers.py
+++ b/cowslipcourse/platform/headers.py
@@ -1,9 +1,11 @@
 """Headers of callers' requests and of targets' responses."""
 
+import re
 from typing import NamedTuple
 
 from cowslipcourse.exceptions import BadRequest
 from cowslipcourse.http_client import ResponseHead
+from cowslipcourse.load_balancing import RequestSize
 
 __all__ = [
     "CallerHeaders",
@@ -31,6 +33,9 @@
 _NOT_EXECUTED = b"x-not-executed"
 _REQUEST_PRIORITY = b"x-request-priority"
 _TENANT = b"x-tenant"
+_TOKEN_USAGE = b"x-token-usage"
+
+_TOKEN_COUNTS = re.compile(rb"(\d{1,9}),(\d{1,9})")
 
 _HOP_BY_HOP = frozenset(
     (
@@ -69,6 +74,7 @@
     :param key: the caller's API key, or ``None``.
     :param model: requested model, or empty.
     :param last_event_id: id of the last event that the caller received, or ``None``.
+    :param size: :class:`~cowslipcourse.load_balancing.RequestSize`
     """
 
     attempt_id: bytes = b""
@@ -76,6 +82,7 @@
     key: str | None = None
     model: str = ""
     last_event_id: int | None = None
+    size: RequestSize = RequestSize()
 
 
 def total_header_bytes(headers):
@@ -101,11 +108,21 @@
             key=_bearer_token(values_by_name.get(_AUTHORIZATION)),
             model=values_by_name.get(_MODEL, b"").decode("latin-1"),
             last_event_id=int(last_event_id) if last_event_id else None,
+            size=_request_size(values_by_name.get(_TOKEN_USAGE, b"")),
         )
     except ValueError as error:
         raise BadRequest(f"invalid header value: {error}") from error
 
 
+def _request_size(value):
+    """Return the stated size; an invalid statement counts as none.
+
+    The size only helps to choose a target, so it is no reason to refuse a request.
+    """
+    fields = _TOKEN_COUNTS.fullmatch(value.strip())
+    return RequestSize(int(fields[1]), int(fields[2])) if fields else RequestSize()
+
+
 def attempt_id(headers):
     """Return the id of the caller's attempt for logs; empty if there is none."""
     return dict(headers).get(_ATTEMPT_ID, b"").decode("latin-1")
--- a/cowslipcourse/ports/engines.py
+++ b/cowslipcourse/ports/engines.py
@@ -61,6 +61,7 @@
     :param membership: :class:`GroupMembership`, or ``None``.
     :param incarnation: Unix time in ms at which the target last started, or
         :data:`UNKNOWN_INCARNATION`.
+    :param cold_left_s: seconds for which it remains cold, as of its last write.
     """
 
     id: str
@@ -73,6 +74,7 @@
     staged: tuple[str, ...] = ()
     membership: GroupMembership | None = None
     incarnation: int = UNKNOWN_INCARNATION
+    cold_left_s: float = 0.0
 
 
 class EngineReport(NamedTuple):
--- a/cowslipcourse/routes/services.py
+++ b/cowslipcourse/routes/services.py
@@ -53,6 +53,12 @@
     :param times: see :class:`EngineTimes`.
     :param health_path: path of the health check of its targets; empty if they have
         none.
+    :param memory_tokens: tokens that the memory of one group holds; 0 if not declared.
+    :param usual_prompt_tokens: mean tokens of a prompt; 0 if not declared.
+    :param usual_answer_tokens: mean tokens of an answer; 0 if not declared.
+    :param cold_s: seconds after its start during which a target is cold.
+    :param cold_requests_per_s: requests per second, of all daemons together, that a
+        cold target tolerates; 0 for no limit.
     """
 
     name: str
@@ -63,6 +69,11 @@
     loads_per_s: float = 1.0
     times: EngineTimes = EngineTimes()
     health_path: str = ""
+    memory_tokens: int = 0
+    usual_prompt_tokens: float = 0.0
+    usual_answer_tokens: float = 0.0
+    cold_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
     def model(self, name):
         """Return the :class:`EngineModel` with a name, or ``None``."""
--- a/features/steps/accounting_steps.py
+++ b/features/steps/accounting_steps.py
@@ -7,15 +7,16 @@
 
 from behave import given, then, when
 
-from cowslipcourse.emulator.clock import run_in_virtual_time
-from cowslipcourse.entry.failure_attribution import (
+from cowslipcourse.admission.failure_attribution import (
     StreamTimes,
     late_cause,
     no_target_cause,
 )
-from cowslipcourse.entry.fleet_view import Candidate, FleetView
+from cowslipcourse.emulator.clock import run_in_virtual_time
+from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.group_counts import GroupCountMonitor
 from cowslipcourse.entry.prometheus_metrics import EntryMetrics
+from cowslipcourse.load_balancing import Candidate
 from cowslipcourse.ports import GroupMembership, GroupState, TargetEntry
 from cowslipcourse.routes import (
     CallerLimits,
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -11,13 +11,13 @@
 from cowslipcourse import exceptions
 from cowslipcourse.adapters.log import BoundedQueueHandler
 from cowslipcourse.admission import SharedRetryBudget
-from cowslipcourse.entry import target_selection
 from cowslipcourse.entry.attempt_outcomes import final_error, may_retry
 from cowslipcourse.entry.attempts import Attempt
-from cowslipcourse.entry.fleet_view import Candidate, FleetView
+from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.settings import EntrySettings, RetrySettings
 from cowslipcourse.entry.silence_detector import SilenceDetector, WatchedStream
 from cowslipcourse.exceptions import SettingsError, TargetUnreachable
+from cowslipcourse.load_balancing import Candidate, target_selection
 from cowslipcourse.ports import GroupMembership, GroupState, TargetEntry
 from cowslipcourse.routes import RequestKind, Route
 from cowslipcourse.settings_file import load_settings
--- a/features/steps/judging_steps.py
+++ b/features/steps/judging_steps.py
@@ -8,12 +8,12 @@
 from behave import given, then, when
 
 from cowslipcourse.admission import SharedRetryBudget
+from cowslipcourse.admission.failure_attribution import TargetChoice
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from cowslipcourse.emulator.group_oracle import Faults, World
 from cowslipcourse.emulator.messages import MessageNetwork
 from cowslipcourse.emulator.site_file import SiteSettings
 from cowslipcourse.entry.attempts import TargetRun
-from cowslipcourse.entry.failure_attribution import TargetChoice
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.retries import try_targets
 from cowslipcourse.entry.settings import RetrySettings
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -7,10 +7,10 @@
 
 from behave import given, then, when
 
-from cowslipcourse.entry.fleet_view import Candidate
-from cowslipcourse.entry.prior_wait import PriorWaitEstimator
-from cowslipcourse.entry.target_selection import choose_group
-from cowslipcourse.entry.urgency import can_meet_objective
+from cowslipcourse.admission.prior_wait import PriorWaitEstimator
+from cowslipcourse.admission.urgency import can_meet_objective
+from cowslipcourse.load_balancing import Candidate
+from cowslipcourse.load_balancing.target_selection import choose_group
 from cowslipcourse.routes import RequestKind, Route
 
 RETRY_INTERVAL_S = 0.02
--- a/features/steps/urgency_steps.py
+++ b/features/steps/urgency_steps.py
@@ -5,8 +5,8 @@
 
 from behave import given, then, when
 
-from cowslipcourse.entry.prior_wait import MAX_BUDGETS_PER_ROUTE, PriorWaitEstimator
-from cowslipcourse.entry.urgency import urgency
+from cowslipcourse.admission.prior_wait import MAX_BUDGETS_PER_ROUTE, PriorWaitEstimator
+from cowslipcourse.admission.urgency import urgency
 from cowslipcourse.routes import RequestKind, Route, Workspace
 
 TIMEOUT_S = 8.0
--- a/features/steps/withheld_steps.py
+++ b/features/steps/withheld_steps.py
@@ -7,9 +7,9 @@
 
 from behave import given, then, when
 
+from cowslipcourse.admission.failure_attribution import LossCause, TargetChoice
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from cowslipcourse.entry.attempts import AttemptSender, TargetRun
-from cowslipcourse.entry.failure_attribution import LossCause, TargetChoice
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.retries import try_targets
 from cowslipcourse.entry.stream_target_selection import StreamTargetChooser
--- a/features/support/limit_network_runs.py
+++ b/features/support/limit_network_runs.py
@@ -12,11 +12,12 @@
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from cowslipcourse.emulator.limit_oracle import LimitOracle
-from cowslipcourse.entry.fleet_view import Candidate, FleetView
+from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.target_conditions import TargetConditions
-from cowslipcourse.entry.target_selection import choose_target
 from cowslipcourse.exceptions import TargetUnreachable, TargetWithheld
 from cowslipcourse.http_client import ResponseHead
+from cowslipcourse.load_balancing import Candidate
+from cowslipcourse.load_balancing.target_selection import choose_target
 from cowslipcourse.peer_protocol import PeerRegistry
 from cowslipcourse.platform.backpressure import encode_rate_limit
 from cowslipcourse.platform.headers import MISDIRECTED_REQUEST
