Groups settle after faults: members leave whatever group they are in, dissolved groups are formed again

Cause: a member of a retired group that was in another group, or an earlier epoch of this one, was never ordered to leave it, so it was never free; a planned group whose head had left, or whose member had been joined to a later epoch under a plan that the store lost, was never formed again. Ruled out: the overload of coordinators alone; the runs of settling.feature have calm 25 s after the last fault and six of eight engines idle before the change.

--- a/cowslipcourse/group_plans/observed_domain.py
+++ b/cowslipcourse/group_plans/observed_domain.py
@@ -48,6 +48,7 @@
         self._ungrouped_order_count = None
         self._evidence_since = 0.0
         self._ready_memberships = set()
+        self._highest_epoch = 0
         self._record_membership(entry.membership)
 
     @property
@@ -60,6 +61,11 @@
         """Observed incarnation of the engine."""
         return self.entry.incarnation
 
+    @property
+    def highest_epoch(self):
+        """Highest epoch at which it was seen in a group; it refuses earlier ones."""
+        return self._highest_epoch
+
     @property
     def is_live(self):
         """Whether it can be given work."""
@@ -268,6 +274,8 @@
         return membership.epoch < known.epoch
 
     def _record_membership(self, membership):
+        if membership is not None:
+            self._highest_epoch = max(self._highest_epoch, membership.epoch)
         if membership is not None and membership.model:
             self.joined_model = membership.model
         if membership is not None and membership.state in _READY_STATES:
--- a/cowslipcourse/group_plans/orders.py
+++ b/cowslipcourse/group_plans/orders.py
@@ -234,9 +234,14 @@
 
 
 def _leave(group, engine, ungrouped_s, now):
-    """Make an engine leave a group, or request the report that may prove it left."""
-    if engine.state_in(group) is not None:
-        return [_order(engine, OrderOperation.LEAVE, group)]
+    """Make an engine leave a group, or request the report that may prove it left.
+
+    It may be in another group, or in an earlier epoch of this one, that no plan names
+    any more; then nothing else makes it leave that, and it would never be free.
+    """
+    found = engine.membership
+    if found is not None:
+        return [_order(engine, OrderOperation.LEAVE, _UnplannedGroup.of(found))]
     if engine.ungrouped_since is not None and engine.ungrouped_s <= ungrouped_s:
         due_at = engine.ungrouped_since + ungrouped_s + REPORT_REQUEST_MARGIN_S
     else:
--- a/cowslipcourse/group_plans/plan_inputs.py
+++ b/cowslipcourse/group_plans/plan_inputs.py
@@ -86,13 +86,40 @@
 
 
 def broken_groups(plan, observed):
-    """Return the names of groups whose heads report that they are broken."""
+    """Return the names of groups that must be formed again at a later epoch."""
     return frozenset(
         group.name
         for group in plan.groups
         if not group.is_retired
-        and group.head in observed.engines
-        and observed.engines[group.head].state_in(group) is GroupState.BROKEN
+        and (_reports_broken(group, observed) or _has_dissolved(group, observed))
+    )
+
+
+def _reports_broken(group, observed):
+    head = observed.engines.get(group.head)
+    return head is not None and head.state_in(group) is GroupState.BROKEN
+
+
+def _has_dissolved(group, observed):
+    """Whether a group cannot be completed at its epoch.
+
+    Its head has left it, or a member has been joined to a later epoch, as another
+    coordinator had planned: the store may have lost that plan.
+    """
+    engines = [observed.engines.get(member) for member in group.members]
+    present = [
+        engine
+        for engine in engines
+        if engine is not None and group.has_member(engine.id, engine.incarnation)
+    ]
+    head_has_left = any(
+        engine.id == group.head
+        and engine.was_ready(group)
+        and engine.ungrouped_s > HEAD_UNGROUPED_S
+        for engine in present
+    )
+    return head_has_left or any(
+        engine.highest_epoch > group.epoch for engine in present
     )
 
 
--- a/features/support/coordinator_runs.py
+++ b/features/support/coordinator_runs.py
@@ -22,8 +22,13 @@
     "SITES",
     "VARIANTS",
     "CoordinatorContext",
+    "LeadershipBeliefs",
+    "UnreliableEngineControl",
     "coordinator_run",
+    "inject_engine_faults",
+    "restore_store",
     "update_target_list",
+    "update_target_list_late",
 ]
 
 RUN_DURATION_S = 40.0
@@ -101,7 +106,7 @@
         self.fleet = FleetView()
 
 
-class _UnreliableEngineControl:
+class UnreliableEngineControl:
     """A coordinator's connections to engines, some of which fail for a while.
 
     Implements :class:`~cowslipcourse.ports.EngineControl`.
@@ -113,6 +118,11 @@
         self._cut_ids = set()
         self._is_overloaded = False
 
+    def mend(self):
+        """End all failures of connections."""
+        self._cut_ids = set()
+        self._is_overloaded = False
+
     async def run_overload(self):
         """Let most report requests to any engine time out at times."""
         while True:
@@ -149,7 +159,7 @@
             raise TargetUnreachable("the connection to the engine is cut", sent=False)
 
 
-class _LeadershipBeliefs:
+class LeadershipBeliefs:
     """Which processes believe to be the coordinator: one, several or none.
 
     :param rng: :class:`random.Random`
@@ -182,7 +192,7 @@
         context.fleet.apply(world.entries(), ())
 
 
-async def _update_target_list_late(world, coordinator, fleet, rng, site):
+async def update_target_list_late(world, coordinator, fleet, rng, site):
     """Apply the target list to a coordinator, with delays and outdated entries."""
     previous_ids = set()
     while True:
@@ -216,7 +226,7 @@
     asyncio.get_running_loop().call_later(downtime_s, restart, engine)
 
 
-async def _restore_store(world, rng):
+async def restore_store(world, rng):
     """Restore the store from older copies at random times."""
     while True:
         is_repeated = rng.random() < REPEATED_RESTORE_FRACTION
@@ -230,7 +240,7 @@
         world.restore_older_copy(age_s, downtime_s)
 
 
-async def _inject_engine_faults(world, site, rng):
+async def inject_engine_faults(world, site, rng):
     """Make engines unreachable, remove, replace, restart and add them.
 
     Intervals are inversely proportional to the number of domains.
@@ -273,13 +283,13 @@
     for domain in site.domains:
         for _ in range(site.engines_per_domain):
             world.add_engine(domain)
-    beliefs = _LeadershipBeliefs(rng, site.coordinator_count)
+    beliefs = LeadershipBeliefs(rng, site.coordinator_count)
     settings = ControlSettings(stall_s=STALL_S)
-    coroutines = [beliefs.run(), world.run(), _inject_engine_faults(world, site, rng)]
+    coroutines = [beliefs.run(), world.run(), inject_engine_faults(world, site, rng)]
     if site.has_restores:
-        coroutines.append(_restore_store(world, random.Random(f"restored {seed}")))
+        coroutines.append(restore_store(world, random.Random(f"restored {seed}")))
     for number in range(site.coordinator_count):
-        control = _UnreliableEngineControl(world, rng)
+        control = UnreliableEngineControl(world, rng)
         coroutines.append(control.run_cuts())
         if site.has_overload:
             coroutines.append(control.run_overload())
@@ -294,7 +304,7 @@
             ),
             lambda update: None,
         )
-        list_updates = _update_target_list_late(
+        list_updates = update_target_list_late(
             world, coordinator, context.fleet, rng, site
         )
         coroutines += [coordinator.run(), list_updates]
