Model shares by observed work: decision, agreement and paced moves

Declared shares leave groups of one model empty while requests of the other wait. Off unless [control] shares = "observed". Not measured yet.

--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -16,6 +16,7 @@
 from cowslipcourse.entry.engine_calls import EngineClient
 from cowslipcourse.entry.engine_reassignment import GroupBalancer
 from cowslipcourse.entry.isolation_detector import IsolationDetector
+from cowslipcourse.entry.model_shares import ModelShares
 from cowslipcourse.entry.pauses import ticks
 from cowslipcourse.entry.plan_table import PlanTable
 from cowslipcourse.exceptions import StoreError
@@ -78,6 +79,13 @@
         self._broadcast = broadcast
         self._plan_table = PlanTable(store, self.domains.update_from_plan)
         self._group_balancer = GroupBalancer(context, self.domains, self._plan_table)
+        self.shares = ModelShares(
+            context,
+            store,
+            scope,
+            lambda: self.settings.shares == "observed",
+            lambda: bool(self._owned_domains),
+        )
         self._load_limiter = LoadRateLimiter()
         self._investigated_at = {}
         self._owned_domains = frozenset()
@@ -170,7 +178,12 @@
         for domain in sorted(self._owned_domains):
             spec = self._service_spec(self.domains.by_name[domain])
             if spec is not None:
-                await self._group_balancer.rebalance(spec, self._owned_domains, now)
+                await self._group_balancer.rebalance(
+                    self.shares.apply(spec),
+                    self._owned_domains,
+                    now,
+                    self.shares.agreement(spec),
+                )
                 return
 
     async def _reconcile_domain(self, domain):
@@ -185,10 +198,11 @@
         ):
             return
         observed_domain = self.domains.by_name[domain]
-        spec = self._service_spec(observed_domain)
-        if spec is None:
+        declared_spec = self._service_spec(observed_domain)
+        if declared_spec is None:
             return
-        assignment = self._assign_domain(domain, spec)
+        spec = self.shares.apply(declared_spec)
+        assignment = self._assign_domain(domain, spec, declared_spec.models)
         await self._revise_plan(domain, observed_domain, spec, assignment, now)
         plan = self._plan_table.plan(domain)
         self.domains.forget(plan)
@@ -217,13 +231,18 @@
                 return spec
         return None
 
-    def _assign_domain(self, domain, spec):
+    def _assign_domain(self, domain, spec, declared_models):
         known = self.domains.by_name
         data_centres = {name: domain.data_centre for name, domain in known.items()}
         live = [e for e in known[domain].engines.values() if e.is_live]
         warm_models = [model for engine in live for model in engine.warm_models]
         return assign_domain(
-            domain, self._plan_table.plans, data_centres, spec.models, warm_models
+            domain,
+            self._plan_table.plans,
+            data_centres,
+            spec.models,
+            warm_models,
+            declared_models,
         )
 
     async def _revise_plan(self, domain, observed_domain, spec, assignment, now):
@@ -240,6 +259,7 @@
         if written is None:
             return
         _log_revision(plan, groups, written.version)
+        _log_moves(plan, groups)
         for update in _ended_group_updates(plan, groups):
             self._broadcast(update)
 
@@ -338,6 +358,22 @@
         yield GroupUpdate(group.name, group.epoch + group.is_retired)
 
 
+def _log_moves(plan, groups):
+    """Log the groups whose engines begin to change over to another model."""
+    begun = {group.name for group in plan.groups if group.successor}
+    moving = [g for g in groups if g.successor and g.name not in begun]
+    for model in sorted({group.successor for group in moving}):
+        donated = [group for group in moving if group.successor == model]
+        log.info(
+            "change-over-begun",
+            domain=plan.domain,
+            groups=",".join(group.name for group in donated),
+            donor=",".join(sorted({group.model for group in donated})),
+            model=model,
+            engines=sum(len(group.members) for group in donated),
+        )
+
+
 def _log_revision(plan, groups, version):
     previous = set(plan.groups)
     for group in groups:
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -142,6 +142,7 @@
             self.quarantine.run(),
             self.rate_limiter.run(),
             self._coordinator.run(),
+            self._coordinator.shares.run(),
             self._registrar.run(),
             self._roles.run(),
             self._run_housekeeping(),
@@ -314,6 +315,7 @@
             self._metrics.set_limited_counts(self._conditions.limited_counts())
             self._metrics.set_paused_counts(self._conditions.paused_counts())
             self._metrics.set_leaving_counts(self._fleet.leaving_counts())
+            self._metrics.set_model_shares(self._coordinator.shares.report())
             self._metrics.set_withheld_counts(self._context.withheld_counts)
             self._check_store_era()
 
--- a/cowslipcourse/entry/engine_reassignment.py
+++ b/cowslipcourse/entry/engine_reassignment.py
@@ -2,6 +2,9 @@
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.group_plans import (
+    AGREED_THRESHOLDS,
+    DECLARED_THRESHOLDS,
+    MovePacer,
     choose_reassignments,
     choose_standby,
     group_counts,
@@ -21,6 +24,12 @@
 """Time after its last new engine in which a domain is expected to form groups."""
 STANDBY_INTERVAL_S = 1.0
 """Interval between choices of standby groups."""
+OBSERVED_STANDBY_FRACTION = 0.2
+"""Fraction of the other models' engines that stand by for each model if shares follow
+observed work: a first change of shares then needs no load."""
+MIN_PRESENT_FRACTION = 0.9
+"""Fraction of the engines planned recently that must be in groups for moves by agreed
+shares: a lost domain comes back, or its loss is a matter of underprovisioned models."""
 
 log = get_logger(__name__)
 
@@ -42,24 +51,27 @@
         self._changes = ()
         self._serving_at_last_read = {}
         self._standby_models = {}
+        self._agreement = None
+        self._is_paced = False
+        self._move_pacer = MovePacer()
 
-    async def rebalance(self, spec, owned_domains, now):
+    async def rebalance(self, spec, owned_domains, now, agreement=None):
         """Choose reassignments and standby groups anew if their intervals have passed.
 
         :param spec: :class:`~cowslipcourse.routes.ServiceSpec` of the engines.
         :param owned_domains: names of the domains that this daemon coordinates.
+        :param agreement: :class:`~cowslipcourse.entry.model_shares.ShareAgreement`, or
+            ``None`` if the declared shares hold.
         :raises StoreError: if the plans cannot be read.
         """
         if now - self._rebalanced_at < REBALANCE_INTERVAL_S:
             return
         self._rebalanced_at = now
+        self._agreement = agreement
         if self._needs_plan_read(spec, now):
             await self._plan_table.read()
         previous_changes, self._changes = self._changes, self._choose_changes(spec, now)
-        if (
-            self._has_startable_change(owned_domains)
-            and self._plan_table.age_s(now) > MAX_PLAN_AGE_S
-        ):
+        if self._needs_read_to_start(owned_domains, now):
             await self._plan_table.read()
             self._changes = self._choose_changes(spec, now)
         if self._changes and self._changes != previous_changes:
@@ -72,20 +84,59 @@
                 data_centres,
                 spec.models,
                 self._staged_member_count,
+                0.0 if agreement is None else OBSERVED_STANDBY_FRACTION,
             )
 
     def _choose_changes(self, spec, now):
         plans = self._plan_table.plans
+        if self._agreement is not None:
+            self._move_pacer.update(plans, now)
+        thresholds = self._thresholds(spec)
+        self._is_paced = thresholds is AGREED_THRESHOLDS
+        if self._is_paced and self._move_pacer.present_fraction < MIN_PRESENT_FRACTION:
+            return ()
         chosen = choose_reassignments(
-            plans, spec.models, self._has_all_members, self._staged_member_count
+            plans,
+            spec.models,
+            self._has_all_members,
+            self._staged_member_count,
+            thresholds,
         )
         if chosen and self._is_domain_about_to_form(spec, now):
             return ()
         return tuple(chosen)
 
-    def _has_startable_change(self, owned_domains):
-        """Whether a warm reassignment of an owned domain can begin at once."""
-        return any(c.is_warm and c.domain in owned_domains for c in self._changes)
+    def _thresholds(self, spec):
+        """Return the :class:`~cowslipcourse.group_plans.BalanceThresholds` in force.
+
+        A model that is underprovisioned by its declared share, too, has lost groups and
+        gains others without delay.
+        """
+        agreement = self._agreement
+        if agreement is None or not agreement.is_agreed:
+            return DECLARED_THRESHOLDS
+        counts = group_counts(self._plan_table.plans.values(), spec.models)
+        declared = underprovisioned_models(counts, agreement.declared_models)
+        agreed = underprovisioned_models(counts, spec.models)
+        return DECLARED_THRESHOLDS if {*declared} & {*agreed} else AGREED_THRESHOLDS
+
+    def _startable_changes(self):
+        """Return the reassignments of all domains that may begin once they are warm."""
+        if not self._is_paced:
+            return self._changes
+        warm = [change for change in self._changes if change.is_warm]
+        return self._move_pacer.permitted(warm, self._plan_table.plans)
+
+    def _needs_read_to_start(self, owned_domains, now):
+        """Whether a reassignment of an owned domain needs newer plans to begin.
+
+        One that waits for others to end needs them now and then.
+        """
+        age_s = self._plan_table.age_s(now)
+        if _has_warm_change(self._startable_changes(), owned_domains):
+            return age_s > MAX_PLAN_AGE_S
+        is_waiting = self._is_paced and _has_warm_change(self._changes, owned_domains)
+        return is_waiting and age_s > PLAN_REREAD_INTERVAL_S
 
     def changes_to_begin(self, domain, now):
         """Return the :class:`~cowslipcourse.group_plans.Reassignment` list of a domain.
@@ -95,7 +146,7 @@
         """
         if self._plan_table.age_s(now) > MAX_PLAN_AGE_S:
             return []
-        return self._changes_in_domain(domain)
+        return [c for c in self._startable_changes() if c.domain == domain]
 
     def _changes_in_domain(self, domain):
         return [change for change in self._changes if change.domain == domain]
@@ -190,3 +241,7 @@
                 counts=",".join(f"{m}:{n}" for m, n in sorted(counts.items())),
                 plans_age_s=round(self._plan_table.age_s(now), 3),
             )
+
+
+def _has_warm_change(changes, domains):
+    return any(change.is_warm and change.domain in domains for change in changes)
--- a/cowslipcourse/entry/prometheus_metrics.py
+++ b/cowslipcourse/entry/prometheus_metrics.py
@@ -67,6 +67,18 @@
             ["model", "state"],
             registry=self._registry,
         )
+        self._model_shares = Gauge(
+            "cowslip_model_share",
+            "Share of the engines by model, declared and in force",
+            ["model", "kind"],
+            registry=self._registry,
+        )
+        self._model_utilisation = Gauge(
+            "cowslip_model_utilisation",
+            "Lastingly demanded part of a model's engines, where it is observed",
+            ["model"],
+            registry=self._registry,
+        )
         self._withheld_requests = Gauge(
             "cowslip_withheld_requests",
             "Requests not sent to a chosen target, by service, since the start",
@@ -122,6 +134,19 @@
         for (model, state), count in counts.engines_by_state.items():
             self._engines.labels(model, state).set(count)
 
+    def set_model_shares(self, report):
+        """Set the gauges of the models' shares and utilisation.
+
+        :param report: :class:`~cowslipcourse.entry.model_shares.ShareReport`
+        """
+        self._model_shares.clear()
+        for kind, shares in (("declared", report.declared), ("agreed", report.agreed)):
+            for model, share in shares.items():
+                self._model_shares.labels(model, kind).set(share)
+        self._model_utilisation.clear()
+        for model, utilisation in report.utilisation.items():
+            self._model_utilisation.labels(model).set(utilisation)
+
     def set_limited_counts(self, counts):
         """Set the gauge of targets that state a rate limit.
 
--- a/cowslipcourse/entry/settings.py
+++ b/cowslipcourse/entry/settings.py
@@ -1,5 +1,7 @@
 """Settings of ``cowslip-entry``, validated from a TOML file."""
 
+from typing import Literal
+
 from pydantic import Field
 
 from cowslipcourse.settings_file import Address, LogSettings, Seconds, Section
@@ -75,11 +77,14 @@
         request is faster than a longer wait.
     :param order_timeout_s: time-out of an order in seconds.
     :param stall_s: seconds after which a group with a silent member counts as broken.
+    :param shares: whether groups are divided among models by their declared shares, or
+        by shares that follow the observed work.
     """
 
     report_timeout_s: Seconds = 0.15
     order_timeout_s: Seconds = 0.6
     stall_s: Seconds = 4.0
+    shares: Literal["declared", "observed"] = "declared"
 
 
 class RetrySettings(Section):
--- a/cowslipcourse/group_plans/__init__.py
+++ b/cowslipcourse/group_plans/__init__.py
@@ -1,6 +1,13 @@
 """Groups of engines: each domain's plan, and the orders that carry it out."""
 
+from cowslipcourse.group_plans.agreed_shares import (
+    AgreedShares,
+    decode_shares,
+    encode_shares,
+)
 from cowslipcourse.group_plans.balance import (
+    AGREED_THRESHOLDS,
+    DECLARED_THRESHOLDS,
     Reassignment,
     choose_reassignments,
     group_counts,
@@ -12,7 +19,14 @@
     assign_domain,
 )
 from cowslipcourse.group_plans.load_rate_limit import LoadRateLimiter
+from cowslipcourse.group_plans.move_pacing import MovePacer
 from cowslipcourse.group_plans.observed_domain import ObservedDomain, ObservedEngine
+from cowslipcourse.group_plans.observed_shares import (
+    ModelLoad,
+    ObservedWork,
+    choose_shares,
+    utilisations,
+)
 from cowslipcourse.group_plans.orders import is_present, next_steps
 from cowslipcourse.group_plans.plan import (
     DomainPlan,
@@ -35,14 +49,20 @@
 from cowslipcourse.group_plans.warm_up import warmup_step
 
 __all__ = [
+    "AGREED_THRESHOLDS",
+    "DECLARED_THRESHOLDS",
     "MIXED_ASSIGNMENT",
+    "AgreedShares",
     "DomainAssignment",
     "DomainPlan",
     "EngineView",
     "LoadRateLimiter",
     "ModelDemand",
+    "ModelLoad",
+    "MovePacer",
     "ObservedDomain",
     "ObservedEngine",
+    "ObservedWork",
     "PlannedGroup",
     "Reassignment",
     "Step",
@@ -50,10 +70,13 @@
     "assign_domain",
     "broken_groups",
     "choose_reassignments",
+    "choose_shares",
     "choose_staging",
     "choose_standby",
     "decode_plan",
+    "decode_shares",
     "encode_plan",
+    "encode_shares",
     "engine_views",
     "group_counts",
     "is_present",
@@ -63,5 +86,6 @@
     "revise_plan",
     "spare_engines",
     "underprovisioned_models",
+    "utilisations",
     "warmup_step",
 ]
--- a/cowslipcourse/group_plans/balance.py
+++ b/cowslipcourse/group_plans/balance.py
@@ -11,7 +11,10 @@
 from typing import NamedTuple
 
 __all__ = [
+    "AGREED_THRESHOLDS",
+    "DECLARED_THRESHOLDS",
     "UNDERPROVISIONED_RATIO",
+    "BalanceThresholds",
     "Reassignment",
     "choose_reassignments",
     "group_counts",
@@ -24,6 +27,32 @@
 SUFFICIENT_RATIO = 0.8
 """Ratio up to which an underprovisioned model gains groups: requests that queue for its
 first groups come on top of its usual load."""
+AGREED_UNDERPROVISIONED_RATIO = 0.9
+"""Ratio below which a model gains groups if its share follows observed work: that share
+was changed only because a whole group or more is to move."""
+AGREED_SUFFICIENT_RATIO = 1.0
+"""Ratio up to which it then gains groups."""
+
+
+class BalanceThresholds(NamedTuple):
+    """Ratios of a model's groups to its entitlement that start and end an exchange.
+
+    :param underprovisioned: ratio below which a model gains groups.
+    :param sufficient: ratio up to which it gains them.
+    :param donor: least ratio that a donor keeps.
+    """
+
+    underprovisioned: float
+    sufficient: float
+    donor: float
+
+
+DECLARED_THRESHOLDS = BalanceThresholds(UNDERPROVISIONED_RATIO, SUFFICIENT_RATIO, 0.0)
+AGREED_THRESHOLDS = BalanceThresholds(
+    AGREED_UNDERPROVISIONED_RATIO,
+    AGREED_SUFFICIENT_RATIO,
+    AGREED_UNDERPROVISIONED_RATIO,
+)
 
 
 class Reassignment(NamedTuple):
@@ -103,22 +132,25 @@
     }
 
 
-def underprovisioned_models(counts, models):
+def underprovisioned_models(counts, models, thresholds=DECLARED_THRESHOLDS):
     """Return the names of underprovisioned models, lowest ratio first.
 
     :param counts: number of groups by model.
     :param models: iterable of :class:`~cowslipcourse.routes.EngineModel`
+    :param thresholds: :class:`BalanceThresholds`
     """
     if not any(counts[model.name] for model in models):
         return []
     ratios = _provisioning_ratios(counts, models)
     return sorted(
-        (name for name, ratio in ratios.items() if ratio < UNDERPROVISIONED_RATIO),
+        (name for name in ratios if ratios[name] < thresholds.underprovisioned),
         key=lambda name: (ratios[name], name),
     )
 
 
-def choose_reassignments(plans, models, is_complete, count_warm_members):
+def choose_reassignments(
+    plans, models, is_complete, count_warm_members, thresholds=DECLARED_THRESHOLDS
+):
     """Return :class:`Reassignment` objects that leave no model underprovisioned.
 
     Each takes groups of the model with the highest ratio; the list is incomplete if
@@ -131,12 +163,16 @@
         are live.
     :param count_warm_members: function of a group, its domain and a model that returns
         the number of members whose hosts store the model's weights.
+    :param thresholds: :class:`BalanceThresholds`
     """
     models = tuple(models)
     counts = group_counts(plans.values(), models)
-    eligible = {*underprovisioned_models(counts, models), *_pending_successors(plans)}
+    eligible = {
+        *underprovisioned_models(counts, models, thresholds),
+        *_pending_successors(plans),
+    }
     chosen, reassigned = [], set()
-    while recipient := _most_underprovisioned(counts, models, eligible):
+    while recipient := _most_underprovisioned(counts, models, eligible, thresholds):
         reassignment = _best_reassignment(
             plans,
             models,
@@ -145,6 +181,7 @@
             reassigned,
             is_complete,
             count_warm_members,
+            thresholds,
         )
         if reassignment is None:
             break
@@ -158,24 +195,32 @@
     return {g.successor for plan in plans.values() for g in plan.groups if g.successor}
 
 
-def _most_underprovisioned(counts, models, eligible):
+def _most_underprovisioned(counts, models, eligible, thresholds):
     """Return the eligible model with the lowest ratio; ``None`` if all suffice."""
     if not any(counts[model.name] for model in models):
         return None
     ratios = _provisioning_ratios(counts, models)
-    candidates = [n for n in eligible if n in ratios and ratios[n] < SUFFICIENT_RATIO]
+    sufficient = thresholds.sufficient
+    candidates = [n for n in eligible if n in ratios and ratios[n] < sufficient]
     return min(candidates, key=lambda name: (ratios[name], name), default=None)
 
 
 def _best_reassignment(
-    plans, models, counts, recipient_name, reassigned, is_complete, count_warm_members
+    plans,
+    models,
+    counts,
+    recipient_name,
+    reassigned,
+    is_complete,
+    count_warm_members,
+    thresholds,
 ):
     """Return the best :class:`Reassignment`, or ``None``; updates ``counts``."""
     recipient = next(model for model in models if model.name == recipient_name)
     ratios = _provisioning_ratios(counts, models)
     for donor in sorted(models, key=lambda m: (-ratios.get(m.name, 0.0), m.name)):
         exchange = _exchange(donor, recipient)
-        if not _is_improvement(exchange, counts, models):
+        if not _is_improvement(exchange, counts, models, thresholds):
             continue
         donors = _donors(plans, exchange, reassigned, is_complete, count_warm_members)
         if donors:
@@ -200,8 +245,11 @@
     return _Exchange(donor.name, recipient.name, donated_groups, gained_groups)
 
 
-def _is_improvement(exchange, counts, models):
-    """Whether both models end above the recipient's present ratio."""
+def _is_improvement(exchange, counts, models, thresholds):
+    """Whether both models end above the recipient's present ratio.
+
+    The donor also keeps the ratio that the thresholds leave it.
+    """
     before = _provisioning_ratios(counts, models)
     if exchange.donor == exchange.recipient or exchange.donor not in before:
         return False
@@ -210,7 +258,9 @@
     after[exchange.recipient] += exchange.gained_groups
     ratios = _provisioning_ratios(after, models)
     least = min(ratios[exchange.donor], ratios[exchange.recipient])
-    return after[exchange.donor] >= 0 and least > before[exchange.recipient]
+    if after[exchange.donor] < 0 or ratios[exchange.donor] < thresholds.donor:
+        return False
+    return least > before[exchange.recipient]
 
 
 def _donors(plans, exchange, reassigned, is_complete, count_warm_members):
--- a/cowslipcourse/group_plans/domain_assignment.py
+++ b/cowslipcourse/group_plans/domain_assignment.py
@@ -40,7 +40,9 @@
 MIXED_ASSIGNMENT = DomainAssignment(None, MIXED_DOMAIN_SPARES)
 
 
-def assign_domain(domain, plans, data_centres, models, warm_models=()):
+def assign_domain(
+    domain, plans, data_centres, models, warm_models=(), declared_models=None
+):
     """Return the :class:`DomainAssignment` of a domain.
 
     :param domain: name of the domain.
@@ -49,14 +51,10 @@
     :param models: iterable of :class:`~cowslipcourse.routes.EngineModel`.
     :param warm_models: models that the domain's engines can join without a load, with
         one item for each engine and model.
+    :param declared_models: ``models`` with their declared shares, if others are agreed.
+        They alone decide whether domains are divided among the models.
     """
-    total = sum(model.share for model in models)
-    if total <= 0 or len(models) < 2:
-        return MIXED_ASSIGNMENT
-    domain_count = len(data_centres)
-    if any(
-        round(domain_count * m.share / total) < MIN_DOMAINS_PER_MODEL for m in models
-    ):
+    if not _are_domains_divided(len(data_centres), declared_models or models):
         return MIXED_ASSIGNMENT
     model = _most_served_model(plans.get(domain), models)
     if model is None:
@@ -66,6 +64,16 @@
     return DomainAssignment(model, 0)
 
 
+def _are_domains_divided(domain_count, models):
+    """Whether there are enough domains for each model to have some of its own."""
+    total = sum(model.share for model in models)
+    if total <= 0 or len(models) < 2:
+        return False
+    return all(
+        round(domain_count * m.share / total) >= MIN_DOMAINS_PER_MODEL for m in models
+    )
+
+
 def _most_served_model(plan, models):
     """Return the model that most engines of a plan serve, or ``None``."""
     engines = Counter()
--- a/cowslipcourse/group_plans/standby.py
+++ b/cowslipcourse/group_plans/standby.py
@@ -31,7 +31,7 @@
     warm_count: int
 
 
-def choose_standby(plans, data_centres, models, count_warm_members):
+def choose_standby(plans, data_centres, models, count_warm_members, least_fraction=0.0):
     """Return the model whose weights hosts shall store, by group name.
 
     :param plans: :class:`~cowslipcourse.group_plans.DomainPlan` by domain.
@@ -39,6 +39,8 @@
     :param models: iterable of :class:`~cowslipcourse.routes.EngineModel`
     :param count_warm_members: see
         :func:`~cowslipcourse.group_plans.choose_reassignments`.
+    :param least_fraction: fraction of the engines of the other models that shall store
+        each model in any case.
     """
     models = tuple(models)
     standby = {}
@@ -47,14 +49,9 @@
         remaining_plans = {
             domain: plan for domain, plan in plans.items() if domain not in lost_domains
         }
-        counts = group_counts(remaining_plans.values(), models)
-        group_count = counts[model.name]
-        if not any(counts.values()) or not _is_underprovisioned(
-            group_count, counts, model, models
-        ):
-            continue
-        missing = math.ceil(
-            _entitled_groups(counts, model, models) * UNDERPROVISIONED_RATIO
+        missing = max(
+            _missing_groups(remaining_plans, model, models),
+            _least_standby_groups(plans, model, models, least_fraction),
         )
         _assign_standby(
             standby,
@@ -62,12 +59,30 @@
             data_centres,
             models,
             model,
-            missing - group_count,
+            missing,
             count_warm_members,
         )
     return standby
 
 
+def _missing_groups(plans, model, models):
+    """Return the groups that a model would lack if it had only those of some plans."""
+    counts = group_counts(plans.values(), models)
+    group_count = counts[model.name]
+    if not any(counts.values()) or not _is_underprovisioned(
+        group_count, counts, model, models
+    ):
+        return 0
+    entitled = _entitled_groups(counts, model, models)
+    return math.ceil(entitled * UNDERPROVISIONED_RATIO) - group_count
+
+
+def _least_standby_groups(plans, model, models, least_fraction):
+    counts = group_counts(plans.values(), models)
+    engines = sum(counts[m.name] * m.size for m in models if m.name != model.name)
+    return int(least_fraction * engines) // model.size
+
+
 def _largest_domains(plans, model):
     """Return the names of the domains whose loss costs a model most groups."""
     group_counts_by_domain = {
