A coordinator ends a drain that another one began

Cause: the time at which a head was told to close was known only to the coordinator that had sent the order. If that died, or the answer was lost, the next one waited for the last request of the group for as long as it took, beyond the 2.5 s that a drain may take. Ruled out: sending close again, as heads that close refuse it. Before: moves.feature, coordinator that dies in a move, 4 engines still in the closing group 28 s later; after: none. Counts from the first report in which the head closes.

--- a/cowslipcourse/group_plans/observed_domain.py
+++ b/cowslipcourse/group_plans/observed_domain.py
@@ -123,6 +123,7 @@
         self._update_ungrouped(report, requested_at)
         self._update_staged(report.staged)
         self._record_membership(report.membership)
+        self._record_closing(report.membership, requested_at)
 
     def next_incarnation(self, incarnation):
         """Return the state of a later incarnation: nothing but its address is known.
@@ -273,6 +274,11 @@
             return False
         return membership.epoch < known.epoch
 
+    def _record_closing(self, membership, requested_at):
+        """Record since when it closes if another coordinator ordered that."""
+        if membership is not None and membership.state is GroupState.CLOSING:
+            self.close_sent_at.setdefault(membership.epoch, requested_at)
+
     def _record_membership(self, membership):
         if membership is not None:
             self._highest_epoch = max(self._highest_epoch, membership.epoch)
