--- a/features/support/coordinator_runs.py
+++ b/features/support/coordinator_runs.py
@@ -9,13 +9,20 @@
 from cowslipcourse.emulator import Engine, Faults, SingleCoordinatorScope, World
 from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.fleet_view import FleetView
+from cowslipcourse.entry.model_shares import SHARES_TABLE
 from cowslipcourse.entry.settings import ControlSettings
-from cowslipcourse.exceptions import TargetUnreachable
-from cowslipcourse.group_plans import ObservedEngine, plan_inputs
+from cowslipcourse.exceptions import StoreError, TargetUnreachable
+from cowslipcourse.group_plans import (
+    AgreedShares,
+    ObservedEngine,
+    encode_shares,
+    plan_inputs,
+)
 from cowslipcourse.group_plans import orders as group_orders
 from cowslipcourse.group_plans import revision as group_revision
 from cowslipcourse.group_plans.warm_up import is_warmup_group
-from features.support.engine_world import MODELS, STALL_S, route_table
+from cowslipcourse.ports import RowWrite
+from features.support.engine_world import MODELS, SERVICE, STALL_S, route_table
 
 __all__ = [
     "DIVIDED_SITE",
@@ -56,6 +63,7 @@
         their report requests time out.
     :param coordinator_count: number of coordinators.
     :param has_restores: whether the store is restored from older copies of its rows.
+    :param has_share_changes: whether agreed shares of the models change at times.
     """
 
     domains: tuple[str, ...]
@@ -65,6 +73,7 @@
     has_overload: bool = False
     coordinator_count: int = 2
     has_restores: bool = False
+    has_share_changes: bool = False
 
 
 MIXED_SITE = ContentionSite(("d1", "d2"), 8)
@@ -83,7 +92,14 @@
         has_restarts=True, has_restores=True
     ),
     "divided overloaded": DIVIDED_SITE._replace(has_overload=True, coordinator_count=4),
+    "mixed with changing shares": MIXED_SITE._replace(has_share_changes=True),
+    "divided with changing shares": DIVIDED_SITE._replace(has_share_changes=True),
+    "divided restored with changing shares": DIVIDED_SITE._replace(
+        has_restores=True, has_share_changes=True
+    ),
 }
+SHARE_CHANGE_INTERVAL_RANGE_S = (2.0, 8.0)
+"""Range of the interval between two changes of the agreed shares."""
 RESTART_FRACTION = 0.6
 """Fraction of engine faults that are restarts, on sites that have them."""
 INSTANT_RESTART_FRACTION = 0.5
@@ -240,6 +256,18 @@
         world.restore_older_copy(age_s, downtime_s)
 
 
+async def change_shares(world, rng):
+    """Write other shares of the models at random times."""
+    declared = {model.name: model.share for model in MODELS}
+    while True:
+        await asyncio.sleep(rng.uniform(*SHARE_CHANGE_INTERVAL_RANGE_S))
+        large = round(rng.uniform(0.3, 0.8), 4)
+        shares = {"large": large, "small": round(1 - large, 4)}
+        row = encode_shares(AgreedShares(declared, shares))
+        with contextlib.suppress(StoreError):
+            await world.write(RowWrite(SHARES_TABLE, SERVICE, row))
+
+
 async def inject_engine_faults(world, site, rng):
     """Make engines unreachable, remove, replace, restart and add them.
 
@@ -284,10 +312,13 @@
         for _ in range(site.engines_per_domain):
             world.add_engine(domain)
     beliefs = LeadershipBeliefs(rng, site.coordinator_count)
-    settings = ControlSettings(stall_s=STALL_S)
+    shares = "observed" if site.has_share_changes else "declared"
+    settings = ControlSettings(stall_s=STALL_S, shares=shares)
     coroutines = [beliefs.run(), world.run(), inject_engine_faults(world, site, rng)]
     if site.has_restores:
         coroutines.append(restore_store(world, random.Random(f"restored {seed}")))
+    if site.has_share_changes:
+        coroutines.append(change_shares(world, random.Random(f"shares {seed}")))
     for number in range(site.coordinator_count):
         control = UnreliableEngineControl(world, rng)
         coroutines.append(control.run_cuts())
@@ -308,6 +339,8 @@
             world, coordinator, context.fleet, rng, site
         )
         coroutines += [coordinator.run(), list_updates]
+        if site.has_share_changes:
+            coroutines.append(coordinator.shares.run())
     tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
     await asyncio.sleep(RUN_DURATION_S)
     for task in tasks:
