--- a/cowslipcourse/entry/model_shares.py
+++ b/cowslipcourse/entry/model_shares.py
@@ -31,6 +31,8 @@
 """Interval of reads of the rows, far below the time that a change of shares takes."""
 PROPOSAL_INTERVAL_S = 4.0
 """Least time between two proposals; groups of an earlier one begin to serve by then."""
+KEPT_LOG_INTERVAL_S = 5.0
+"""Least time between two log lines of the first reporter that shares stay."""
 
 log = get_logger(__name__)
 
@@ -85,6 +87,7 @@
         self._read_version = 0
         self._failed_at = float("-inf")
         self._proposed_at = float("-inf")
+        self._kept_at = float("-inf")
 
     # What is agreed.
 
@@ -246,20 +249,13 @@
         loads = self._loads[spec.name]
         present = _shares(self.apply(spec))
         shares = choose_shares(demands, loads, spec.models, present)
-        if shares is None:
-            return
-        self._proposed_at = now
-        agreed = AgreedShares(_shares(spec), shares)
-        log.info(
-            "shares-proposed",
-            service=spec.name,
-            shares=_format(shares),
-            present=_format(present),
-            demanded_engines=_format(demands),
-            in_flight=_format({name: load.in_flight for name, load in loads.items()}),
-            groups=_format({name: load.groups for name, load in loads.items()}),
-        )
-        await self._write(spec.name, agreed)
+        if shares is not None:
+            self._proposed_at = now
+            _log_decision("shares-proposed", spec, shares, present, demands, loads)
+            await self._write(spec.name, AgreedShares(_shares(spec), shares))
+        elif now - self._kept_at >= KEPT_LOG_INTERVAL_S:
+            self._kept_at = now
+            _log_decision("shares-kept", spec, present, present, demands, loads)
 
     async def _write(self, service, agreed):
         expected_version = self._row_versions.get(service, 0)
@@ -285,6 +281,18 @@
         return utilisations(demands, shares, engines)
 
 
+def _log_decision(event, spec, shares, present, demands, loads):
+    log.info(
+        event,
+        service=spec.name,
+        shares=_format(shares),
+        present=_format(present),
+        demanded_engines=_format(demands),
+        in_flight=_format({name: load.in_flight for name, load in loads.items()}),
+        groups=_format({name: load.groups for name, load in loads.items()}),
+    )
+
+
 def _shares(spec):
     return {model.name: model.share for model in spec.models}
 
--- a/cowslipcourse/group_plans/observed_shares.py
+++ b/cowslipcourse/group_plans/observed_shares.py
@@ -18,7 +18,7 @@
 """Time of the window for which work must reach a level. A burst of 4 s, and its queue
 that drains afterwards, is shorter."""
 PEAK_HOLD_S = 20.0
-"""Time for which a level counts after it was last held: longer than the period of a
+"""Time for which a level counts after it was held: longer than the period of a
 wave, between whose crests no groups shall move to and fro."""
 MAX_SAMPLE_S = 0.5
 """Longest time for which one sample counts; pauses of the observer add nothing."""
@@ -31,7 +31,7 @@
 BUSY_UTILISATION = 0.45
 """Utilisation below which a model gains nothing: bursts that double its work still find
 room."""
-MIN_UTILISATION_RATIO = 1.4
+MIN_UTILISATION_RATIO = 1.25
 """Ratio of the highest to the lowest utilisation from which on shares are changed."""
 FLOOR_RATIO = 0.5
 """Part of the declared groups that each model keeps."""
