Donors keep groups in three domains; moves wait only while more than 0.15 of the engines are lost

Cause: the floor counted the groups of the two largest domains as they were, so that a model in two domains could give up nothing, and one in three domains a single group.

--- a/cowslipcourse/entry/engine_reassignment.py
+++ b/cowslipcourse/entry/engine_reassignment.py
@@ -27,9 +27,10 @@
 OBSERVED_STANDBY_FRACTION = 0.2
 """Fraction of the other models' engines that stand by for each model if shares follow
 observed work: a first change of shares then needs no load."""
-MIN_PRESENT_FRACTION = 0.9
+MIN_PRESENT_FRACTION = 0.85
 """Fraction of the engines planned recently that must be in groups for moves by agreed
-shares: a lost domain comes back, or its loss is a matter of underprovisioned models."""
+shares: with a larger part lost, what moves now would move back when it returns. Single
+losses are less on any site."""
 
 log = get_logger(__name__)
 
--- a/cowslipcourse/group_plans/balance.py
+++ b/cowslipcourse/group_plans/balance.py
@@ -13,6 +13,7 @@
 __all__ = [
     "AGREED_THRESHOLDS",
     "DECLARED_THRESHOLDS",
+    "MIN_DONOR_DOMAINS",
     "UNDERPROVISIONED_RATIO",
     "BalanceThresholds",
     "Reassignment",
@@ -32,6 +33,9 @@
 was changed only because a whole group or more is to move."""
 AGREED_SUFFICIENT_RATIO = 1.0
 """Ratio up to which it then gains groups."""
+MIN_DONOR_DOMAINS = 3
+"""Domains in which a model keeps groups when others gain by observed work: some survive
+the loss of any two."""
 
 
 class BalanceThresholds(NamedTuple):
@@ -40,18 +44,23 @@
     :param underprovisioned: ratio below which a model gains groups.
     :param sufficient: ratio up to which it gains them.
     :param donor: least ratio that a donor keeps.
+    :param donor_domains: domains in which a donor keeps groups if it has so many.
     """
 
     underprovisioned: float
     sufficient: float
     donor: float
+    donor_domains: int
 
 
-DECLARED_THRESHOLDS = BalanceThresholds(UNDERPROVISIONED_RATIO, SUFFICIENT_RATIO, 0.0)
+DECLARED_THRESHOLDS = BalanceThresholds(
+    UNDERPROVISIONED_RATIO, SUFFICIENT_RATIO, 0.0, 0
+)
 AGREED_THRESHOLDS = BalanceThresholds(
     AGREED_UNDERPROVISIONED_RATIO,
     AGREED_SUFFICIENT_RATIO,
     AGREED_UNDERPROVISIONED_RATIO,
+    MIN_DONOR_DOMAINS,
 )
 
 
@@ -223,6 +232,7 @@
         if not _is_improvement(exchange, counts, models, thresholds):
             continue
         donors = _donors(plans, exchange, reassigned, is_complete, count_warm_members)
+        donors = _spared(donors, plans, exchange, reassigned, thresholds.donor_domains)
         if donors:
             counts.update(
                 {
@@ -263,6 +273,24 @@
     return least > before[exchange.recipient]
 
 
+def _spared(donors, plans, exchange, reassigned, min_domains):
+    """Return the donors without which their model keeps groups in enough domains.
+
+    :param min_domains: domains in which it keeps groups if it has so many.
+    """
+    counts = Counter(
+        domain
+        for domain, plan in plans.items()
+        for group in plan.groups
+        if group.model == exchange.donor
+        and not group.is_retired
+        and (domain, group.name) not in reassigned
+    )
+    if len(counts) > min_domains:
+        return donors
+    return [d for d in donors if counts[d.domain] > exchange.donated_groups]
+
+
 def _donors(plans, exchange, reassigned, is_complete, count_warm_members):
     """Return a :class:`_Donor` for each domain with enough groups."""
     donors = []
--- a/cowslipcourse/group_plans/observed_shares.py
+++ b/cowslipcourse/group_plans/observed_shares.py
@@ -10,6 +10,8 @@
 from collections import deque
 from typing import NamedTuple
 
+from cowslipcourse.group_plans.balance import MIN_DONOR_DOMAINS
+
 __all__ = ["ModelLoad", "ObservedWork", "choose_shares", "utilisations"]
 
 WINDOW_S = 8.0
@@ -159,7 +161,7 @@
     if used[busiest] < MIN_UTILISATION_RATIO * min(used.values()):
         return None
     present = _by_share(shares, engines)
-    floors = _floors(loads, models, engines, present)
+    floors = _floors(loads, models, engines)
     chosen = _proportional(demands, floors, engines)
     if chosen[busiest] - present[busiest] < max(model.size for model in models):
         return None
@@ -171,27 +173,21 @@
     return {name: share / total * engines for name, share in shares.items()}
 
 
-def _floors(loads, models, engines, present):
+def _floors(loads, models, engines):
     """Return the engines that each model keeps.
 
-    They are half of its declared groups, and as many groups as no two domains hold: as
-    long as it has these, some group of it survives the loss of any two domains.
+    They are half of its declared groups, and a group in each of as many domains as it
+    takes for one to survive the loss of any two.
     """
     declared = _by_share({model.name: model.share for model in models}, engines)
     floors = {}
     for model in models:
         half = math.ceil(FLOOR_RATIO * declared[model.name] / model.size) * model.size
-        surviving = (_groups_of_two_domains(loads[model.name]) + 1) * model.size
-        floors[model.name] = max(half, min(surviving, present[model.name]))
+        domain_count = min(len(set(loads[model.name].domains)), MIN_DONOR_DOMAINS)
+        floors[model.name] = max(half, domain_count * model.size)
     return floors
 
 
-def _groups_of_two_domains(load):
-    """Return the most groups that the loss of two domains costs."""
-    counts = sorted(load.domains.count(domain) for domain in set(load.domains))
-    return sum(counts[-2:])
-
-
 def _proportional(demands, floors, engines):
     """Return engines by model in proportion to demands, but none below its floor."""
     chosen = dict(floors)
