--- a/features/model_shares/moves.feature
+++ b/features/model_shares/moves.feature
@@ -29,3 +29,11 @@
     Then small has 14 groups at the end and large 5
     And no engine was in two groups
     And no engine is idle at the end
+
+  Scenario: A domain that serves two models leaves no engine idle
+    A domain of 18 engines holds two groups of 8; its other two engines are too few for a third.
+    Given shares of the engines follow the observed work
+    And 4 domains of 18 engines and models of 8 and 2 engines
+    When small fills its groups for 25 s
+    Then one domain has 1 group of large and 5 of small
+    And no group moved back
--- a/features/steps/share_move_steps.py
+++ b/features/steps/share_move_steps.py
@@ -1,9 +1,12 @@
 """Steps for moves of engines between models by observed work."""
 
+from collections import Counter
+
 from behave import given, then, when
 
 from cowslipcourse.emulator import run_in_virtual_time
-from features.support.share_move_runs import FORMATION_S, ShareMoveRun
+from features.support.share_move_runs import FORMATION_S, MoveSite, ShareMoveRun
+from features.support.share_runs import service_spec
 
 
 @given("shares of the engines follow the observed work")
@@ -23,10 +26,25 @@
         setting,
         getattr(context, "quiet_s", FORMATION_S),
         getattr(context, "loads_take_time", False),
+        getattr(context, "move_site", None),
     )
     run_in_virtual_time(context.run.run(seconds, has_takeover))
 
 
+@given("{domains:d} domains of {engines:d} engines and models of 8 and 2 engines")
+def step_site(context, domains, engines):
+    context.move_site = MoveSite(domains, engines, service_spec().models)
+
+
+@then("one domain has {large:d} group of large and {small:d} of small")
+def step_mixed_domain(context, large, small):
+    engines = context.run.world.engines.values()
+    heads = [engine for engine in engines if engine.is_open_head]
+    counts = Counter((head.domain, head.membership.model) for head in heads)
+    found = {(counts[d, "large"], counts[d, "small"]) for d, _ in counts}
+    assert (large, small) in found, counts
+
+
 @when("small fills its groups for {seconds:d} s")
 def step_fill(context, seconds):
     _run(context, seconds)
--- a/features/support/share_move_runs.py
+++ b/features/support/share_move_runs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import NamedTuple
 
 from cowslipcourse.emulator import Faults, SingleCoordinatorScope, World
 from cowslipcourse.entry.coordinator import Coordinator
@@ -9,13 +10,12 @@
 from cowslipcourse.entry.plan_table import GROUPS_TABLE
 from cowslipcourse.entry.settings import ControlSettings
 from cowslipcourse.group_plans import decode_plan
+from cowslipcourse.routes import CallerLimits, RouteTable
 from features.support.coordinator_runs import CoordinatorContext, update_target_list
-from features.support.engine_world import MODELS, SERVICE, STALL_S
+from features.support.engine_world import MODELS, SERVICE, STALL_S, route_table
 
-__all__ = ["FORMATION_S", "ShareMoveRun"]
+__all__ = ["FORMATION_S", "MoveSite", "ShareMoveRun"]
 
-DOMAINS = tuple(f"d{number}" for number in range(1, 7))
-ENGINES_PER_DOMAIN = 8
 SLOTS = 13
 LIGHT_LOADS = {"large": 3, "small": 4}
 HEAVY_LOADS = {"large": 3, "small": 13}
@@ -25,6 +25,26 @@
 TAKEOVER_S = 1.0
 
 
+class MoveSite(NamedTuple):
+    """Engines and models of a run.
+
+    :param domain_count: number of domains.
+    :param engines_per_domain: engines in each.
+    :param models: :class:`~cowslipcourse.routes.EngineModel` tuple.
+    """
+
+    domain_count: int = 6
+    engines_per_domain: int = 8
+    models: tuple = MODELS
+
+    @property
+    def table(self):
+        """The configuration, a :class:`~cowslipcourse.routes.RouteTable`."""
+        table = route_table()
+        spec = table.services[SERVICE]._replace(models=self.models)
+        return RouteTable(1, (), (spec,), CallerLimits(), {})
+
+
 class _CountingWorld(World):
     """Counts the calls of the store by table."""
 
@@ -47,9 +67,11 @@
     :param shares: see :class:`~cowslipcourse.entry.settings.ControlSettings`
     :param quiet_s: seconds of light work before a model's groups are full.
     :param loads_take_time: see :class:`~cowslipcourse.emulator.World`
+    :param site: :class:`MoveSite`; its defaults if omitted.
     """
 
-    def __init__(self, shares, quiet_s=FORMATION_S, loads_take_time=False):
+    def __init__(self, shares, quiet_s=FORMATION_S, loads_take_time=False, site=None):
+        self._site = site or MoveSite()
         self._loads_take_time = loads_take_time
         self._settings = ControlSettings(stall_s=STALL_S, shares=shares)
         self._quiet_s = quiet_s
@@ -64,13 +86,13 @@
         self.world = _CountingWorld(
             random.Random(1),
             no_faults,
-            MODELS,
+            self._site.models,
             remembers_models=True,
             loads_take_time=self._loads_take_time,
         )
-        for domain in DOMAINS:
-            for _ in range(ENGINES_PER_DOMAIN):
-                self.world.add_engine(domain)
+        for number in range(self._site.domain_count):
+            for _ in range(self._site.engines_per_domain):
+                self.world.add_engine(f"d{number + 1}")
         self._started_at = asyncio.get_running_loop().time()
         coroutines = [self.world.run(), self._observe()]
         for number in range(2):
@@ -87,6 +109,7 @@
 
     def _coordinator_coroutines(self, number):
         context = CoordinatorContext()
+        context.table = self._site.table
         coordinator = Coordinator(
             context,
             self.world,
