Daemons leave out targets of evacuated data centres

Operators ask for an evacuation by a row beside the configuration, which nobody read: requests went on to the targets there for as long as it lasted. The set of evacuated data centres is read with the configuration, spread in a datagram of its own (older builds refuse longer arrays of the known ones) and with the state that daemons read from peers, and applied when targets are chosen and immediately before each send. Groups there stay planned but count as no capacity.

--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -230,7 +230,7 @@
         plan = self._plan_table.plan(domain)
         views = engine_views(plan, observed_domain, self.settings.stall_s, now)
         sizes = {model.name: model.size for model in spec.models}
-        demands = model_demands(spec.models, self._plan_table.plans.values())
+        demands = model_demands(spec.models, self._group_balancer.usable_plans.values())
         broken = broken_groups(plan, observed_domain)
         changes = self._group_balancer.changes_to_begin(domain, now)
         groups = revise_plan(plan, views, sizes, demands, assignment, broken, changes)
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -14,6 +14,8 @@
 from cowslipcourse.entry.context import DaemonContext
 from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.daemon_registration import DaemonRegistrar
+from cowslipcourse.entry.evacuation_exchange import EvacuationExchange
+from cowslipcourse.entry.evacuations import Evacuations
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.forwarder import Forwarder
 from cowslipcourse.entry.group_counts import GroupCountMonitor
@@ -73,7 +75,8 @@
     def _build(self):
         settings = self._settings
         rng = random.Random()
-        self._fleet = FleetView()
+        evacuations = Evacuations(rng)
+        self._fleet = FleetView(evacuations)
         self._metrics = EntryMetrics()
         logging.getLogger().addHandler(self._metrics.event_counter())
         self._store = HttpRowStore(settings.store)
@@ -83,6 +86,7 @@
         self._registry = PeerRegistry(settings.peers, settings.data_centre)
         self._fleet.set_peers_in_flight(self._registry.in_flight)
         self._peer_link = PeerLink(settings, self._registry, self)
+        self.evacuation_exchange = EvacuationExchange(evacuations, self._peer_link, rng)
         prober = ListedTargetProber(self._fleet, self._control, self._health_path)
         self.rate_limiter = RateLimiter(self._peer_link, prober, rng)
         self._conditions = TargetConditions(self.rate_limiter, self._fleet)
@@ -104,7 +108,9 @@
         self._registrar = DaemonRegistrar(
             settings, self._store, self._on_registrations, rng
         )
-        self.replica = StateReplica(settings, self._store, self._registry, rng, self)
+        self.replica = StateReplica(
+            settings, self._store, self._registry, rng, self, evacuations
+        )
         self._roles = RoleAssignment(
             settings, self._registry, self._registrar, self.replica, self
         )
@@ -141,6 +147,7 @@
             self._context.silence_detector.run(),
             self.quarantine.run(),
             self.rate_limiter.run(),
+            self.evacuation_exchange.run(),
             self._coordinator.run(),
             self._registrar.run(),
             self._roles.run(),
@@ -314,6 +321,7 @@
             self._metrics.set_limited_counts(self._conditions.limited_counts())
             self._metrics.set_paused_counts(self._conditions.paused_counts())
             self._metrics.set_leaving_counts(self._fleet.leaving_counts())
+            self._metrics.set_evacuated(self._fleet.evacuations.data_centres)
             self._metrics.set_withheld_counts(self._context.withheld_counts)
             self._check_store_era()
 
--- a/cowslipcourse/entry/engine_reassignment.py
+++ b/cowslipcourse/entry/engine_reassignment.py
@@ -43,6 +43,24 @@
         self._serving_at_last_read = {}
         self._standby_models = {}
 
+    @property
+    def usable_plans(self):
+        """Plans by domain, without those of evacuated data centres.
+
+        Their groups remain, but get no requests: they do not count as capacity.
+        """
+        return {
+            name: plan
+            for name, plan in self._plan_table.plans.items()
+            if not self._is_evacuated(name)
+        }
+
+    def _is_evacuated(self, domain):
+        observed = self._domains.by_name.get(domain)
+        return observed is not None and self._context.fleet.evacuations.is_evacuated(
+            observed.data_centre
+        )
+
     async def rebalance(self, spec, owned_domains, now):
         """Choose reassignments and standby groups anew if their intervals have passed.
 
@@ -68,14 +86,14 @@
             self._standby_chosen_at = now
             data_centres = {n: d.data_centre for n, d in self._domains.by_name.items()}
             self._standby_models = choose_standby(
-                self._plan_table.plans,
+                self.usable_plans,
                 data_centres,
                 spec.models,
                 self._staged_member_count,
             )
 
     def _choose_changes(self, spec, now):
-        plans = self._plan_table.plans
+        plans = self.usable_plans
         chosen = choose_reassignments(
             plans, spec.models, self._has_all_members, self._staged_member_count
         )
@@ -155,6 +173,8 @@
             is_forming = self._domains.time_since_growth_s(name, now) < FORMING_WINDOW_S
             if not is_forming or not self._plan_table.is_readable(name):
                 continue
+            if self._is_evacuated(name):
+                continue
             groups = self._plan_table.plan(name).groups
             unassigned = sum(
                 engine.is_live and engine.membership is None
@@ -179,7 +199,7 @@
         )
 
     def _log_changes(self, spec, now):
-        counts = group_counts(self._plan_table.plans.values(), spec.models)
+        counts = group_counts(self.usable_plans.values(), spec.models)
         for change in self._changes:
             log.info(
                 "change-over-chosen",
--- a/cowslipcourse/entry/fleet_view.py
+++ b/cowslipcourse/entry/fleet_view.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from cowslipcourse.entry.evacuations import Evacuations
 from cowslipcourse.entry.group_heads import GroupHeads
 from cowslipcourse.load_balancing import Candidate
 
@@ -29,9 +30,12 @@
     A silent target is avoided until its suspicion expires or its group changes. The
     duration doubles with each suspicion, because a slow target resumes sending events,
     but late.
+
+    :param evacuations: :class:`~cowslipcourse.entry.evacuations.Evacuations`
     """
 
-    def __init__(self):
+    def __init__(self, evacuations=None):
+        self.evacuations = evacuations or Evacuations()
         self._entries = {}
         self._in_flight = {}
         self._peers_in_flight = {}
@@ -180,7 +184,12 @@
             for entry in self._entries.values()
             if entry.service == service and not entry.is_leaving
         ]
-        return self._without_suspects(candidates, now)
+        return self._permitted(candidates, now)
+
+    def _permitted(self, candidates, now):
+        """Return the candidates that a request may be sent to."""
+        permitted = self.evacuations.filter(candidates, now)
+        return self._without_suspects(permitted, now)
 
     def _without_suspects(self, candidates, now):
         """Return the candidates that are not suspected, or all if every one is."""
@@ -195,4 +204,4 @@
             Candidate(entry, self.load(entry.id), slots)
             for entry in self._heads.serving_heads(service, model, now)
         ]
-        return self._without_suspects(candidates, now)
+        return self._permitted(candidates, now)
--- a/cowslipcourse/entry/internal_apps.py
+++ b/cowslipcourse/entry/internal_apps.py
@@ -22,18 +22,23 @@
     """Return the application from which peers read configuration and targets.
 
     :param encoded_state: callable that takes the versions of configuration and targets
-        that the peer has, and returns the newer state as bytes.
+        that the peer has, and that of its evacuated data centres or ``None`` if it has
+        not asked for them, and returns the newer state as bytes.
     """
 
     def answer_state(query):
         try:
             configuration_version = int(query.get("configuration", 0))
             targets_version = int(query.get("targets", 0))
+            evacuations = query.get("evacuations")
+            evacuations_version = None if evacuations is None else int(evacuations)
         except ValueError:
             return BufferedResponse(
                 b"versions are numbers", BAD_REQUEST, media_type="text/plain"
             )
-        content = encoded_state(configuration_version, targets_version)
+        content = encoded_state(
+            configuration_version, targets_version, evacuations_version
+        )
         return BufferedResponse(content, media_type="application/msgpack")
 
     return single_path_app("/state", answer_state)
--- a/cowslipcourse/entry/peer_link.py
+++ b/cowslipcourse/entry/peer_link.py
@@ -7,6 +7,7 @@
 from cowslipcourse.peer_protocol import (
     CrashReports,
     DigestWriter,
+    EvacuatedSet,
     GroupUpdate,
     Heartbeat,
     LimitUpdate,
@@ -45,7 +46,7 @@
     :param registry: :class:`~cowslipcourse.peer_protocol.PeerRegistry`
     :param daemon: has ``heartbeat()``, ``heartbeat_interval_s()``,
         ``investigate_suspects(message)``, ``apply_group_update(update)``, ``replica``,
-        ``quarantine`` and ``rate_limiter``.
+        ``quarantine``, ``rate_limiter`` and ``evacuation_exchange``.
     """
 
     def __init__(self, settings, registry, daemon):
@@ -149,6 +150,10 @@
         """Whether this daemon has lost most daemons of its data centre."""
         return self._registry.is_isolated(asyncio.get_running_loop().time())
 
+    def local_addresses(self):
+        """Return the known addresses of daemons of this data centre."""
+        return self._registry.local_addresses(asyncio.get_running_loop().time())
+
     def all_addresses(self):
         """Return the addresses of all other known daemons."""
         return self._registry.all_addresses(asyncio.get_running_loop().time())
@@ -203,6 +208,8 @@
             self._daemon.quarantine.handle_message(message)
         elif isinstance(message, LimitUpdate | PermitRequest | PermitResponse):
             self._daemon.rate_limiter.handle_message(message)
+        elif isinstance(message, EvacuatedSet):
+            self._daemon.evacuation_exchange.handle_message(message)
         elif isinstance(message, Heartbeat):
             if message.member.name != self._settings.name:
                 self._handle_heartbeat(message, now)
@@ -223,6 +230,7 @@
             own_heartbeat = self._daemon.heartbeat()
             self._send(encode(own_heartbeat), [heartbeat.member.peer_address])
             self._daemon.rate_limiter.send_all_limits(heartbeat.member.peer_address)
+            self._daemon.evacuation_exchange.greet(heartbeat.member.peer_address)
         self._daemon.investigate_suspects(heartbeat)
 
     def _relay_digest(self, content, digest, now):
--- a/cowslipcourse/entry/peer_reads.py
+++ b/cowslipcourse/entry/peer_reads.py
@@ -89,19 +89,23 @@
         return wanted_version if now - missed_since >= PUSH_GRACE_S else None
 
 
-async def read_state(session, address, configuration_version, targets_version):
+async def read_state(
+    session, address, configuration_version, targets_version, evacuations_version
+):
     """Return the :class:`~cowslipcourse.peer_protocol.PeerState` of a peer.
 
     :param session: :class:`aiohttp.ClientSession`
     :param address: ``ip:port`` of the peer.
     :param configuration_version: known version of the configuration.
     :param targets_version: known store version of the targets.
+    :param evacuations_version: known store version of the evacuated data centres.
     :raises PeerUnreachable: if no successful answer arrives in time.
     :raises MalformedResponse: if the answer cannot be decoded.
     """
     known = {
         "configuration": str(configuration_version),
         "targets": str(targets_version),
+        "evacuations": str(evacuations_version),
     }
     timeout = aiohttp.ClientTimeout(total=PEER_TIMEOUT_S)
     try:
--- a/cowslipcourse/entry/prometheus_metrics.py
+++ b/cowslipcourse/entry/prometheus_metrics.py
@@ -85,6 +85,12 @@
             ["service"],
             registry=self._registry,
         )
+        self._evacuated = Gauge(
+            "cowslip_evacuated_data_centres",
+            "Whether a data centre is evacuated; only those that are",
+            ["data_centre"],
+            registry=self._registry,
+        )
         self._paused_targets = Gauge(
             "cowslip_paused_targets",
             "Targets that have asked for a pause, by service",
@@ -151,6 +157,15 @@
         """
         _set_by_service(self._leaving_targets, counts)
 
+    def set_evacuated(self, data_centres):
+        """Set the gauge of evacuated data centres.
+
+        :param data_centres: their names.
+        """
+        self._evacuated.clear()
+        for data_centre in data_centres:
+            self._evacuated.labels(data_centre).set(1)
+
     def event_counter(self):
         """Return a log handler that counts log records by event."""
         return _EventCounter(self._events)
--- a/cowslipcourse/entry/state_replica.py
+++ b/cowslipcourse/entry/state_replica.py
@@ -10,6 +10,7 @@
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.entry.change_history import ChangeHistory
+from cowslipcourse.entry.evacuations import Evacuations
 from cowslipcourse.entry.peer_reads import PeerReadPolicy, read_state
 from cowslipcourse.entry.table_follower import TableFollower
 from cowslipcourse.entry.target_list import TargetList
@@ -25,12 +26,13 @@
     split_changes,
 )
 from cowslipcourse.platform import decode_configuration
+from cowslipcourse.platform.evacuations import apply_evacuation_rows
 from cowslipcourse.platform.store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
     TARGETS_TABLE,
 )
-from cowslipcourse.ports import era_of
+from cowslipcourse.ports import era_of, pack_version
 
 __all__ = ["StateReplica"]
 
@@ -39,6 +41,9 @@
 REMOVAL_HOLD_S = 1.5
 """Time for which an entry removed soon after an outage is kept: it may have lapsed and
 return. A target must get no new request 2 s after the removal of its entry."""
+RESTORED_HOLD_S = 5.0
+"""Time for which an evacuation that a restored store has lost goes on, so that its
+operator can ask for it again before requests return."""
 CHECK_INTERVAL_S = 0.1
 """Interval of checks for due removals and for a need to read a peer."""
 MAX_CACHED_STATES = 8
@@ -60,9 +65,11 @@
     :param rng: :class:`random.Random` that spreads reads over peers.
     :param listener: has ``apply_configuration(table)``,
         ``apply_targets(entries, gone)`` and ``push_changes(TargetChanges)``.
+    :param evacuations: :class:`~cowslipcourse.entry.evacuations.Evacuations`
     """
 
-    def __init__(self, settings, store, registry, rng, listener):
+    def __init__(self, settings, store, registry, rng, listener, evacuations=None):
+        self.evacuations = evacuations or Evacuations()
         self._read_policy = PeerReadPolicy(registry, rng)
         self._listener = listener
         self._configuration_content = None
@@ -81,8 +88,8 @@
             store,
             settings.store,
             CONFIGURATION_TABLE,
-            self._on_configuration_rows,
-            lambda known_version, changes: self._on_configuration_rows(changes),
+            self._on_operator_snapshot,
+            self._on_operator_changes,
             0.0,
         )
         self._target_follower = TableFollower(
@@ -130,22 +137,30 @@
             self._reread_after_recovery(),
         )
 
-    def encoded_state(self, known_configuration, known_targets):
+    def encoded_state(self, known_configuration, known_targets, known_evacuations=None):
         """Return the encoded state for a peer, without what the peer already has.
 
         :param known_configuration: version of the configuration that the peer has.
         :param known_targets: store version of the targets that the peer has.
+        :param known_evacuations: store version of the evacuated data centres that the
+            peer has; ``None`` if it does not ask for them.
         """
+        has_evacuated = (
+            known_evacuations is not None
+            and self.evacuations.version > known_evacuations
+        )
         has_newer = self.configuration_version > known_configuration
         configuration = self.configuration_version if has_newer else None
         base_version = min(known_targets, self.targets_version)
-        key = configuration, base_version, self.targets_version
+        evacuations = self.evacuations.version if has_evacuated else None
+        key = configuration, base_version, self.targets_version, evacuations
         if key not in self._cached_states:
             if len(self._cached_states) >= MAX_CACHED_STATES:
                 del self._cached_states[next(iter(self._cached_states))]
-            self._cached_states[key] = encode_state(
-                self._build_state(has_newer, base_version)
-            )
+            state = self._build_state(has_newer, base_version)
+            if has_evacuated:
+                state = state._replace(evacuated=self.evacuations.message())
+            self._cached_states[key] = encode_state(state)
         return self._cached_states[key]
 
     def _build_state(self, has_newer, base_version):
@@ -162,6 +177,31 @@
 
     # From the store.
 
+    def _on_operator_snapshot(self, snapshot):
+        """Apply all rows of the operators; what they evacuate comes first.
+
+        A store restored to an older state may have lost rows: what it evacuated before
+        goes on until it is read again.
+        """
+        listed = apply_evacuation_rows(snapshot.rows)
+        known = self.evacuations
+        era = era_of(snapshot.version)
+        if known.data_centres - listed and era > era_of(known.version):
+            known.learn(pack_version(era, 0), listed | known.data_centres)
+            log.warning("evacuations-held", data_centres=",".join(known.data_centres))
+            asyncio.get_running_loop().call_later(
+                RESTORED_HOLD_S, self._configuration_follower.request_full_read
+            )
+        else:
+            known.learn(snapshot.version, listed)
+        self._on_configuration_rows(snapshot)
+
+    def _on_operator_changes(self, known_version, changes):
+        evacuated = apply_evacuation_rows(changes.rows, self.evacuations.data_centres)
+        if evacuated != self.evacuations.data_centres:
+            self.evacuations.learn(changes.version, evacuated)
+        self._on_configuration_rows(changes)
+
     def _on_configuration_rows(self, changes):
         for row in changes.rows:
             if row.key == CONFIGURATION_KEY and not row.deleted:
@@ -325,7 +365,11 @@
         if self._session is None:
             self._session = aiohttp.ClientSession()
         for member in members[:MAX_SOURCES_PER_READ]:
-            known = self.configuration_version, self._needed_after_version()
+            known = (
+                self.configuration_version,
+                self._needed_after_version(),
+                self.evacuations.version,
+            )
             try:
                 state = await read_state(self._session, member.peer_address, *known)
                 self._apply_peer_state(state)
@@ -336,6 +380,8 @@
         return False
 
     def _apply_peer_state(self, state):
+        if state.evacuated is not None:
+            self.evacuations.learn_message(state.evacuated)
         if state.configuration is not None:
             self._apply_configuration(state.configuration)
         version = state.targets_version
--- a/cowslipcourse/entry/target_conditions.py
+++ b/cowslipcourse/entry/target_conditions.py
@@ -134,6 +134,7 @@
         :param entry: :class:`~cowslipcourse.ports.TargetEntry`
         :raises TargetWithheld: the target accepts no request from here now.
         """
+        self._check_evacuated(entry)
         self._check_leaving(entry)
         self._check_pause(entry)
         return await self.rate_limiter.acquire(entry)
@@ -146,10 +147,15 @@
         :raises TargetWithheld: the target accepts no request from here now.
         """
         self.rate_limiter.verify(entry, permit)
+        self._check_evacuated(entry)
         self._check_leaving(entry)
         self._check_pause(entry)
         self._pauses.begin_trial(_instance(entry), _now())
 
+    def _check_evacuated(self, entry):
+        if self._fleet.evacuations.is_evacuated(entry.data_centre):
+            raise TargetWithheld("evacuated", float("inf"))
+
     def _check_leaving(self, entry):
         if self._fleet.is_leaving(entry):
             raise TargetWithheld("leaving", float("inf"))
--- a/cowslipcourse/peer_protocol/__init__.py
+++ b/cowslipcourse/peer_protocol/__init__.py
@@ -5,6 +5,7 @@
 from cowslipcourse.peer_protocol.messages import (
     CrashReports,
     Digest,
+    EvacuatedSet,
     GroupUpdate,
     Heartbeat,
     LimitUpdate,
@@ -31,6 +32,7 @@
     "CrashReports",
     "Digest",
     "DigestWriter",
+    "EvacuatedSet",
     "GroupUpdate",
     "Heartbeat",
     "LimitUpdate",
--- a/cowslipcourse/peer_protocol/messages.py
+++ b/cowslipcourse/peer_protocol/messages.py
@@ -13,6 +13,7 @@
 __all__ = [
     "CrashReports",
     "Digest",
+    "EvacuatedSet",
     "GroupUpdate",
     "Heartbeat",
     "LimitUpdate",
@@ -179,6 +180,19 @@
     fingerprint: bytes
 
 
+class EvacuatedSet(NamedTuple):
+    """The evacuated data centres, for other daemons.
+
+    :param version: store version at which they were read.
+    :param data_centres: their names.
+    :param age_s: seconds since a daemon has read them from the store.
+    """
+
+    version: _Count
+    data_centres: tuple[str, ...]
+    age_s: _Duration
+
+
 class StatedLimit(NamedTuple):
     """Rate limit that a target has stated, as a part of other messages.
 
@@ -239,6 +253,7 @@
     b"A": PermitResponse,
     b"C": CrashReports,
     b"D": Digest,
+    b"E": EvacuatedSet,
     b"G": GroupUpdate,
     b"H": Heartbeat,
     b"L": LimitUpdate,
--- a/cowslipcourse/peer_protocol/state.py
+++ b/cowslipcourse/peer_protocol/state.py
@@ -6,6 +6,7 @@
 
 from cowslipcourse.decoding import decode_untrusted
 from cowslipcourse.peer_protocol.compression import pack, unpack
+from cowslipcourse.peer_protocol.messages import EvacuatedSet
 
 __all__ = ["PeerState", "decode_state", "encode_state"]
 
@@ -23,6 +24,8 @@
     :param base_version: store version since which the entries in ``targets`` have
         changed; ``None`` if they are the whole target list.
     :param gone: ids of entries removed since ``base_version``.
+    :param evacuated: the evacuated data centres, or ``None`` if the reader's are as new
+        or it has not asked for them.
     """
 
     configuration: bytes | None
@@ -30,14 +33,20 @@
     targets: dict[str, bytes]
     base_version: _Version | None = None
     gone: tuple[str, ...] = ()
+    evacuated: EvacuatedSet | None = None
 
 
 _decoder = msgspec.msgpack.Decoder(PeerState)
 
 
 def encode_state(state):
-    """Return the bytes of a :class:`PeerState`."""
-    return pack(msgspec.msgpack.encode(state))
+    """Return the bytes of a :class:`PeerState`.
+
+    Readers of an earlier build refuse a longer array, so that ``evacuated`` is left out
+    if they have not asked for it.
+    """
+    fields = state[:-1] if state.evacuated is None else state
+    return pack(msgspec.msgpack.encode(fields))
 
 
 def decode_state(content):
--- a/features/support/daemon_network.py
+++ b/features/support/daemon_network.py
@@ -5,6 +5,8 @@
 from typing import NamedTuple
 
 from cowslipcourse.entry.daemon_registration import DaemonRegistrar
+from cowslipcourse.entry.evacuation_exchange import EvacuationExchange
+from cowslipcourse.entry.evacuations import Evacuations
 from cowslipcourse.entry.peer_link import PeerLink
 from cowslipcourse.entry.roles import RoleAssignment
 from cowslipcourse.entry.settings import EntrySettings
@@ -124,6 +126,8 @@
         self.link._transport = self
         rng = random.Random(f"limits-{number}")
         self.rate_limiter = RateLimiter(self.link, None, rng)
+        self.evacuations = Evacuations(random.Random(f"returns-{number}"))
+        self.evacuation_exchange = EvacuationExchange(self.evacuations, self.link, rng)
 
     def heartbeat(self):
         """Return the daemon's next heartbeat."""
