Limit requests to cold targets by permits, as for targets that state a limit

A service's declaration of what a cold target tolerates was decoded but not used: 8 daemons with a demand of 4 times 5 per s sent a cold target 36 requests in one second, where 12.5 are tolerated. A cold target now counts as limited until the time that its list entry tells has passed; every daemon, the issuer included, derives that itself, and an issuer that does not know it yet limits what it is asked for.

--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -39,6 +39,7 @@
 from cowslipcourse.quarantine import VerdictStore
 from cowslipcourse.quarantine_runtime import Quarantine, TargetExitDetector
 from cowslipcourse.rate_limit_runtime import RateLimiter
+from cowslipcourse.rate_limits import ColdTargets
 
 __all__ = ["EntryDaemon"]
 
@@ -88,7 +89,8 @@
         self._peer_link = PeerLink(settings, self._registry, self)
         self.evacuation_exchange = EvacuationExchange(evacuations, self._peer_link, rng)
         prober = ListedTargetProber(self._fleet, self._control, self._health_path)
-        self.rate_limiter = RateLimiter(self._peer_link, prober, rng)
+        cold_targets = ColdTargets(self._cold_requests_per_s)
+        self.rate_limiter = RateLimiter(self._peer_link, prober, rng, cold_targets)
         self._conditions = TargetConditions(self.rate_limiter, self._fleet)
         attempt_sender = AttemptSender(self._fleet, self._conditions)
         exit_detector = TargetExitDetector(self._fleet.is_expected)
@@ -209,6 +211,7 @@
 
     def apply_targets(self, entries, gone):
         """Apply changes to the list of targets."""
+        self.rate_limiter.apply_entries(entries)
         self._fleet.apply(entries, gone)
         self._coordinator.domains.update_entries(entries)
         self._coordinator.domains.mark_unlisted(gone)
@@ -282,10 +285,17 @@
             self._coordinator.investigate(target, epoch)
 
     def _health_path(self, service):
-        table = self._context.table
-        spec = None if table is None else table.services.get(service)
+        spec = self._service_spec(service)
         return "" if spec is None else spec.health_path
 
+    def _cold_requests_per_s(self, service):
+        spec = self._service_spec(service)
+        return 0.0 if spec is None else spec.cold_requests_per_s
+
+    def _service_spec(self, service):
+        table = self._context.table
+        return None if table is None else table.services.get(service)
+
     def _ready_addresses(self):
         now = asyncio.get_running_loop().time()
         ready = self._registry.ready_members(self._settings.name, now)
@@ -319,6 +329,7 @@
                 group_counter.count(self._context.table, self._fleet)
             )
             self._metrics.set_limited_counts(self._conditions.limited_counts())
+            self._metrics.set_cold_counts(self.rate_limiter.cold_counts())
             self._metrics.set_paused_counts(self._conditions.paused_counts())
             self._metrics.set_leaving_counts(self._fleet.leaving_counts())
             self._metrics.set_evacuated(self._fleet.evacuations.data_centres)
--- a/cowslipcourse/entry/prometheus_metrics.py
+++ b/cowslipcourse/entry/prometheus_metrics.py
@@ -91,6 +91,12 @@
             ["data_centre"],
             registry=self._registry,
         )
+        self._cold_targets = Gauge(
+            "cowslip_cold_targets",
+            "Cold targets of services that limit requests to them, by service",
+            ["service"],
+            registry=self._registry,
+        )
         self._paused_targets = Gauge(
             "cowslip_paused_targets",
             "Targets that have asked for a pause, by service",
@@ -135,6 +141,13 @@
         """
         _set_by_service(self._limited_targets, counts)
 
+    def set_cold_counts(self, counts):
+        """Set the gauge of cold targets that are limited.
+
+        :param counts: number of targets by service.
+        """
+        _set_by_service(self._cold_targets, counts)
+
     def set_paused_counts(self, counts):
         """Set the gauge of targets that have asked for a pause.
 
--- a/cowslipcourse/rate_limit_runtime/exchange.py
+++ b/cowslipcourse/rate_limit_runtime/exchange.py
@@ -8,7 +8,12 @@
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.peer_protocol import LimitUpdate, StatedLimit
-from cowslipcourse.rate_limits import KnownLimits, RateLimitStatement, TargetInstance
+from cowslipcourse.rate_limits import (
+    ColdTargets,
+    KnownLimits,
+    RateLimitStatement,
+    TargetInstance,
+)
 
 __all__ = ["LimitExchange"]
 
@@ -21,6 +26,8 @@
 MAX_REPEATED_LIMITS = 32
 """Limits in one repetition, 1 KB; the others follow in the next repetitions."""
 MAX_DATAGRAM_LIMITS = 64
+UNSTATED_AGE_S = 1e6
+"""Age of a statement that was never made, so that it replaces no other."""
 
 log = get_logger(__name__)
 
@@ -29,10 +36,12 @@
     """Newest statements of targets, as known here and sent to other daemons.
 
     :param peers: :class:`~cowslipcourse.rate_limit_runtime.LimiterPeers`
+    :param cold_targets: :class:`~cowslipcourse.rate_limits.ColdTargets`
     """
 
-    def __init__(self, peers):
+    def __init__(self, peers, cold_targets=None):
         self._peers = peers
+        self._cold_targets = cold_targets or ColdTargets()
         self._limits = KnownLimits()
         self._unsent_instances = set()
         self._sent_at = {}
@@ -44,6 +53,24 @@
         """The :class:`~cowslipcourse.rate_limits.KnownLimits`."""
         return self._limits
 
+    def limit_per_s(self, instance):
+        """Return the permits per second of a target, or ``None``.
+
+        It is the lower one of what the target states and what it tolerates while cold.
+        """
+        return _lower(
+            self._limits.get(instance), self._cold_targets.limit_per_s(instance, _now())
+        )
+
+    def requested_limit_per_s(self, instance, service):
+        """Return the permits per second of a target that a daemon asks permits for.
+
+        That daemon may know earlier than this one that the target is cold.
+        """
+        cold_per_s = self._cold_targets.service_limit_per_s(service)
+        limit_per_s = self.limit_per_s(instance)
+        return cold_per_s if limit_per_s is None else limit_per_s
+
     def observe(self, statement, source):
         """Apply a statement that a target has made to this daemon.
 
@@ -83,13 +110,18 @@
         )
         return True
 
-    def stated(self, instance):
+    def stated(self, instance, service=""):
         """Return what is known of a target as a part of a message.
 
-        :param instance: a target in :attr:`limits`.
+        :param instance: :class:`~cowslipcourse.rate_limits.TargetInstance`
+        :param service: its service, if the target may not be in :attr:`limits`.
         :returns: :class:`~cowslipcourse.peer_protocol.StatedLimit`
         """
         statement = self._limits.newest(instance)
+        if statement is None:
+            return StatedLimit(
+                instance.id, instance.incarnation, service, None, UNSTATED_AGE_S
+            )
         return StatedLimit(
             instance.id,
             instance.incarnation,
@@ -155,5 +187,11 @@
         self._sent_at = {i: at for i, at in self._sent_at.items() if i in known}
 
 
+def _lower(first_per_s, second_per_s):
+    """Return the lower one of two limits, each of which may be ``None``."""
+    limits = [each for each in (first_per_s, second_per_s) if each is not None]
+    return min(limits, default=None)
+
+
 def _now():
     return asyncio.get_running_loop().time()
--- a/cowslipcourse/rate_limit_runtime/issuing.py
+++ b/cowslipcourse/rate_limit_runtime/issuing.py
@@ -67,14 +67,15 @@
         """
         return self._directory.issuer(instance, data_centre)
 
-    def decide(self, instance, data_centre, daemon):
+    def decide(self, instance, service, data_centre, daemon):
         """Return the ``PermitDecision`` on the permit request of a daemon.
 
         :param instance: :class:`~cowslipcourse.rate_limits.TargetInstance`
+        :param service: service of the target.
         :param data_centre: data centre of the target.
         :param daemon: address of the daemon, which may be this one.
         """
-        limit_per_s = self._exchange.limits.get(instance)
+        limit_per_s = self._exchange.requested_limit_per_s(instance, service)
         if limit_per_s is None:
             return PermitDecision(True)
         now = _now()
--- a/cowslipcourse/rate_limit_runtime/limiter.py
+++ b/cowslipcourse/rate_limit_runtime/limiter.py
@@ -14,6 +14,7 @@
 from cowslipcourse.rate_limit_runtime.exchange import LimitExchange
 from cowslipcourse.rate_limit_runtime.issuing import UNASSIGNED_WAIT_S, IssuingDesk
 from cowslipcourse.rate_limits import (
+    ColdTargets,
     PermitDecision,
     RateLimitStatement,
     TargetInstance,
@@ -54,11 +55,11 @@
     """Time until which a target gets no requests from here.
 
     :param until: loop time.
-    :param reported_limit_per_s: limit to which that applies.
+    :param limits_per_s: reported limit, and that of a cold target, to which it applies.
     """
 
     until: float
-    reported_limit_per_s: float | None
+    limits_per_s: tuple
 
 
 class RateLimiter:
@@ -67,11 +68,13 @@
     :param peers: :class:`~cowslipcourse.rate_limit_runtime.LimiterPeers`
     :param prober: :class:`~cowslipcourse.rate_limit_runtime.LimitProber`
     :param rng: :class:`random.Random`
+    :param cold_targets: :class:`~cowslipcourse.rate_limits.ColdTargets`
     """
 
-    def __init__(self, peers, prober, rng):
+    def __init__(self, peers, prober, rng, cold_targets=None):
         self._peers = peers
-        self._exchange = LimitExchange(peers)
+        self._cold_targets = cold_targets or ColdTargets()
+        self._exchange = LimitExchange(peers, self._cold_targets)
         self._limits = self._exchange.limits
         self._desk = IssuingDesk(peers, self._exchange, prober, rng)
         self._withheld = {}
@@ -101,6 +104,28 @@
         """Return the number of limited targets by service."""
         return self._limits.limited_counts()
 
+    def cold_counts(self):
+        """Return the number of cold targets with a limit, by service."""
+        return self._cold_targets.counts(_now())
+
+    def apply_entries(self, entries):
+        """Follow from list entries which targets are cold.
+
+        :param entries: changed :class:`~cowslipcourse.ports.TargetEntry`
+        """
+        self._cold_targets.apply(entries, _now())
+        for entry in entries:
+            limit_per_s = self._cold_targets.limit_per_s(_instance(entry), _now())
+            if limit_per_s is not None:
+                log.info(
+                    "target-cold",
+                    target=entry.id,
+                    incarnation=entry.incarnation,
+                    service=entry.service,
+                    limit_per_s=limit_per_s,
+                    cold_left_s=entry.cold_left_s,
+                )
+
     def observe(self, entry, limit_per_s):
         """Record what a target states in a response.
 
@@ -122,12 +147,14 @@
         instance = _instance(entry)
         withheld = self._withheld.get(instance)
         # A changed limit may permit requests earlier than expected.
-        if withheld is None or withheld.reported_limit_per_s != self._limits.reported(
-            instance
-        ):
+        if withheld is None or withheld.limits_per_s != self._limits_per_s(instance):
             return float("-inf")
         return withheld.until
 
+    def _limits_per_s(self, instance):
+        cold_per_s = self._cold_targets.limit_per_s(instance, _now())
+        return self._limits.reported(instance), cold_per_s
+
     async def acquire(self, entry):
         """Return a :class:`Permit` for one request, or ``None`` if none is needed.
 
@@ -135,21 +162,21 @@
         :raises TargetWithheld: the target accepts no request from here now.
         """
         instance = _instance(entry)
-        if self._limits.get(instance) is None:
+        if self._exchange.limit_per_s(instance) is None:
             return None
         if _now() >= self.withheld_until(entry):
-            decision = await self._request_permit(instance, entry.data_centre)
+            decision = await self._request_permit(entry)
             if decision.is_granted:
                 return Permit(_now())
             until = _now() + max(decision.wait_s, MIN_WAIT_S)
-            reported_limit_per_s = self._limits.reported(instance)
-            self._withheld[instance] = _Withheld(until, reported_limit_per_s)
+            limits_per_s = self._limits_per_s(instance)
+            self._withheld[instance] = _Withheld(until, limits_per_s)
         raise TargetWithheld("rate limit", self.withheld_until(entry))
 
     def verify(self, entry, permit):
         """Check immediately before a request is sent that it may be sent.
 
-        The target may have stated a limit since :meth:`acquire`.
+        The target may have stated a limit, or become cold, since :meth:`acquire`.
 
         :param entry: :class:`~cowslipcourse.ports.TargetEntry`
         :param permit: :class:`Permit` or ``None``.
@@ -157,23 +184,24 @@
         """
         now = _now()
         if permit is None:
-            is_valid = self._limits.get(_instance(entry)) is None
+            is_valid = self._exchange.limit_per_s(_instance(entry)) is None
         else:
             is_valid = now - permit.issued_at <= PERMIT_VALID_S
         if not is_valid:
             raise TargetWithheld("no valid permit", now)
 
-    async def _request_permit(self, instance, data_centre):
+    async def _request_permit(self, entry):
         """Ask the issuer of a target; return its ``PermitDecision``."""
+        instance, data_centre = _instance(entry), entry.data_centre
         issuer = self._desk.issuer(instance, data_centre)
         if issuer is None:
             return PermitDecision(False, UNASSIGNED_WAIT_S)
         if issuer == self._peers.address:
-            return self._desk.decide(instance, data_centre, issuer)
+            return self._desk.decide(instance, entry.service, data_centre, issuer)
         number = next(self._request_numbers)
         response = asyncio.get_running_loop().create_future()
         self._pending[number] = response
-        stated = self._exchange.stated(instance)
+        stated = self._exchange.stated(instance, entry.service)
         request = PermitRequest(number, self._peers.address, data_centre, stated)
         self._peers.send(request, [issuer])
         try:
@@ -217,15 +245,19 @@
 
     def _answer(self, request):
         instance = TargetInstance(request.limit.target, request.limit.incarnation)
-        if self._limits.newest(instance) is None:
-            # It states no limit, so no permit is needed.
+        service = request.limit.service
+        is_unlimited = self._exchange.requested_limit_per_s(instance, service) is None
+        if is_unlimited and self._limits.newest(instance) is None:
+            # It states no limit and is not cold, so no permit is needed.
             return
-        decision = self._desk.decide(instance, request.data_centre, request.address)
+        decision = self._desk.decide(
+            instance, service, request.data_centre, request.address
+        )
         response = PermitResponse(
             request.number,
             decision.is_granted,
             decision.wait_s,
-            self._exchange.stated(instance),
+            self._exchange.stated(instance, service),
         )
         self._peers.send(response, [request.address])
 
@@ -243,9 +275,9 @@
             :class:`~cowslipcourse.rate_limits.TargetInstance`.
         """
         self._exchange.retain(instances)
-        known = self._limits.instances()
-        self._desk.retain(known)
-        self._withheld = {i: w for i, w in self._withheld.items() if i in known}
+        self._cold_targets.retain(instances, _now())
+        self._desk.retain(instances)
+        self._withheld = {i: w for i, w in self._withheld.items() if i in instances}
 
 
 def _instance(entry):
--- a/cowslipcourse/rate_limits/__init__.py
+++ b/cowslipcourse/rate_limits/__init__.py
@@ -1,5 +1,6 @@
 """Rate limits that targets state in their responses. Pure decisions."""
 
+from cowslipcourse.rate_limits.cold_targets import ColdTargets, cold_permit_rate
 from cowslipcourse.rate_limits.issuers import IssuerDirectory
 from cowslipcourse.rate_limits.known_limits import (
     KnownLimit,
@@ -10,6 +11,7 @@
 from cowslipcourse.rate_limits.permits import PermitDecision, PermitIssuer
 
 __all__ = [
+    "ColdTargets",
     "IssuerDirectory",
     "KnownLimit",
     "KnownLimits",
@@ -17,4 +19,5 @@
     "PermitIssuer",
     "RateLimitStatement",
     "TargetInstance",
+    "cold_permit_rate",
 ]
--- a/features/support/limit_network_runs.py
+++ b/features/support/limit_network_runs.py
@@ -28,6 +28,7 @@
 __all__ = [
     "LimitRun",
     "LimitScenario",
+    "LimitSimulation",
     "limit_violations",
     "random_scenario",
     "simulate_network",
@@ -122,7 +123,7 @@
         self.sent_bytes += self._daemon.sent_bytes - before
 
 
-class _Simulation:
+class LimitSimulation:
     def __init__(self, scenario, seed):
         self.scenario = scenario
         self.rng = random.Random(f"limits-{seed}")
@@ -370,7 +371,7 @@
 
 def simulate_network(scenario, seed):
     """Simulate a :class:`LimitScenario` and return the :class:`LimitRun`."""
-    simulation = _Simulation(scenario, seed)
+    simulation = LimitSimulation(scenario, seed)
     results = []
 
     async def simulate():
