--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -14,6 +14,8 @@
 from cowslipcourse.entry.context import DaemonContext
 from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.daemon_registration import DaemonRegistrar
+from cowslipcourse.entry.evacuation_exchange import EvacuationExchange
+from cowslipcourse.entry.evacuations import Evacuations
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.forwarder import Forwarder
 from cowslipcourse.entry.group_counts import GroupCountMonitor
@@ -37,6 +39,7 @@
 from cowslipcourse.quarantine import VerdictStore
 from cowslipcourse.quarantine_runtime import Quarantine, TargetExitDetector
 from cowslipcourse.rate_limit_runtime import RateLimiter
+from cowslipcourse.rate_limits import ColdTargets
 
 __all__ = ["EntryDaemon"]
 
@@ -73,7 +76,8 @@
     def _build(self):
         settings = self._settings
         rng = random.Random()
-        self._fleet = FleetView()
+        evacuations = Evacuations(rng)
+        self._fleet = FleetView(evacuations)
         self._metrics = EntryMetrics()
         logging.getLogger().addHandler(self._metrics.event_counter())
         self._store = HttpRowStore(settings.store)
@@ -83,8 +87,10 @@
         self._registry = PeerRegistry(settings.peers, settings.data_centre)
         self._fleet.set_peers_in_flight(self._registry.in_flight)
         self._peer_link = PeerLink(settings, self._registry, self)
+        self.evacuation_exchange = EvacuationExchange(evacuations, self._peer_link, rng)
         prober = ListedTargetProber(self._fleet, self._control, self._health_path)
-        self.rate_limiter = RateLimiter(self._peer_link, prober, rng)
+        cold_targets = ColdTargets(self._cold_requests_per_s)
+        self.rate_limiter = RateLimiter(self._peer_link, prober, rng, cold_targets)
         self._conditions = TargetConditions(self.rate_limiter, self._fleet)
         attempt_sender = AttemptSender(self._fleet, self._conditions)
         exit_detector = TargetExitDetector(self._fleet.is_expected)
@@ -104,7 +110,9 @@
         self._registrar = DaemonRegistrar(
             settings, self._store, self._on_registrations, rng
         )
-        self.replica = StateReplica(settings, self._store, self._registry, rng, self)
+        self.replica = StateReplica(
+            settings, self._store, self._registry, rng, self, evacuations
+        )
         self._roles = RoleAssignment(
             settings, self._registry, self._registrar, self.replica, self
         )
@@ -141,6 +149,7 @@
             self._context.silence_detector.run(),
             self.quarantine.run(),
             self.rate_limiter.run(),
+            self.evacuation_exchange.run(),
             self._coordinator.run(),
             self._coordinator.shares.run(),
             self._registrar.run(),
@@ -203,6 +212,7 @@
 
     def apply_targets(self, entries, gone):
         """Apply changes to the list of targets."""
+        self.rate_limiter.apply_entries(entries)
         self._fleet.apply(entries, gone)
         self._coordinator.domains.update_entries(entries)
         self._coordinator.domains.mark_unlisted(gone)
@@ -276,10 +286,17 @@
             self._coordinator.investigate(target, epoch)
 
     def _health_path(self, service):
-        table = self._context.table
-        spec = None if table is None else table.services.get(service)
+        spec = self._service_spec(service)
         return "" if spec is None else spec.health_path
 
+    def _cold_requests_per_s(self, service):
+        spec = self._service_spec(service)
+        return 0.0 if spec is None else spec.cold_requests_per_s
+
+    def _service_spec(self, service):
+        table = self._context.table
+        return None if table is None else table.services.get(service)
+
     def _ready_addresses(self):
         now = asyncio.get_running_loop().time()
         ready = self._registry.ready_members(self._settings.name, now)
@@ -313,9 +330,11 @@
                 group_counter.count(self._context.table, self._fleet)
             )
             self._metrics.set_limited_counts(self._conditions.limited_counts())
+            self._metrics.set_cold_counts(self.rate_limiter.cold_counts())
             self._metrics.set_paused_counts(self._conditions.paused_counts())
             self._metrics.set_leaving_counts(self._fleet.leaving_counts())
             self._metrics.set_model_shares(self._coordinator.shares.report())
+            self._metrics.set_evacuated(self._fleet.evacuations.data_centres)
             self._metrics.set_withheld_counts(self._context.withheld_counts)
             self._check_store_era()
 
