Serve before importing what the first requests do not need

After a power cut all daemons start at once, and a start is processor time for imports: 711 modules. The command line (cleo), uvicorn's command line, modules that only gateways use are not imported any more; coordinator, group plans and prometheus_client are imported in a thread once the daemon serves. In the event loop these held requests for 48 to 72 ms, in a thread for 10 to 30 ms (five runs each). Ruled out: defer_build of the settings (13 to 11 ms).

--- a/cowslipcourse/adapters/http_server.py
+++ b/cowslipcourse/adapters/http_server.py
@@ -4,8 +4,7 @@
 import socket
 from contextlib import aclosing
 
-import uvicorn
-
+from cowslipcourse.adapters.uvicorn_modules import Config, Server
 from cowslipcourse.exceptions import AddressTaken
 
 __all__ = ["StreamedResponse", "WebServer"]
@@ -24,7 +23,7 @@
     def __init__(self, app, address, backlog=2048, limit_concurrency=None):
         self._address = address
         self._backlog = backlog
-        config = uvicorn.Config(
+        config = Config(
             app,
             log_config=None,
             access_log=False,
@@ -39,7 +38,7 @@
             server_header=False,
             date_header=False,
         )
-        self._server = uvicorn.Server(config)
+        self._server = Server(config)
 
     @property
     def connections(self):
--- a/cowslipcourse/admission/__init__.py
+++ b/cowslipcourse/admission/__init__.py
@@ -5,13 +5,7 @@
     RetryBudget,
     SharedRetryBudget,
 )
-from cowslipcourse.admission.control import (
-    AdmissionControl,
-    AdmissionLimits,
-    CapacityView,
-    Priority,
-)
-from cowslipcourse.admission.shares import max_min_shares
+from cowslipcourse.lazy_exports import lazy_exports
 
 __all__ = [
     "MIN_DAEMON_COUNT",
@@ -23,3 +17,15 @@
     "SharedRetryBudget",
     "max_min_shares",
 ]
+
+# Only gateways use these.
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "AdmissionControl": "control",
+        "AdmissionLimits": "control",
+        "CapacityView": "control",
+        "Priority": "control",
+        "max_min_shares": "shares",
+    },
+)
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -12,20 +12,21 @@
 from cowslipcourse.entry.attempts import AttemptSender
 from cowslipcourse.entry.caller_app import FrontApp
 from cowslipcourse.entry.context import DaemonContext
-from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.daemon_registration import DaemonRegistrar
+from cowslipcourse.entry.deferred_metrics import DeferredMetrics
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.forwarder import Forwarder
 from cowslipcourse.entry.group_counts import GroupCountMonitor
 from cowslipcourse.entry.internal_apps import metrics_app, peer_app
+from cowslipcourse.entry.late_imports import import_late_modules
 from cowslipcourse.entry.limit_prober import ListedTargetProber
 from cowslipcourse.entry.peer_link import PeerLink
-from cowslipcourse.entry.prometheus_metrics import EntryMetrics
 from cowslipcourse.entry.roles import RoleAssignment
 from cowslipcourse.entry.settings_reload import SettingsWatcher
 from cowslipcourse.entry.silence_detector import SilenceDetector
 from cowslipcourse.entry.state_replica import StateReplica
 from cowslipcourse.entry.target_conditions import TargetConditions
+from cowslipcourse.entry.unloaded_coordinator import UnloadedCoordinator
 from cowslipcourse.peer_protocol import Heartbeat, Member, PeerRegistry
 from cowslipcourse.platform import (
     HttpEngineControl,
@@ -74,8 +75,8 @@
         settings = self._settings
         rng = random.Random()
         self._fleet = FleetView()
-        self._metrics = EntryMetrics()
-        logging.getLogger().addHandler(self._metrics.event_counter())
+        self._deferred_metrics = DeferredMetrics()
+        logging.getLogger().addHandler(self._deferred_metrics.event_counter())
         self._store = HttpRowStore(settings.store)
         self._control = HttpEngineControl(settings.control)
         retry_budget = SharedRetryBudget(settings.retries)
@@ -100,7 +101,9 @@
             self.quarantine,
             rng,
         )
-        self._front = FrontApp(self._context, Forwarder(self._context), self._metrics)
+        self._front = FrontApp(
+            self._context, Forwarder(self._context), self._deferred_metrics
+        )
         self._registrar = DaemonRegistrar(
             settings, self._store, self._on_registrations, rng
         )
@@ -108,14 +111,25 @@
         self._roles = RoleAssignment(
             settings, self._registry, self._registrar, self.replica, self
         )
-        self._coordinator = Coordinator(
+        self._coordinator = UnloadedCoordinator(settings.control)
+
+    async def _run_late_components(self):
+        """Load and build what the first requests do not need, and run it."""
+        late_components = await import_late_modules()
+        self._metrics = late_components.EntryMetrics()
+        self._deferred_metrics.attach(self._metrics)
+        self._coordinator = late_components.Coordinator(
             self._context,
             self._store,
             self._control,
-            settings.control,
+            self._settings.control,
             self._roles,
             self.broadcast_group_update,
         )
+        self._coordinator.domains.update_entries(self._fleet.entries.values())
+        log.info("all-components-loaded")
+        self._run_forever(self._run_housekeeping())
+        await self._coordinator.run()
 
     async def run(self, stopping):
         """Serve until ``stopping`` is set, then stop gracefully."""
@@ -130,7 +144,9 @@
             WebServer(peer_app(self.replica.encoded_state), listen.peer),
         ]
         if listen.metrics:
-            servers.append(WebServer(metrics_app(self._metrics), listen.metrics))
+            servers.append(
+                WebServer(metrics_app(self._deferred_metrics), listen.metrics)
+            )
         for server in servers:
             await server.start()
         await self._peer_link.start()
@@ -141,10 +157,9 @@
             self._context.silence_detector.run(),
             self.quarantine.run(),
             self.rate_limiter.run(),
-            self._coordinator.run(),
             self._registrar.run(),
             self._roles.run(),
-            self._run_housekeeping(),
+            self._run_late_components(),
             self.settings_watcher.run(),
         ):
             self._run_forever(coroutine)
--- a/cowslipcourse/entry/internal_apps.py
+++ b/cowslipcourse/entry/internal_apps.py
@@ -5,17 +5,23 @@
 __all__ = ["metrics_app", "peer_app"]
 
 BAD_REQUEST = 400
+UNAVAILABLE = 503
 
 
 def metrics_app(metrics):
     """Return the application that serves metrics.
 
-    :param metrics: :class:`~cowslipcourse.entry.prometheus_metrics.EntryMetrics`
+    :param metrics: has ``render()``, which returns ``None`` as long as the metrics
+        are not loaded.
     """
-    return single_path_app(
-        "/metrics",
-        lambda query: BufferedResponse(metrics.render(), media_type="text/plain"),
-    )
+
+    def answer_metrics(query):
+        content = metrics.render()
+        if content is None:
+            return BufferedResponse(status=UNAVAILABLE, headers={"retry-after": "1"})
+        return BufferedResponse(content, media_type="text/plain")
+
+    return single_path_app("/metrics", answer_metrics)
 
 
 def peer_app(encoded_state):
--- a/cowslipcourse/entry/prometheus_metrics.py
+++ b/cowslipcourse/entry/prometheus_metrics.py
@@ -1,7 +1,5 @@
 """Prometheus metrics of a daemon."""
 
-import logging
-
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
@@ -13,15 +11,6 @@
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0)
 
 
-class _EventCounter(logging.Handler):
-    def __init__(self, counter):
-        super().__init__()
-        self._counter = counter
-
-    def emit(self, record):
-        self._counter.labels(record.getMessage()).inc()
-
-
 class EntryMetrics:
     """The metrics of one daemon; ``docs/metrics.md`` lists them."""
 
@@ -151,9 +140,9 @@
         """
         _set_by_service(self._leaving_targets, counts)
 
-    def event_counter(self):
-        """Return a log handler that counts log records by event."""
-        return _EventCounter(self._events)
+    def count_event(self, event):
+        """Count a log record."""
+        self._events.labels(event).inc()
 
     def set_state(self, name, value):
         """Set a gauge of the daemon's state."""
--- /dev/null
+++ b/cowslipcourse/entry/unloaded_coordinator.py
@@ -0,0 +1,30 @@
+"""What stands in the place of the coordinator until it is loaded."""
+
+__all__ = ["UnloadedCoordinator"]
+
+
+class _UnobservedDomains:
+    def update_entries(self, entries):
+        """Ignore entries; the tracker gets all of them when it is built."""
+
+    def mark_unlisted(self, ids):
+        """Ignore removed entries."""
+
+
+class UnloadedCoordinator:
+    """Coordinates nothing, as a daemon that owns no domain.
+
+    A daemon takes no role before it has registered and heard the others, so that no
+    domain waits for the coordinator to be loaded.
+
+    :param settings: :class:`~cowslipcourse.entry.settings.ControlSettings`
+    """
+
+    isolated_until = 0.0
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.domains = _UnobservedDomains()
+
+    def investigate(self, target, epoch):
+        """Investigate no suspect, since no domain is owned."""
--- a/cowslipcourse/load_balancing/__init__.py
+++ b/cowslipcourse/load_balancing/__init__.py
@@ -1,20 +1,11 @@
 """Routing policies: choice of the target of a request."""
 
-from cowslipcourse.load_balancing.affinity import PrefixMap, prefix_hashes
+from cowslipcourse.lazy_exports import lazy_exports
 from cowslipcourse.load_balancing.candidates import (
     Candidate,
     CandidateCost,
     RequestSize,
 )
-from cowslipcourse.load_balancing.policies import (
-    LeastExpectedWait,
-    LeastInFlight,
-    RandomChoice,
-    RoundRobin,
-    RoutingPolicy,
-)
-from cowslipcourse.load_balancing.stragglers import StragglerFilter, StragglerLimits
-from cowslipcourse.load_balancing.views import InFlight, TargetView
 
 __all__ = [
     "Candidate",
@@ -32,3 +23,21 @@
     "TargetView",
     "prefix_hashes",
 ]
+
+# Only gateways use these.
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "InFlight": "views",
+        "LeastExpectedWait": "policies",
+        "LeastInFlight": "policies",
+        "PrefixMap": "affinity",
+        "RandomChoice": "policies",
+        "RoundRobin": "policies",
+        "RoutingPolicy": "policies",
+        "StragglerFilter": "stragglers",
+        "StragglerLimits": "stragglers",
+        "TargetView": "views",
+        "prefix_hashes": "affinity",
+    },
+)
--- a/cowslipcourse/platform/__init__.py
+++ b/cowslipcourse/platform/__init__.py
@@ -3,6 +3,8 @@
 The platform's headers, paths and field names are used only in this package.
 """
 
+import os
+
 from cowslipcourse.platform.configuration import decode_configuration
 from cowslipcourse.platform.discovery import directory_app, ready_app
 from cowslipcourse.platform.engines import HttpEngineControl
@@ -20,4 +22,10 @@
     "decode_entry",
     "directory_app",
     "ready_app",
+    "settings_path",
 ]
+
+
+def settings_path():
+    """Return the path of the settings file that the platform names, or ``None``."""
+    return os.environ.get(SETTINGS_VARIABLE)
--- a/cowslipcourse/ports/__init__.py
+++ b/cowslipcourse/ports/__init__.py
@@ -1,5 +1,6 @@
 """Interfaces between the system and everything outside its processes."""
 
+from cowslipcourse.lazy_exports import lazy_exports
 from cowslipcourse.ports.engines import (
     UNKNOWN_INCARNATION,
     EngineControl,
@@ -11,24 +12,8 @@
     OrderResult,
     TargetEntry,
 )
-from cowslipcourse.ports.platform import (
-    ObjectStore,
-    Row,
-    TableService,
-    Transaction,
-    VmList,
-)
 from cowslipcourse.ports.rows import RowChanges, RowStore, RowWrite, StoredRow
 from cowslipcourse.ports.store_versions import era_of, pack_version, unpack_version
-from cowslipcourse.ports.targets import (
-    EngineLoad,
-    EngineStatus,
-    GenerateRequest,
-    Order,
-    OrderKind,
-    ServiceResponse,
-    TargetClient,
-)
 
 __all__ = [
     "UNKNOWN_INCARNATION",
@@ -60,3 +45,22 @@
     "pack_version",
     "unpack_version",
 ]
+
+# Only gateways and controllers use these.
+__getattr__ = lazy_exports(
+    __name__,
+    {
+        "EngineLoad": "targets",
+        "EngineStatus": "targets",
+        "GenerateRequest": "targets",
+        "ObjectStore": "platform",
+        "Order": "targets",
+        "OrderKind": "targets",
+        "Row": "platform",
+        "ServiceResponse": "targets",
+        "TableService": "platform",
+        "TargetClient": "targets",
+        "Transaction": "platform",
+        "VmList": "platform",
+    },
+)
