--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -1,6 +1,7 @@
 """The daemon of one entry VM: builds its components and runs them."""
 
 import asyncio
+import contextlib
 import logging
 import os
 import random
@@ -12,22 +13,23 @@
 from cowslipcourse.entry.attempts import AttemptSender
 from cowslipcourse.entry.caller_app import FrontApp
 from cowslipcourse.entry.context import DaemonContext
-from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.daemon_registration import DaemonRegistrar
+from cowslipcourse.entry.deferred_metrics import DeferredMetrics
 from cowslipcourse.entry.evacuation_exchange import EvacuationExchange
 from cowslipcourse.entry.evacuations import Evacuations
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.forwarder import Forwarder
 from cowslipcourse.entry.group_counts import GroupCountMonitor
 from cowslipcourse.entry.internal_apps import metrics_app, peer_app
+from cowslipcourse.entry.late_imports import import_late_modules
 from cowslipcourse.entry.limit_prober import ListedTargetProber
 from cowslipcourse.entry.peer_link import PeerLink
-from cowslipcourse.entry.prometheus_metrics import EntryMetrics
 from cowslipcourse.entry.roles import RoleAssignment
 from cowslipcourse.entry.settings_reload import SettingsWatcher
 from cowslipcourse.entry.silence_detector import SilenceDetector
 from cowslipcourse.entry.state_replica import StateReplica
 from cowslipcourse.entry.target_conditions import TargetConditions
+from cowslipcourse.entry.unloaded_coordinator import UnloadedCoordinator
 from cowslipcourse.peer_protocol import Heartbeat, Member, PeerRegistry
 from cowslipcourse.platform import (
     HttpEngineControl,
@@ -47,6 +49,9 @@
 LOG_FLUSH_S = 0.05
 """Time for the queued log lines to be written before a crashed process ends."""
 HOUSEKEEPING_INTERVAL_S = 1.0
+MAX_LATE_DELAY_S = 1.0
+"""Longest wait for a configuration and targets before further components are loaded,
+which would take the processor from reading them."""
 ADDRESS_TTL_FACTOR = 3
 """Some callers cache addresses for this multiple of the TTL."""
 STOP_CHECK_INTERVAL_S = 0.1
@@ -71,6 +76,7 @@
         self._is_ready = False
         self._last_store_era = 0
         self._tasks = set()
+        self._can_serve = asyncio.Event()
         self._build()
 
     def _build(self):
@@ -78,8 +84,8 @@
         rng = random.Random()
         evacuations = Evacuations(rng)
         self._fleet = FleetView(evacuations)
-        self._metrics = EntryMetrics()
-        logging.getLogger().addHandler(self._metrics.event_counter())
+        self._deferred_metrics = DeferredMetrics()
+        logging.getLogger().addHandler(self._deferred_metrics.event_counter())
         self._store = HttpRowStore(settings.store)
         self._control = HttpEngineControl(settings.control)
         retry_budget = SharedRetryBudget(settings.retries)
@@ -106,7 +112,9 @@
             self.quarantine,
             rng,
         )
-        self._front = FrontApp(self._context, Forwarder(self._context), self._metrics)
+        self._front = FrontApp(
+            self._context, Forwarder(self._context), self._deferred_metrics
+        )
         self._registrar = DaemonRegistrar(
             settings, self._store, self._on_registrations, rng
         )
@@ -116,14 +124,29 @@
         self._roles = RoleAssignment(
             settings, self._registry, self._registrar, self.replica, self
         )
-        self._coordinator = Coordinator(
+        self._coordinator = UnloadedCoordinator(settings.control)
+
+    async def _run_late_components(self):
+        """Load and build what the first requests do not need, and run it."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MAX_LATE_DELAY_S):
+                await self._can_serve.wait()
+        late_components = await import_late_modules()
+        self._metrics = late_components.EntryMetrics()
+        self._deferred_metrics.attach(self._metrics)
+        self._coordinator = late_components.Coordinator(
             self._context,
             self._store,
             self._control,
-            settings.control,
+            self._settings.control,
             self._roles,
             self.broadcast_group_update,
         )
+        self._coordinator.domains.update_entries(self._fleet.entries.values())
+        log.info("all-components-loaded")
+        self._run_forever(self._run_housekeeping())
+        self._run_forever(self._coordinator.shares.run())
+        await self._coordinator.run()
 
     async def run(self, stopping):
         """Serve until ``stopping`` is set, then stop gracefully."""
@@ -138,7 +161,9 @@
             WebServer(peer_app(self.replica.encoded_state), listen.peer),
         ]
         if listen.metrics:
-            servers.append(WebServer(metrics_app(self._metrics), listen.metrics))
+            servers.append(
+                WebServer(metrics_app(self._deferred_metrics), listen.metrics)
+            )
         for server in servers:
             await server.start()
         await self._peer_link.start()
@@ -150,11 +175,9 @@
             self.quarantine.run(),
             self.rate_limiter.run(),
             self.evacuation_exchange.run(),
-            self._coordinator.run(),
-            self._coordinator.shares.run(),
             self._registrar.run(),
             self._roles.run(),
-            self._run_housekeeping(),
+            self._run_late_components(),
             self.settings_watcher.run(),
         ):
             self._run_forever(coroutine)
@@ -209,6 +232,7 @@
         log.info("configuration", version=table.version, routes=len(table))
         # The services determine which entries name engines.
         self._coordinator.domains.update_entries(self._fleet.entries.values())
+        self._note_state()
 
     def apply_targets(self, entries, gone):
         """Apply changes to the list of targets."""
@@ -216,6 +240,11 @@
         self._fleet.apply(entries, gone)
         self._coordinator.domains.update_entries(entries)
         self._coordinator.domains.mark_unlisted(gone)
+        self._note_state()
+
+    def _note_state(self):
+        if self._context.table is not None and self._fleet.entries:
+            self._can_serve.set()
 
     # Peers.
 
