Placing by expected time, in its pure parts and wired behind a switch

The choice among targets counted requests, whatever their size and the speed of the target. With [balancing] cost = "expected-time" two sampled targets are compared by the expected time of the request; targets that are observed or told to be slow get trials only, while others have free slots. Off by default.

Fakes of two steps files got the attributes that the forwarders read.

--- a/cowslipcourse/entry/context.py
+++ b/cowslipcourse/entry/context.py
@@ -1,5 +1,8 @@
 """Objects shared by the components of a daemon."""
 
+from cowslipcourse.entry.settings import BalancingSettings
+from cowslipcourse.entry.target_placing import TargetPlacing
+
 __all__ = ["DaemonContext"]
 
 
@@ -16,6 +19,8 @@
         :class:`~cowslipcourse.entry.target_conditions.TargetConditions`
     :param quarantine: :class:`~cowslipcourse.quarantine_runtime.Quarantine`
     :param rng: :class:`random.Random`
+    :param placing: :class:`~cowslipcourse.entry.target_placing.TargetPlacing`; by
+        default one that compares requests in flight.
     """
 
     def __init__(
@@ -28,6 +33,7 @@
         conditions,
         quarantine,
         rng,
+        placing=None,
     ):
         self.data_centre = settings.data_centre
         self.fleet = fleet
@@ -37,6 +43,9 @@
         self.conditions = conditions
         self.quarantine = quarantine
         self.rng = rng
+        self.placing = placing or TargetPlacing(
+            BalancingSettings(), fleet, conditions, settings.data_centre
+        )
         self.table = None
         self.withheld_counts = {}
 
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -24,8 +24,10 @@
 from cowslipcourse.entry.roles import RoleAssignment
 from cowslipcourse.entry.settings_reload import SettingsWatcher
 from cowslipcourse.entry.silence_detector import SilenceDetector
+from cowslipcourse.entry.speed_exchange import SpeedExchange
 from cowslipcourse.entry.state_replica import StateReplica
 from cowslipcourse.entry.target_conditions import TargetConditions
+from cowslipcourse.entry.target_placing import TargetPlacing
 from cowslipcourse.peer_protocol import Heartbeat, Member, PeerRegistry
 from cowslipcourse.platform import (
     HttpEngineControl,
@@ -86,6 +88,12 @@
         prober = ListedTargetProber(self._fleet, self._control, self._health_path)
         self.rate_limiter = RateLimiter(self._peer_link, prober, rng)
         self._conditions = TargetConditions(self.rate_limiter, self._fleet)
+        self._placing = TargetPlacing(
+            settings.balancing, self._fleet, self._conditions, settings.data_centre
+        )
+        self.speed_exchange = SpeedExchange(
+            settings.name, settings.data_centre, self._peer_link, self._placing
+        )
         attempt_sender = AttemptSender(self._fleet, self._conditions)
         exit_detector = TargetExitDetector(self._fleet.is_expected)
         verdict_store = VerdictStore(self._store, time.time)
@@ -99,6 +107,7 @@
             self._conditions,
             self.quarantine,
             rng,
+            self._placing,
         )
         self._front = FrontApp(self._context, Forwarder(self._context), self._metrics)
         self._registrar = DaemonRegistrar(
@@ -141,6 +150,7 @@
             self._context.silence_detector.run(),
             self.quarantine.run(),
             self.rate_limiter.run(),
+            self.speed_exchange.run(),
             self._coordinator.run(),
             self._registrar.run(),
             self._roles.run(),
@@ -184,6 +194,7 @@
         self._context.retry_budget.settings = settings.retries
         self._coordinator.settings = settings.control
         self._control.settings = settings.control
+        self._placing.apply_settings(settings.balancing)
 
     @property
     def is_draining(self):
@@ -194,7 +205,7 @@
 
     def apply_configuration(self, table):
         """Apply a newer configuration."""
-        self._context.table = table
+        self._context.table = self._placing.table = table
         self._is_ready = not self._front.is_draining
         log.info("configuration", version=table.version, routes=len(table))
         # The services determine which entries name engines.
@@ -313,6 +324,8 @@
             )
             self._metrics.set_limited_counts(self._conditions.limited_counts())
             self._metrics.set_paused_counts(self._conditions.paused_counts())
+            self._placing.update(now)
+            self._metrics.set_slow_counts(self._placing.slow_counts())
             self._metrics.set_leaving_counts(self._fleet.leaving_counts())
             self._metrics.set_withheld_counts(self._context.withheld_counts)
             self._check_store_era()
--- a/cowslipcourse/entry/peer_link.py
+++ b/cowslipcourse/entry/peer_link.py
@@ -14,6 +14,7 @@
     PermitResponse,
     QuarantineUpdate,
     RequestCleared,
+    SpeedReport,
     TargetChanges,
     decode,
     encode,
@@ -45,7 +46,7 @@
     :param registry: :class:`~cowslipcourse.peer_protocol.PeerRegistry`
     :param daemon: has ``heartbeat()``, ``heartbeat_interval_s()``,
         ``investigate_suspects(message)``, ``apply_group_update(update)``, ``replica``,
-        ``quarantine`` and ``rate_limiter``.
+        ``quarantine``, ``rate_limiter`` and ``speed_exchange``.
     """
 
     def __init__(self, settings, registry, daemon):
@@ -166,6 +167,18 @@
             now
         )
 
+    def local_repeat_addresses(self):
+        """Return the same without the reporters elsewhere."""
+        now = asyncio.get_running_loop().time()
+        if not self._registry.is_active_reporter(self._daemon.heartbeat(), now):
+            return []
+        return self._registry.local_addresses(now)
+
+    def reporter_addresses(self):
+        """Return the addresses of the other reporters of the own data centre."""
+        now = asyncio.get_running_loop().time()
+        return self._registry.reporter_addresses(self._daemon.heartbeat(), now)
+
     def send(self, message, addresses):
         """Send a message once to each address; datagrams may be lost."""
         self._send(encode(message), addresses)
@@ -203,6 +216,8 @@
             self._daemon.quarantine.handle_message(message)
         elif isinstance(message, LimitUpdate | PermitRequest | PermitResponse):
             self._daemon.rate_limiter.handle_message(message)
+        elif isinstance(message, SpeedReport):
+            self._daemon.speed_exchange.handle_message(message)
         elif isinstance(message, Heartbeat):
             if message.member.name != self._settings.name:
                 self._handle_heartbeat(message, now)
--- a/cowslipcourse/entry/prometheus_metrics.py
+++ b/cowslipcourse/entry/prometheus_metrics.py
@@ -91,6 +91,12 @@
             ["service"],
             registry=self._registry,
         )
+        self._slow_targets = Gauge(
+            "cowslip_slow_targets",
+            "Targets that this daemon takes for slow, by service",
+            ["service"],
+            registry=self._registry,
+        )
 
     def observe_request(self, outcome, duration_s):
         """Record the outcome and latency of a finished request."""
@@ -136,6 +142,13 @@
         """
         _set_by_service(self._paused_targets, counts)
 
+    def set_slow_counts(self, counts):
+        """Set the gauge of slow targets.
+
+        :param counts: number of targets by service.
+        """
+        _set_by_service(self._slow_targets, counts)
+
     def set_withheld_counts(self, counts):
         """Set the gauge of requests that were not sent to a chosen target.
 
--- a/cowslipcourse/entry/settings.py
+++ b/cowslipcourse/entry/settings.py
@@ -1,10 +1,13 @@
 """Settings of ``cowslip-entry``, validated from a TOML file."""
 
+from typing import Literal
+
 from pydantic import Field
 
 from cowslipcourse.settings_file import Address, LogSettings, Seconds, Section
 
 __all__ = [
+    "BalancingSettings",
     "ControlSettings",
     "EntrySettings",
     "ListenSettings",
@@ -104,6 +107,15 @@
     grace_s: Seconds = 8.0
 
 
+class BalancingSettings(Section):
+    """Choice among the targets of a request.
+
+    :param cost: what is compared: the requests in flight, or the expected time.
+    """
+
+    cost: Literal["in-flight", "expected-time"] = "in-flight"
+
+
 class EntrySettings(Section):
     """Settings file of ``cowslip-entry``.
 
@@ -121,4 +133,5 @@
     control: ControlSettings = ControlSettings()
     retries: RetrySettings = RetrySettings()
     stop: StopSettings = StopSettings()
+    balancing: BalancingSettings = BalancingSettings()
     log: LogSettings = LogSettings(level="info")
--- a/cowslipcourse/entry/stream_forwarder.py
+++ b/cowslipcourse/entry/stream_forwarder.py
@@ -9,6 +9,7 @@
 from cowslipcourse.entry.silence_detector import WatchedStream
 from cowslipcourse.entry.stream_target_selection import StreamTargetChooser
 from cowslipcourse.exceptions import IncompleteResponse, TargetError, TargetRefused
+from cowslipcourse.load_balancing.target_speeds import UnobservedRequest
 from cowslipcourse.platform.headers import is_not_executed, response_headers
 from cowslipcourse.streams import EventSplitter, StreamPosition
 
@@ -31,6 +32,7 @@
         self.first_event_s = None
         self.longest_pause_s = 0.0
         self.slot_wait_s = 0.0
+        self.observed = UnobservedRequest()
         self._last_event_at = None
 
     @property
@@ -84,7 +86,9 @@
             stream = WatchedStream(attempt, call.id)
             self._context.silence_detector.add(stream)
             try:
-                await self._relay(progress, run, attempt, stream)
+                with self._context.placing.observing(call, run.entry) as observed:
+                    progress.observed = observed
+                    await self._relay(progress, run, attempt, stream)
             except (TargetError, asyncio.CancelledError):
                 attempt.connection.abort()
                 raise
@@ -106,6 +110,8 @@
             if not events:
                 continue
             stream.has_events = True
+            now = asyncio.get_running_loop().time()
+            progress.observed.record_events(len(events), now)
             await self._relay_events(progress, run, head, events)
         if splitter.has_partial_event:
             raise IncompleteResponse("the stream ended inside an event")
@@ -160,6 +166,7 @@
         else round(progress.first_event_s, 3),
         pause_s=round(progress.longest_pause_s, 3),
         seconds=round(now - call.arrived_at, 3),
+        **progress.observed.log_fields(),
     )
 
 
--- a/cowslipcourse/entry/stream_target_selection.py
+++ b/cowslipcourse/entry/stream_target_selection.py
@@ -78,7 +78,15 @@
             progress.has_events or can_meet_objective(call.route, call.waited_s(now))
         )
         usable = self._context.conditions.usable(candidates, now)
-        return choose_group(usable, tried_ids, self._context.rng, is_late=is_late)
+        return choose_group(
+            usable,
+            tried_ids,
+            self._context.rng,
+            is_late=is_late,
+            cost=self._context.placing.cost,
+            size=call.caller_headers.size,
+            now=now,
+        )
 
 
 def _log_no_target(call, cause, candidates, tried_ids):
--- a/cowslipcourse/entry/target_conditions.py
+++ b/cowslipcourse/entry/target_conditions.py
@@ -16,6 +16,7 @@
     decode_rate_limit,
 )
 from cowslipcourse.platform.headers import MISDIRECTED_REQUEST
+from cowslipcourse.platform.server_load import decode_server_load
 from cowslipcourse.rate_limits import TargetInstance
 
 __all__ = ["TargetConditions"]
@@ -35,6 +36,9 @@
         self._fleet = fleet
         self._pauses = TargetPauses()
         self._malformed_instances = set()
+        self.stated_loads = None
+        """:class:`~cowslipcourse.load_balancing.stated_loads.StatedLoads` while
+        statements of load are used."""
 
     def observe(self, entry, head):
         """Record what the head of a response states about its target.
@@ -48,6 +52,8 @@
         self._observe_limit(entry, head)
         self._observe_pause(entry, head)
         self._observe_leaving(entry, head)
+        if self.stated_loads is not None:
+            self._observe_load(entry, head)
 
     def _observe_limit(self, entry, head):
         try:
@@ -91,6 +97,15 @@
                 service=entry.service,
             )
 
+    def _observe_load(self, entry, head):
+        try:
+            load = decode_server_load(head)
+        except MalformedHeader as error:
+            self._log_malformed(_instance(entry), error)
+            return
+        if load is not None:
+            self.stated_loads.record(entry, load, _now())
+
     def pause_left_s(self, entry):
         """Return the seconds for which a target still wants no requests from here.
 
--- a/cowslipcourse/entry/unary_forwarder.py
+++ b/cowslipcourse/entry/unary_forwarder.py
@@ -8,7 +8,7 @@
 from cowslipcourse.entry.attempt_outcomes import NOT_EXECUTED_STATUSES
 from cowslipcourse.entry.retries import try_targets
 from cowslipcourse.exceptions import IncompleteResponse, TargetError, TargetRefused
-from cowslipcourse.load_balancing.target_selection import choose_target
+from cowslipcourse.load_balancing.target_selection import NO_SIZE, choose_target
 from cowslipcourse.platform.headers import is_not_executed, response_headers
 
 __all__ = ["UnaryForwarder"]
@@ -31,19 +31,19 @@
         """See :meth:`cowslipcourse.entry.forwarder.Forwarder.forward`."""
 
         async def choose(tried_ids):
-            return self._choose(service, tried_ids)
+            return self._choose(service, tried_ids, call.caller_headers.size)
 
         async def attempt(run, is_last):
-            nonlocal head
-            head, body = await self._attempt(call, run, is_last)
+            nonlocal head, observed
+            head, body, observed = await self._attempt(call, run, is_last)
             await responder.start(head.status, response_headers(head.headers))
             await responder.finish(body)
 
-        head = None
+        head, observed = None, None
         delivery = await try_targets(self._context, call, service, choose, attempt)
-        _log_completion(call, delivery, head)
+        _log_completion(call, delivery, head, observed)
 
-    def _choose(self, service, tried_ids):
+    def _choose(self, service, tried_ids, size=NO_SIZE):
         now = asyncio.get_running_loop().time()
         candidates = self._context.fleet.service_candidates(service, now)
         candidate = choose_target(
@@ -51,6 +51,9 @@
             tried_ids,
             self._context.data_centre,
             self._context.rng,
+            cost=self._context.placing.cost,
+            size=size,
+            now=now,
         )
         if candidate is None:
             return no_target_choice(
@@ -63,10 +66,8 @@
             # Nothing precedes the response, so the request may be running already.
             run.answer_started = True
             try:
-                head = await attempt.read_head()
-                if is_not_executed(head):
-                    raise TargetRefused(f"answered {head.status}")
-                body = await attempt.connection.read_all()
+                with self._context.placing.observing(call, run.entry) as observed:
+                    head, body = await _read_answer(attempt, observed)
             except (TargetError, asyncio.CancelledError):
                 attempt.connection.abort()
                 raise
@@ -77,10 +78,24 @@
                 f"answered {head.status} without proof that it did not run"
             )
         run.succeeded = head.status < MIN_FAILURE_STATUS
-        return head, body
+        return head, body, observed
 
 
-def _log_completion(call, delivery, head):
+async def _read_answer(attempt, observed):
+    """Return head and body of a response.
+
+    :param observed: observation of the request that is told of a successful answer.
+    """
+    head = await attempt.read_head()
+    if is_not_executed(head):
+        raise TargetRefused(f"answered {head.status}")
+    body = await attempt.connection.read_all()
+    if head.status < MIN_FAILURE_STATUS:
+        observed.record_answer(asyncio.get_running_loop().time())
+    return head, body
+
+
+def _log_completion(call, delivery, head, observed):
     now = asyncio.get_running_loop().time()
     log.info(
         "answered",
@@ -91,4 +106,5 @@
         attempts=delivery.attempts,
         withheld=delivery.withheld,
         seconds=round(now - call.arrived_at, 3),
+        **observed.log_fields(),
     )
--- a/cowslipcourse/load_balancing/candidates.py
+++ b/cowslipcourse/load_balancing/candidates.py
@@ -39,3 +39,17 @@
         :param size: :class:`RequestSize`
         :param now: loop time.
         """
+
+    def fits(self, candidate, size):
+        """Whether a candidate has room in its memory for a request.
+
+        :param candidate: :class:`Candidate`
+        :param size: :class:`RequestSize`
+        """
+
+    def is_slow(self, candidate, now):
+        """Whether a candidate is so slow that others with free slots are preferred.
+
+        :param candidate: :class:`Candidate`
+        :param now: loop time.
+        """
--- a/cowslipcourse/peer_protocol/messages.py
+++ b/cowslipcourse/peer_protocol/messages.py
@@ -22,6 +22,7 @@
     "PermitResponse",
     "QuarantineUpdate",
     "RequestCleared",
+    "SpeedReport",
     "StatedLimit",
     "TargetChanges",
     "decode",
@@ -235,6 +236,22 @@
     limit: StatedLimit
 
 
+class SpeedReport(NamedTuple):
+    """Targets that daemons have found slow, or normal although others say slow.
+
+    :param sender: name of the sender.
+    :param data_centre: data centre whose daemons have observed it.
+    :param is_summary: whether a reporter tells it of all its daemons.
+    :param percents: times of the targets in percent of those of their peers, by
+        target id.
+    """
+
+    sender: str
+    data_centre: str
+    is_summary: bool
+    percents: dict[str, _Count]
+
+
 _TYPE_BY_LETTER = {
     b"A": PermitResponse,
     b"C": CrashReports,
@@ -246,6 +263,7 @@
     b"Q": QuarantineUpdate,
     b"R": RequestCleared,
     b"T": TargetChanges,
+    b"V": SpeedReport,
 }
 _LETTER_BY_TYPE = {
     message_type: letter for letter, message_type in _TYPE_BY_LETTER.items()
--- a/features/steps/pause_steps.py
+++ b/features/steps/pause_steps.py
@@ -214,6 +214,7 @@
             conditions=target.conditions,
             data_centre="x",
             rng=random.Random(1),
+            placing=SimpleNamespace(cost=None),
         )
         context.choice = UnaryForwarder(tools)._choose("s", ())
         context.elapsed_s = asyncio.get_running_loop().time() - started_at
--- a/features/steps/withheld_steps.py
+++ b/features/steps/withheld_steps.py
@@ -17,6 +17,7 @@
 from cowslipcourse.entry.unary_forwarder import UnaryForwarder
 from cowslipcourse.exceptions import TargetWithheld
 from cowslipcourse.http_client import ResponseHead
+from cowslipcourse.platform.headers import CallerHeaders
 from cowslipcourse.ports import TargetEntry
 from cowslipcourse.rate_limit_runtime import Permit, RateLimiter
 from cowslipcourse.routes import RequestKind, Route, ServiceSpec
@@ -49,7 +50,7 @@
         path=b"/",
         body=b"",
         headers=(),
-        caller_headers=SimpleNamespace(model="", attempt_id=b"a1"),
+        caller_headers=CallerHeaders(b"a1"),
         arrived_at=now,
         deadline=now + deadline_s,
     )
@@ -258,6 +259,7 @@
         data_centre="x",
         rng=random.Random(seed),
         service_spec=lambda service: ServiceSpec(service),
+        placing=SimpleNamespace(cost=None),
     )
     if context.kind == "plain":
         choice = UnaryForwarder(tools)._choose(SERVICE, tried_ids)
