--- a/cowslipcourse/entry/speed_exchange.py
+++ b/cowslipcourse/entry/speed_exchange.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.load_balancing.told_speeds import LocalReports
 from cowslipcourse.peer_protocol import SpeedReport
 
@@ -17,6 +18,8 @@
 """Summaries go to all daemons of a data centre and between data centres."""
 PERCENT = 100
 
+log = get_logger(__name__)
+
 
 class SpeedExchange:
     """Exchanges speeds of targets with the other daemons.
@@ -33,6 +36,7 @@
         self._peers = peers
         self._placing = placing
         self._local_reports = LocalReports()
+        self._ignored = set()
         self._has_reported = False
         self._has_summarised = False
 
@@ -51,7 +55,7 @@
 
     def _send_report(self, now):
         factors = self._placing.speeds.to_tell(now)
-        self._local_reports.record(self._name, factors, now)
+        self._record_local(self._name, factors, now)
         # An empty report withdraws the last one.
         if factors or self._has_reported:
             report = self._report(factors, False)
@@ -89,4 +93,12 @@
             if not is_local:
                 self._peers.send(report, self._peers.local_repeat_addresses())
         elif is_local:
-            self._local_reports.record(report.sender, factors, now)
+            self._record_local(report.sender, factors, now)
+
+    def _record_local(self, daemon, factors, now):
+        target_count = self._placing.target_count
+        if self._local_reports.record(daemon, factors, target_count, now):
+            self._ignored.discard(daemon)
+        elif daemon not in self._ignored:
+            self._ignored.add(daemon)
+            log.warning("speeds-ignored", daemon=daemon, slow=len(factors))
--- a/cowslipcourse/entry/target_placing.py
+++ b/cowslipcourse/entry/target_placing.py
@@ -9,6 +9,7 @@
 from cowslipcourse.load_balancing.stated_loads import StatedLoads
 from cowslipcourse.load_balancing.target_speeds import TargetSpeeds, UnobservedRequest
 from cowslipcourse.load_balancing.told_speeds import ToldSpeeds
+from cowslipcourse.ports import GroupState
 from cowslipcourse.routes import ServiceSpec
 
 __all__ = ["EXPECTED_TIME", "TargetPlacing"]
@@ -35,6 +36,8 @@
         self._conditions = conditions
         self._stated_loads = StatedLoads()
         self._slow_ids = frozenset()
+        self.target_count = 0
+        """Number of plain targets and heads that serve, as of the last update."""
         self.table = None
         self.told = ToldSpeeds()
         self.speeds = TargetSpeeds(self.told)
@@ -93,6 +96,7 @@
         :param now: loop time.
         """
         entries = self._fleet.entries
+        self.target_count = sum(map(_serves, entries.values()))
         self.speeds.retain(entries.values(), now)
         self._stated_loads.retain(entries.values())
         slow_ids = frozenset(self.speeds.slow_ids(now)) if self.is_active else ()
@@ -117,3 +121,14 @@
             if entry is not None:
                 counts[entry.service] = counts.get(entry.service, 0) + 1
         return counts
+
+
+def _serves(entry):
+    if not entry.domain:
+        return True
+    membership = entry.membership
+    return (
+        membership is not None
+        and membership.rank == 0
+        and membership.state is GroupState.OPEN
+    )
--- a/cowslipcourse/load_balancing/target_selection.py
+++ b/cowslipcourse/load_balancing/target_selection.py
@@ -11,8 +11,8 @@
 """Number of random candidates that are compared. Counts of other daemons are some
 tenths of a second old, so all daemons would choose the least loaded of all at once."""
 TRIAL_FRACTION = 0.02
-"""Fraction of the requests that are sent to slow targets although others have free
-slots, so that a recovery is seen."""
+"""Fraction of the requests that are sent to slow targets although others have room,
+so that a recovery is seen."""
 MIN_NORMAL_FRACTION = 0.3
 """Fraction of candidates that must be of normal speed for slow ones to be avoided: a
 few could not take all requests."""
@@ -107,14 +107,18 @@
 def _without_slow(candidates, rng, cost, now):
     """Return the candidates of normal speed, or for a trial the slow ones.
 
-    All are returned if too few are normal, or if these have no free slots.
+    All are returned if too few are normal, or if these have no room.
     """
     normal = [each for each in candidates if not cost.is_slow(each, now)]
     if not MIN_NORMAL_FRACTION * len(candidates) <= len(normal) < len(candidates):
         return candidates
     if rng.random() < TRIAL_FRACTION:
         return [each for each in candidates if each not in normal]
-    return [each for each in normal if each.in_flight < each.slots] or candidates
+    return [each for each in normal if _has_room(each)] or candidates
+
+
+def _has_room(candidate):
+    return candidate.in_flight < candidate.slots * (1 + MAX_QUEUED_FRACTION)
 
 
 def _chance_of_other(costs):
--- a/cowslipcourse/load_balancing/target_speeds.py
+++ b/cowslipcourse/load_balancing/target_speeds.py
@@ -21,7 +21,7 @@
 HALF_LIFE_S = 1.0
 """Age at which an observation has half its weight. Without new ones a target counts as
 normal again within some seconds, so that a few requests find out."""
-MAX_WEIGHT = 3.0
+MAX_WEIGHT = 2.0
 """Weight of all observations together, in observations: a recovery shows in a few."""
 PRIOR_WEIGHT = 0.25
 """Weight, in observations, of the assumption that a target is as fast as its peers."""
@@ -35,6 +35,8 @@
 """Interval at which the slow targets are found, whatever the number of requests."""
 MIN_TOLD_WEIGHT = 0.25
 """Least weight of the observations that other daemons are told of."""
+FRESH_S = 0.6
+"""Age up to which an observation contradicts that a target is slow."""
 MIN_KEPT_WEIGHT = 0.01
 """Weight below which observations are forgotten."""
 MAX_TOLD = 16
@@ -412,7 +414,7 @@
                 break
             if instance.id in slow or self._told.get(instance.id, now) is None:
                 continue
-            if estimate.aged(now).weight >= MIN_TOLD_WEIGHT:
+            if now - estimate.at < FRESH_S:
                 factors[instance.id] = 1.0
         return factors
 
--- a/cowslipcourse/load_balancing/told_speeds.py
+++ b/cowslipcourse/load_balancing/told_speeds.py
@@ -13,6 +13,11 @@
 """Bounds of a told factor: a daemon whose own link is slow finds all targets slow."""
 MAX_TARGETS = 64
 """Targets that are accepted from one source."""
+MAX_SLOW_FRACTION = 0.5
+"""Fraction of all targets that a daemon may find slow; beyond it the daemon itself, or
+its link, is more likely to be."""
+MIN_SLOW_LIMIT = 3
+"""Slow targets that it may find however few there are."""
 MERGE_INTERVAL_S = 0.1
 """Interval at which the sources are merged, whatever the number of requests."""
 
@@ -101,9 +106,21 @@
     def __init__(self):
         self._told = ToldSpeeds(REPORT_MAX_AGE_S)
 
-    def record(self, daemon, factors, now):
-        """See :meth:`ToldSpeeds.record`."""
+    def record(self, daemon, factors, target_count, now):
+        """Replace what a daemon has told; ignore it if it finds most targets slow.
+
+        :param daemon: name of the daemon.
+        :param factors: factors by target id.
+        :param target_count: number of targets that there are.
+        :param now: loop time.
+        :returns: whether it was accepted.
+        """
+        slow_count = sum(factor > MIN_FACTOR for factor in factors.values())
+        limit = max(MIN_SLOW_LIMIT, MAX_SLOW_FRACTION * target_count)
+        if slow_count > limit:
+            factors = {}
         self._told.record(daemon, factors, now)
+        return slow_count <= limit
 
     def summary(self, now):
         """Return the factors that other daemons are told, by target id."""
--- a/features/support/placing_runs.py
+++ b/features/support/placing_runs.py
@@ -186,7 +186,9 @@
             factors = daemon.speeds.to_tell(now)
             if number < self.load.liars:
                 factors = {target.entry.id: 1e9 for target in self.targets}
-            self._reports[daemon.data_centre].record(number, factors, now)
+            self._reports[daemon.data_centre].record(
+                number, factors, self.load.targets, now
+            )
         for centre, reports in self._reports.items():
             summary = reports.summary(now)
             for daemon in self.daemons:
