--- a/cowslipcourse/entry/speed_exchange.py
+++ b/cowslipcourse/entry/speed_exchange.py
@@ -55,7 +55,8 @@
 
     def _send_report(self, now):
         factors = self._placing.speeds.to_tell(now)
-        self._record_local(self._name, factors, now)
+        if not self._record_local(self._name, factors, now):
+            factors = {}
         # An empty report withdraws the last one.
         if factors or self._has_reported:
             report = self._report(factors, False)
@@ -96,9 +97,12 @@
             self._record_local(report.sender, factors, now)
 
     def _record_local(self, daemon, factors, now):
+        """Record what a daemon tells; return whether it is plausible."""
         target_count = self._placing.target_count
         if self._local_reports.record(daemon, factors, target_count, now):
             self._ignored.discard(daemon)
-        elif daemon not in self._ignored:
+            return True
+        if daemon not in self._ignored:
             self._ignored.add(daemon)
             log.warning("speeds-ignored", daemon=daemon, slow=len(factors))
+        return False
