--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -27,8 +27,10 @@
 from cowslipcourse.entry.roles import RoleAssignment
 from cowslipcourse.entry.settings_reload import SettingsWatcher
 from cowslipcourse.entry.silence_detector import SilenceDetector
+from cowslipcourse.entry.speed_exchange import SpeedExchange
 from cowslipcourse.entry.state_replica import StateReplica
 from cowslipcourse.entry.target_conditions import TargetConditions
+from cowslipcourse.entry.target_placing import TargetPlacing
 from cowslipcourse.entry.unloaded_coordinator import UnloadedCoordinator
 from cowslipcourse.peer_protocol import Heartbeat, Member, PeerRegistry
 from cowslipcourse.platform import (
@@ -98,6 +100,12 @@
         cold_targets = ColdTargets(self._cold_requests_per_s)
         self.rate_limiter = RateLimiter(self._peer_link, prober, rng, cold_targets)
         self._conditions = TargetConditions(self.rate_limiter, self._fleet)
+        self._placing = TargetPlacing(
+            settings.balancing, self._fleet, self._conditions, settings.data_centre
+        )
+        self.speed_exchange = SpeedExchange(
+            settings.name, settings.data_centre, self._peer_link, self._placing
+        )
         attempt_sender = AttemptSender(self._fleet, self._conditions)
         exit_detector = TargetExitDetector(self._fleet.is_expected)
         verdict_store = VerdictStore(self._store, time.time)
@@ -111,6 +119,7 @@
             self._conditions,
             self.quarantine,
             rng,
+            self._placing,
         )
         self._front = FrontApp(
             self._context, Forwarder(self._context), self._deferred_metrics
@@ -175,6 +184,7 @@
             self.quarantine.run(),
             self.rate_limiter.run(),
             self.evacuation_exchange.run(),
+            self.speed_exchange.run(),
             self._registrar.run(),
             self._roles.run(),
             self._run_late_components(),
@@ -217,6 +227,7 @@
         self._context.retry_budget.settings = settings.retries
         self._coordinator.settings = settings.control
         self._control.settings = settings.control
+        self._placing.apply_settings(settings.balancing)
 
     @property
     def is_draining(self):
@@ -227,7 +238,7 @@
 
     def apply_configuration(self, table):
         """Apply a newer configuration."""
-        self._context.table = table
+        self._context.table = self._placing.table = table
         self._is_ready = not self._front.is_draining
         log.info("configuration", version=table.version, routes=len(table))
         # The services determine which entries name engines.
@@ -361,6 +372,8 @@
             self._metrics.set_limited_counts(self._conditions.limited_counts())
             self._metrics.set_cold_counts(self.rate_limiter.cold_counts())
             self._metrics.set_paused_counts(self._conditions.paused_counts())
+            self._placing.update(now)
+            self._metrics.set_slow_counts(self._placing.slow_counts())
             self._metrics.set_leaving_counts(self._fleet.leaving_counts())
             self._metrics.set_model_shares(self._coordinator.shares.report())
             self._metrics.set_evacuated(self._fleet.evacuations.data_centres)
--- a/cowslipcourse/entry/settings.py
+++ b/cowslipcourse/entry/settings.py
@@ -7,6 +7,7 @@
 from cowslipcourse.settings_file import Address, LogSettings, Seconds, Section
 
 __all__ = [
+    "BalancingSettings",
     "ControlSettings",
     "EntrySettings",
     "ListenSettings",
@@ -109,6 +110,15 @@
     grace_s: Seconds = 8.0
 
 
+class BalancingSettings(Section):
+    """Choice among the targets of a request.
+
+    :param cost: what is compared: the requests in flight, or the expected time.
+    """
+
+    cost: Literal["in-flight", "expected-time"] = "in-flight"
+
+
 class EntrySettings(Section):
     """Settings file of ``cowslip-entry``.
 
@@ -126,4 +136,5 @@
     control: ControlSettings = ControlSettings()
     retries: RetrySettings = RetrySettings()
     stop: StopSettings = StopSettings()
+    balancing: BalancingSettings = BalancingSettings()
     log: LogSettings = LogSettings(level="info")
