--- a/features/load_balancing/told_speeds.feature
+++ b/features/load_balancing/told_speeds.feature
@@ -22,6 +22,11 @@
     And its data centre is lost after 1.5 s
     Then 2.1 s later b2 takes no target for slow
 
+  Scenario: A reporter that is lost only delays what is told
+    Given daemons a1, a2 and a3 in one data centre and b1 and b2 in another
+    When a1, the reporter, is lost before a3 observes a slow target again and again
+    Then 1.5 s later a2, b1 and b2 take it for slow
+
   Scenario: Lost messages delay what is told
     Given daemons a1, a2 and a3 in one data centre and b1 and b2 in another
     And half of all messages are lost
--- a/features/steps/told_speed_steps.py
+++ b/features/steps/told_speed_steps.py
@@ -201,6 +201,23 @@
     assert not context.world.sent, context.world.sent
 
 
+@when("a1, the reporter, is lost before a3 observes a slow target again and again")
+def step_reporter_lost(context):
+    context.arguments = {"observed": 0}
+
+
+@then("{seconds:g} s later a2, b1 and b2 take it for slow")
+def step_known_by_second_reporter(context, seconds):
+    async def lose_and_observe(world):
+        world.lose("a1")
+        for _ in range(round(seconds / 0.5)):
+            world.observe_slow("a3", ENTRIES[:1])
+            await asyncio.sleep(0.5)
+
+    _run(context, 1.0, then=lose_and_observe, **context.arguments)
+    assert all(slow == {"t00"} for slow in context.slow.values()), context.slow
+
+
 @when("its data centre is lost after {seconds:g} s")
 def step_data_centre_lost(context, seconds):
     context.lost_after_s = seconds
