Slots go to waiting requests by priority, lateness, share and arrival

Cause: whoever polled when a slot was free got it; priority was only a header to engines. Ruled out: marks on total counts alone (groups overshot to four times their slots with counts 1 s old); equal parts of the room for all requests (the most urgent waited at daemons).

--- a/cowslipcourse/admission/failure_attribution.py
+++ b/cowslipcourse/admission/failure_attribution.py
@@ -27,6 +27,7 @@
 
     NO_GROUP = "no-group"
     GROUPS_FULL = "groups-full"
+    NO_ROOM_IN_TIME = "no-room-in-time"
     GROUPS_TRIED = "groups-tried"
     TARGETS_WITHHELD = "targets-withheld"
     NO_RETRY_BUDGET = "no-retry-budget"
--- a/cowslipcourse/admission/urgency.py
+++ b/cowslipcourse/admission/urgency.py
@@ -5,7 +5,12 @@
 little longer; one that can still meet it does.
 """
 
-__all__ = ["LEAST_URGENT_LEVEL", "can_meet_objective", "urgency"]
+__all__ = [
+    "LEAST_URGENT_LEVEL",
+    "can_meet_objective",
+    "effective_priority",
+    "urgency",
+]
 
 LEAST_URGENT_LEVEL = 9
 """End of the scale that engines accept; 0 is the most urgent."""
@@ -23,13 +28,22 @@
     :param workspace: :class:`~cowslipcourse.routes.Workspace` or ``None``.
     :param waited_s: seconds that the caller has waited, at this daemon and before.
     """
-    priority = route.priority
-    if workspace is not None and workspace.priority is not None:
-        priority = workspace.priority
+    priority = effective_priority(route, workspace)
     is_late = waited_s > route.objective_s
     return min(LEVELS_PER_PRIORITY * priority + is_late, LEAST_URGENT_LEVEL)
 
 
+def effective_priority(route, workspace):
+    """Return the priority of a request; a workspace's own one outweighs the route's.
+
+    :param route: :class:`~cowslipcourse.routes.Route`
+    :param workspace: :class:`~cowslipcourse.routes.Workspace` or ``None``.
+    """
+    if workspace is not None and workspace.priority is not None:
+        return workspace.priority
+    return route.priority
+
+
 def can_meet_objective(route, waited_s):
     """Whether a request that is sent to a target now can meet its objective.
 
--- a/cowslipcourse/entry/context.py
+++ b/cowslipcourse/entry/context.py
@@ -38,6 +38,7 @@
         self.quarantine = quarantine
         self.rng = rng
         self.table = None
+        self.metrics = None
         self.withheld_counts = {}
 
     def choose_service(self, route):
@@ -52,6 +53,10 @@
         """Count a request that was not sent to a chosen target of a service."""
         self.withheld_counts[service] = self.withheld_counts.get(service, 0) + 1
 
+    def has_priorities(self, service):
+        """Whether requests to a service differ in priority."""
+        return self.table is not None and len(self.table.priorities(service)) > 1
+
     def service_spec(self, name):
         """Return the :class:`~cowslipcourse.routes.ServiceSpec` of a service."""
         return self.table.services[name]
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -100,6 +100,7 @@
             self.quarantine,
             rng,
         )
+        self._context.metrics = self._metrics
         self._front = FrontApp(self._context, Forwarder(self._context), self._metrics)
         self._registrar = DaemonRegistrar(
             settings, self._store, self._on_registrations, rng
@@ -248,6 +249,7 @@
 
     def investigate_suspects(self, message):
         """Investigate the suspects that a peer's heartbeat or digest names."""
+        self._fleet.notify_room_changed()
         for target, epoch in message.suspects.items():
             self._coordinator.investigate(target, epoch)
 
--- a/cowslipcourse/entry/fleet_view.py
+++ b/cowslipcourse/entry/fleet_view.py
@@ -39,6 +39,9 @@
         self._leaving_instances = {}
         self._heads = GroupHeads()
         self.version = 0
+        self.listeners = []
+        """Objects that are told of ended requests and of changes, with the methods
+        ``request_ended`` and ``room_changed``."""
 
     @property
     def entries(self):
@@ -112,6 +115,12 @@
     def _entries_changed(self):
         self.version += 1
         self._heads.update_entries(self._entries.values())
+        self.notify_room_changed()
+
+    def notify_room_changed(self):
+        """Tell the listeners that counts of peers, groups or targets have changed."""
+        for listener in self.listeners:
+            listener.room_changed()
 
     def apply_group_update(self, update, now):
         """Apply a coordinator's decision about a group before the list shows it.
@@ -119,6 +128,7 @@
         :param update: :class:`~cowslipcourse.peer_protocol.GroupUpdate`
         """
         self._heads.apply_group_update(update, self._entries.values(), now)
+        self.notify_room_changed()
 
     def request_started(self, target):
         """Count a request as in flight at a target."""
@@ -131,6 +141,8 @@
             self._in_flight[target] = remaining
         else:
             del self._in_flight[target]
+        for listener in self.listeners:
+            listener.request_ended(target)
 
     def set_peers_in_flight(self, in_flight):
         """Set the in-flight counts of the other daemons, by target id."""
--- a/cowslipcourse/entry/prometheus_metrics.py
+++ b/cowslipcourse/entry/prometheus_metrics.py
@@ -10,6 +10,8 @@
 MAX_ROUTES = 200
 """Routes with their own counters; all others share one, which bounds memory."""
 OTHER_ROUTES = "other"
+MAX_PRIORITY = 9
+"""Least urgent priority with its own label; those beyond it share it."""
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0)
 
 
@@ -92,6 +94,42 @@
             registry=self._registry,
         )
 
+        self._waiting_requests = Gauge(
+            "cowslip_waiting_requests",
+            "Requests that wait for a slot, by priority",
+            ["priority"],
+            registry=self._registry,
+        )
+        self._slot_wait_s = Histogram(
+            "cowslip_slot_wait_seconds",
+            "Seconds that placed requests have waited for a slot, by priority",
+            ["priority"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._expected_slot_wait_s = Histogram(
+            "cowslip_expected_slot_wait_seconds",
+            "Seconds that they were expected to wait when they began, by priority",
+            ["priority"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+
+    def change_waiting(self, priority, change):
+        """Change the number of requests of a priority that wait for a slot."""
+        self._waiting_requests.labels(min(priority, MAX_PRIORITY)).inc(change)
+
+    def observe_slot_wait(self, priority, expected_s, waited_s):
+        """Record how long a request has waited for a slot.
+
+        :param expected_s: what was expected when it began, or ``None``.
+        :param waited_s: what it was in the end.
+        """
+        label = min(priority, MAX_PRIORITY)
+        self._slot_wait_s.labels(label).observe(waited_s)
+        if expected_s is not None:
+            self._expected_slot_wait_s.labels(label).observe(expected_s)
+
     def observe_request(self, outcome, duration_s):
         """Record the outcome and latency of a finished request."""
         self._requests.labels(outcome).inc()
--- a/cowslipcourse/entry/stream_target_selection.py
+++ b/cowslipcourse/entry/stream_target_selection.py
@@ -6,12 +6,14 @@
 from cowslipcourse.admission.failure_attribution import TargetChoice
 from cowslipcourse.admission.no_target import all_withheld_until, no_target_choice
 from cowslipcourse.admission.urgency import can_meet_objective
+from cowslipcourse.entry.slot_waiting import SlotWaiting
 from cowslipcourse.load_balancing.target_selection import choose_group
 
 __all__ = ["StreamTargetChooser"]
 
 POLL_INTERVAL_S = 0.02
-"""Interval at which a request that waits for a free slot checks again."""
+"""Interval at which a request that waits for a free slot checks again, where requests
+do not differ in priority."""
 MAX_WAIT_FRACTION = 0.3
 """Fraction of the time left to the deadline that a request may wait for a slot."""
 
@@ -26,6 +28,7 @@
 
     def __init__(self, context):
         self._context = context
+        self._slot_waiting = SlotWaiting(context, self._candidates)
 
     async def choose(self, progress, service, tried_ids):
         """Return the ``TargetChoice`` of a stream.
@@ -39,9 +42,14 @@
         give_up_at = (
             wait_started_at + (call.deadline - wait_started_at) * MAX_WAIT_FRACTION
         )
+        model = call.caller_headers.model
+        if self._has_turns(service, model):
+            return await self._slot_waiting.choose(
+                progress, service, tried_ids, give_up_at
+            )
         while True:
             now = loop.time()
-            candidates = self._candidates(call, service, now)
+            candidates = self._candidates(service, model, now)
             candidate = self._choose_group(progress, candidates, tried_ids, now)
             if candidate is not None:
                 progress.slot_wait_s += now - wait_started_at
@@ -61,10 +69,16 @@
                 return choice
             await asyncio.sleep(POLL_INTERVAL_S)
 
-    def _candidates(self, call, service, now):
+    def _has_turns(self, service, model):
+        """Whether requests wait for their turn; unknown models have no queue."""
+        if not self._context.has_priorities(service):
+            return False
+        spec = self._context.service_spec(service)
+        return spec.model(model) is not None
+
+    def _candidates(self, service, model, now):
         spec = self._context.service_spec(service)
         if spec.models:
-            model = call.caller_headers.model
             return self._context.fleet.group_candidates(service, model, spec.slots, now)
         return self._context.fleet.service_candidates(service, now)
 
--- a/cowslipcourse/routes/table.py
+++ b/cowslipcourse/routes/table.py
@@ -96,6 +96,7 @@
         self.limits = limits
         self._keys = dict(keys)
         self._routes = {(route.host, route.prefix): route for route in routes}
+        self._priorities = self._priorities_by_service()
 
     def __len__(self):
         return len(self._routes)
@@ -113,6 +114,24 @@
             end = path.rfind("/", 0, end)
         raise UnknownRoute("no route for this host and path")
 
+    def priorities(self, service):
+        """Return the priorities that requests to a service may have.
+
+        :param service: name of the service.
+        """
+        return self._priorities.get(service, frozenset())
+
+    def _priorities_by_service(self):
+        overrides = {workspace.priority for workspace in self._keys.values()}
+        priorities = {}
+        for route in self._routes.values():
+            applied = overrides | {None} if route.is_public else overrides or {None}
+            for service, _ in route.services:
+                priorities.setdefault(service, set()).update(
+                    route.priority if each is None else each for each in applied
+                )
+        return {name: frozenset(each) for name, each in priorities.items()}
+
     def workspace(self, route, key):
         """Return the workspace of a key, or ``None`` where none is needed.
 
--- a/features/steps/withheld_steps.py
+++ b/features/steps/withheld_steps.py
@@ -258,6 +258,7 @@
         data_centre="x",
         rng=random.Random(seed),
         service_spec=lambda service: ServiceSpec(service),
+        has_priorities=lambda service: False,
     )
     if context.kind == "plain":
         choice = UnaryForwarder(tools)._choose(SERVICE, tried_ids)
