Waiting: starved requests do not cap others; calm groups are chosen as before

A starved, late request at the front of the queue capped the most urgent behind it to free slots; requests that were sent before are not paced. While slots are not scarce the group is the less loaded of two, as before this part.

--- a/cowslipcourse/admission/slot_admission.py
+++ b/cowslipcourse/admission/slot_admission.py
@@ -136,14 +136,14 @@
         waited_s, priority = waiter.call.waited_elsewhere_s, waiter.priority
         is_return = waited_s > RETURN_THRESHOLD_S
         is_early = is_return and waited_s < MIN_RETRY_AFTER_S
-        if not is_early:
+        if is_early:
+            waiter = waiter._replace(is_early=True)
+        else:
             self._demand.record_arrival(priority, is_return, now)
             waiter = waiter._replace(
                 is_return=keeps_promise(waited_s, waiter.call.route.timeout_s),
                 credited_wait_s=waited_s,
             )
-        if is_early:
-            waiter = waiter._replace(is_early=True)
         if is_return:
             self._promises.consume(priority)
         self.queue.add(waiter, now)
@@ -175,20 +175,26 @@
         marks = self._marks(needs, view, now)
         paced = self._paced_priorities(needs, view, now)
         self._room_share.refill(view.candidates, view.daemon_count, now)
-        mark = FULL_MARK
+        cap = FULL_MARK
         for waiter in self.queue.ordered(starved, now):
-            # Requests behind one that finds no room must not pass it.
-            mark = min(mark, self._mark(waiter, marks, starved, now))
-            below_mark = _below(view.candidates, mark)
-            if not below_mark:
-                return None
-            candidate = self._choose(waiter, below_mark, waiter.priority in paced)
+            mark = self._mark(waiter, marks, starved, now)
+            if waiter.priority not in starved:
+                # Requests behind one that finds no room must not pass it.
+                cap = mark = min(cap, mark)
+            untried = [
+                c
+                for c in _below(view.candidates, mark)
+                if c.entry.id not in waiter.tried_ids
+            ]
+            is_paced = waiter.priority in paced and not waiter.was_sent
+            candidate = self._choose(waiter, untried, is_paced, view, now)
             if candidate is not None:
                 return Placement(waiter, candidate.entry)
         return None
 
-    def _choose(self, waiter, candidates, is_paced):
-        untried = [c for c in candidates if c.entry.id not in waiter.tried_ids]
+    def _choose(self, waiter, untried, is_paced, view, now):
+        if not self._are_slots_scarce(view, now):
+            return choose_group(untried, waiter.tried_ids, self._rng)
         min_slots = MAX_KEPT_SLOTS if waiter.is_early else 1.0
         own = self._room_share.choose(untried, min_slots, self._rng)
         if own is not None or is_paced:
@@ -296,7 +302,7 @@
 
         :param estimate: :class:`TurnEstimate`
         """
-        if waiter.has_events or waiter.tried_ids or not view.slots:
+        if waiter.was_sent or not view.slots:
             return False
         is_calm = view.in_flight < MIN_REFUSING_FRACTION * view.slots
         if is_calm and len(self.queue) <= 1:
--- a/cowslipcourse/admission/waiting_queue.py
+++ b/cowslipcourse/admission/waiting_queue.py
@@ -43,6 +43,11 @@
         """The priority that applies to the request; 0 is the most urgent."""
         return effective_priority(self.call.route, self.call.workspace)
 
+    @property
+    def was_sent(self):
+        """Whether it was sent to a target before, by this or another daemon."""
+        return self.has_events or bool(self.tried_ids)
+
     @property
     def asked_at(self):
         """Loop time at which the caller first asked, as far as that counts."""
--- a/cowslipcourse/entry/slot_waiting.py
+++ b/cowslipcourse/entry/slot_waiting.py
@@ -130,7 +130,9 @@
             self._refuse_if_too_long(waiter, future, started_at)
         if future.done():
             return future.result()
-        estimate = self._log_with_estimate("slot-wait", waiter, started_at)
+        view = self._view(self._candidates(started_at), started_at)
+        estimate = self._admission.estimate(waiter, view, started_at)
+        self._log("slot-wait", waiter, view, estimate)
         self._change_waiting(waiter, 1)
         try:
             await asyncio.wait((future,), timeout=waiter.give_up_at - started_at)
@@ -140,7 +142,7 @@
             future.set_result(self._no_target(waiter, _now()))
         choice = future.result()
         if choice.entry is not None:
-            self._record_wait(waiter, estimate, _now() - started_at)
+            self._record_wait(waiter, view, estimate, _now() - started_at)
         return choice
 
     def _refuse_if_too_long(self, waiter, future, now):
@@ -158,7 +160,7 @@
         view = self._view(candidates, now)
         estimate = self._admission.estimate(waiter, view, now)
         if self._admission.must_refuse(waiter, view, estimate, now):
-            self._log_with_estimate("slot-refused", waiter, now)
+            self._log("slot-refused", waiter, view, estimate)
             refusal = self._admission.refuse(waiter, estimate, now)
             future.set_result(
                 TargetChoice(None, LossCause.NO_ROOM_IN_TIME, refusal.retry_after_s)
@@ -226,7 +228,8 @@
         for waiter, entry in self._admission.place(view, now):
             self._unsent_counts[entry.id] = self._unsent_counts.get(entry.id, 0) + 1
             self._futures[waiter.number].set_result(TargetChoice(entry))
-        self._look_within(self._safety_delay_s(candidates, now))
+        if len(self._admission.queue):
+            self._look_within(self._safety_delay_s(candidates, now))
 
     def _safety_delay_s(self, candidates, now):
         """Return the seconds until the queue is looked at without a reported change."""
@@ -260,32 +263,28 @@
 
     # Logs and metrics.
 
-    def _log_with_estimate(self, event, waiter, now, **fields):
-        view = self._view(self._candidates(now), now)
-        estimate = self._admission.estimate(waiter, view, now)
+    def _log(self, event, waiter, view, estimate, **fields):
+        wait_s = estimate.wait_s
         log.info(
             event,
             request=waiter.call.id,
             model=self._model,
             priority=waiter.priority,
             position=estimate.position,
-            expected_s=None if estimate.wait_s is None else round(estimate.wait_s, 3),
+            expected_s=None if wait_s is None else round(wait_s, 3),
             mark=round(estimate.mark, 3),
             in_flight=view.in_flight,
             slots=view.slots,
-            counts_age_s=round(now - self._counts_changed_at, 3),
+            counts_age_s=round(_now() - self._counts_changed_at, 3),
             **fields,
         )
-        return estimate
 
     def _change_waiting(self, waiter, change):
         if self._context.metrics is not None:
             self._context.metrics.change_waiting(waiter.priority, change)
 
-    def _record_wait(self, waiter, estimate, waited_s):
-        self._log_with_estimate(
-            "slot-placed", waiter, _now(), waited_s=round(waited_s, 3)
-        )
+    def _record_wait(self, waiter, view, estimate, waited_s):
+        self._log("slot-placed", waiter, view, estimate, waited_s=round(waited_s, 3))
         if self._context.metrics is not None:
             self._context.metrics.observe_slot_wait(
                 waiter.priority, estimate.wait_s, waited_s
