--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -121,6 +121,7 @@
             rng,
             self._placing,
         )
+        self._context.metrics = self._deferred_metrics
         self._front = FrontApp(
             self._context, Forwarder(self._context), self._deferred_metrics
         )
@@ -299,6 +300,7 @@
 
     def investigate_suspects(self, message):
         """Investigate the suspects that a peer's heartbeat or digest names."""
+        self._fleet.notify_room_changed()
         for target, epoch in message.suspects.items():
             self._coordinator.investigate(target, epoch)
 
--- a/cowslipcourse/entry/deferred_metrics.py
+++ b/cowslipcourse/entry/deferred_metrics.py
@@ -47,6 +47,14 @@
         """Count a log record."""
         self._record("count_event", event)
 
+    def change_waiting(self, priority, change):
+        """Change the number of requests of a priority that wait for a slot."""
+        self._record("change_waiting", priority, change)
+
+    def observe_slot_wait(self, priority, expected_s, waited_s):
+        """Record how long a request has waited for a slot."""
+        self._record("observe_slot_wait", priority, expected_s, waited_s)
+
     def event_counter(self):
         """Return a log handler that counts log records by event."""
         return _EventCounter(self)
--- a/features/steps/withheld_steps.py
+++ b/features/steps/withheld_steps.py
@@ -260,6 +260,7 @@
         rng=random.Random(seed),
         service_spec=lambda service: ServiceSpec(service),
         placing=SimpleNamespace(cost=None),
+        has_priorities=lambda service: False,
     )
     if context.kind == "plain":
         choice = UnaryForwarder(tools)._choose(SERVICE, tried_ids)
