Waiting requests are placed by expected time too where that is on

Cause: the queue chose among groups without the cost that other requests use. While slots are scarce any group below the mark will do, as before.

--- a/cowslipcourse/admission/slot_admission.py
+++ b/cowslipcourse/admission/slot_admission.py
@@ -55,12 +55,15 @@
     :param slots: slots of all groups, withheld ones included.
     :param in_flight: requests of all daemons in flight there.
     :param daemon_count: number of daemons.
+    :param cost: :class:`~cowslipcourse.load_balancing.CandidateCost` that candidates
+        are compared by while slots are not scarce, or ``None``.
     """
 
     candidates: list
     slots: int
     in_flight: int
     daemon_count: int
+    cost: object = None
 
 
 class Placement(NamedTuple):
@@ -194,7 +197,14 @@
 
     def _choose(self, waiter, untried, is_paced, view, now):
         if not self._are_slots_scarce(view, now):
-            return choose_group(untried, waiter.tried_ids, self._rng)
+            return choose_group(
+                untried,
+                waiter.tried_ids,
+                self._rng,
+                cost=view.cost,
+                size=waiter.call.caller_headers.size,
+                now=now,
+            )
         min_slots = MAX_KEPT_SLOTS if waiter.is_early else 1.0
         own = self._room_share.choose(untried, min_slots, self._rng)
         if own is not None or is_paced:
--- a/cowslipcourse/entry/slot_waiting.py
+++ b/cowslipcourse/entry/slot_waiting.py
@@ -259,6 +259,7 @@
             sum(candidate.slots for candidate in candidates),
             sum(candidate.in_flight for candidate in candidates),
             self._context.retry_budget.daemon_count,
+            self._context.placing.cost,
         )
 
     # Logs and metrics.
