--- a/features/steps/waiting_decision_steps.py
+++ b/features/steps/waiting_decision_steps.py
@@ -12,6 +12,7 @@
 from cowslipcourse.admission.slot_admission import SlotAdmission, SlotView
 from cowslipcourse.admission.waiting_queue import Waiter
 from cowslipcourse.load_balancing import Candidate
+from cowslipcourse.platform.headers import CallerHeaders
 
 NOW = 100.0
 LOOK_S = 0.1
@@ -109,7 +110,7 @@
             route=route_of(number % 3),
             workspace=None,
             workspace_name=None,
-            caller_headers=SimpleNamespace(model=MODEL),
+            caller_headers=CallerHeaders(model=MODEL),
             arrived_at=NOW,
             deadline=NOW + 5.0,
             waited_elsewhere_s=0.0,
--- a/features/steps/waiting_queue_steps.py
+++ b/features/steps/waiting_queue_steps.py
@@ -14,6 +14,7 @@
 )
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
+from cowslipcourse.platform.headers import CallerHeaders
 from cowslipcourse.routes import CallerLimits, RouteTable, ServiceSpec, Workspace
 
 SOON_S = 0.05
@@ -71,7 +72,7 @@
             route=route_of(priority),
             workspace=None,
             workspace_name=None,
-            caller_headers=SimpleNamespace(model=MODEL),
+            caller_headers=CallerHeaders(model=MODEL),
             arrived_at=arrived_at,
             deadline=arrived_at + left_s,
             waited_elsewhere_s=0.0,
--- a/features/support/waiting_site.py
+++ b/features/support/waiting_site.py
@@ -15,6 +15,7 @@
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.stream_target_selection import StreamTargetChooser
+from cowslipcourse.platform.headers import CallerHeaders
 from cowslipcourse.ports import GroupMembership, GroupState, TargetEntry
 from cowslipcourse.routes import (
     CallerLimits,
@@ -253,7 +254,7 @@
             route=route,
             workspace=Workspace(outcome.workspace),
             workspace_name=outcome.workspace,
-            caller_headers=SimpleNamespace(model=MODEL),
+            caller_headers=CallerHeaders(model=MODEL),
             arrived_at=arrived_at,
             deadline=arrived_at + left_s,
             waited_elsewhere_s=daemon.waits.observe(route, left_s),
