Load late components once a daemon has its configuration and targets

Late components now wait until there are a configuration and targets, 1 s at most, and pause 50 ms between imports.

--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -1,6 +1,7 @@
 """The daemon of one entry VM: builds its components and runs them."""
 
 import asyncio
+import contextlib
 import logging
 import os
 import random
@@ -45,6 +46,9 @@
 LOG_FLUSH_S = 0.05
 """Time for the queued log lines to be written before a crashed process ends."""
 HOUSEKEEPING_INTERVAL_S = 1.0
+MAX_LATE_DELAY_S = 1.0
+"""Longest wait for a configuration and targets before further components are loaded,
+which would take the processor from reading them."""
 ADDRESS_TTL_FACTOR = 3
 """Some callers cache addresses for this multiple of the TTL."""
 STOP_CHECK_INTERVAL_S = 0.1
@@ -69,6 +73,7 @@
         self._is_ready = False
         self._last_store_era = 0
         self._tasks = set()
+        self._can_serve = asyncio.Event()
         self._build()
 
     def _build(self):
@@ -115,6 +120,9 @@
 
     async def _run_late_components(self):
         """Load and build what the first requests do not need, and run it."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MAX_LATE_DELAY_S):
+                await self._can_serve.wait()
         late_components = await import_late_modules()
         self._metrics = late_components.EntryMetrics()
         self._deferred_metrics.attach(self._metrics)
@@ -214,12 +222,18 @@
         log.info("configuration", version=table.version, routes=len(table))
         # The services determine which entries name engines.
         self._coordinator.domains.update_entries(self._fleet.entries.values())
+        self._note_state()
 
     def apply_targets(self, entries, gone):
         """Apply changes to the list of targets."""
         self._fleet.apply(entries, gone)
         self._coordinator.domains.update_entries(entries)
         self._coordinator.domains.mark_unlisted(gone)
+        self._note_state()
+
+    def _note_state(self):
+        if self._context.table is not None and self._fleet.entries:
+            self._can_serve.set()
 
     # Peers.
 
--- a/cowslipcourse/entry/late_imports.py
+++ b/cowslipcourse/entry/late_imports.py
@@ -7,8 +7,9 @@
 
 __all__ = ["LATE_MODULES", "import_late_modules"]
 
-IMPORT_PAUSE_S = 0.01
-"""Time that requests have for themselves between two imports."""
+IMPORT_PAUSE_S = 0.05
+"""Time that requests have for themselves between two imports. All are over before a
+daemon that has targets may take a role, 0.6 s after its registration."""
 LATE_MODULES = (
     "prometheus_client",
     "cowslipcourse.entry.prometheus_metrics",
--- a/features/starting/start.feature
+++ b/features/starting/start.feature
@@ -17,6 +17,10 @@
     When its late components are loaded
     Then its metrics count 1 start and 1 refused request
 
+  Scenario: A daemon does not load late components while it waits for its configuration
+    When a daemon starts whose store takes 0.4 s to answer
+    Then it has its configuration and targets before it loads late components
+
   Scenario: A daemon that cannot load a late component does not go on without it
     Given a daemon whose late components cannot be imported
     When it runs until it ends
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -1,5 +1,6 @@
 """Steps for the start of a daemon process."""
 
+import asyncio
 import re
 import signal
 import subprocess
@@ -12,10 +13,16 @@
 
 from behave import given, then, when
 
+from cowslipcourse.adapters.http_server import WebServer
+from features.support.knowledge import FlakyStore
+from features.support.platform_store import Store
+from features.support.wire import entry_content
 from harness.ports import free_ports
 
 WAIT_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
+FEED_WAIT_S = 1.0
+"""Time for which the store holds back an empty answer."""
 LOADED_LATE_OR_NOT_AT_ALL = {
     "aiohttp",
     "certifi",
@@ -73,9 +80,11 @@
     """A daemon process with a program that prepares its start.
 
     :param preparation: source that is run first.
+    :param store_address: ``ip:port`` of its store; nothing listens there without one.
     """
 
-    def __init__(self, preparation):
+    def __init__(self, preparation, store_address=None):
+        self._store_address = store_address or f"127.0.0.1:{free_ports(1)[0]}"
         self._folder = Path(tempfile.mkdtemp(prefix="cowslip-start-"))
         self._settings_path = self._folder / "a1.toml"
         self._release_path = self._folder / "release"
@@ -100,11 +109,11 @@
         return self._log_path.read_text()
 
     def write_settings(self, level):
-        """Write its settings file; its store does not exist."""
+        """Write its settings file."""
         listen = "".join(f'{name} = "{at}"\n' for name, at in self.addresses.items())
         self._settings_path.write_text(
             f'name = "a1"\ndata_centre = "n"\n[listen]\n{listen}'
-            f'[store]\naddress = "127.0.0.1:{free_ports(1)[0]}"\n'
+            f'[store]\naddress = "{self._store_address}"\n'
             f'[log]\nlevel = "{level}"\n'
         )
 
@@ -167,6 +176,36 @@
     _wait_until(lambda: "event=started" in daemon.output, lambda: daemon.output)
 
 
+@when("a daemon starts whose store takes {delay_s:g} s to answer")
+def step_slow_store(context, delay_s):
+    store = Store()
+    store.put("op", "config", FlakyStore().rows("op")[0].value)
+    store.put("servers", "t1", entry_content())
+    store.delay_s = delay_s
+
+    async def run():
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        server = WebServer(store.app(), address)
+        await server.start()
+        context.daemon = _StartedDaemon("", address)
+        context.resources.callback(context.daemon.stop)
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while "event=all-components-loaded" not in context.daemon.output:
+                await asyncio.sleep(POLL_INTERVAL_S)
+        context.daemon.stop()
+        await server.stop(2 * delay_s + FEED_WAIT_S)
+
+    asyncio.run(run())
+
+
+@then("it has its configuration and targets before it loads late components")
+def step_order(context):
+    output = context.daemon.output
+    loaded_at = output.index("event=all-components-loaded")
+    for event in ("event=configuration ", "event=targets-read number=1 "):
+        assert 0 <= output.find(event) < loaded_at, output
+
+
 @given("a daemon whose late components cannot be imported")
 def step_broken(context):
     _start(context, BREAK_LATE_MODULES)
