--- a/cowslipcourse/gateway/services.py
+++ b/cowslipcourse/gateway/services.py
@@ -195,20 +195,18 @@
         )
 
     async def _forward_to_home(self, keyed_call, home, member):
-        remaining_s = (
-            keyed_call.deadline - now() if keyed_call.deadline is not None else 0.0
-        )
+        remaining_s = _remaining_s(keyed_call)
         call = ForwardedCall(
             key=keyed_call.key,
             workspace=keyed_call.workspace,
             service=keyed_call.service,
             operation=keyed_call.operation,
             body=keyed_call.body,
-            remaining_s=remaining_s,
+            remaining_s=remaining_s or 0.0,
             window=home.window,
             incarnation=home.incarnation,
         )
-        timeout_s = remaining_s or FORWARD_TIMEOUT_S
+        timeout_s = FORWARD_TIMEOUT_S if remaining_s is None else remaining_s
         try:
             reply = await self._context.agent.peers.forward(
                 member.peer_address, call, timeout_s
@@ -234,6 +232,20 @@
         return completed, True
 
 
+def _remaining_s(keyed_call):
+    """Return the seconds left to the deadline of a keyed call, or ``None``.
+
+    :raises OutcomeUnknown: the deadline has passed. Only the key's home gateway knows
+        whether an earlier call with the key has run.
+    """
+    if keyed_call.deadline is None:
+        return None
+    remaining_s = keyed_call.deadline - now()
+    if remaining_s <= 0:
+        raise OutcomeUnknown("the deadline passed before the key's home was asked")
+    return remaining_s
+
+
 def _response(completed, request_id, remembered):
     headers = {"x-request-id": request_id}
     if remembered:
