--- a/cowslipcourse/entry/context.py
+++ b/cowslipcourse/entry/context.py
@@ -36,6 +36,7 @@
         placing=None,
     ):
         self.data_centre = settings.data_centre
+        self.admission = settings.admission
         self.fleet = fleet
         self.attempt_sender = attempt_sender
         self.retry_budget = retry_budget
@@ -63,8 +64,10 @@
         self.withheld_counts[service] = self.withheld_counts.get(service, 0) + 1
 
     def has_priorities(self, service):
-        """Whether requests to a service differ in priority."""
-        return self.table is not None and len(self.table.priorities(service)) > 1
+        """Whether requests to a service wait by priority and differ in it."""
+        if self.admission.order != "priority" or self.table is None:
+            return False
+        return len(self.table.priorities(service)) > 1
 
     def service_spec(self, name):
         """Return the :class:`~cowslipcourse.routes.ServiceSpec` of a service."""
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -228,6 +228,7 @@
         self._context.retry_budget.settings = settings.retries
         self._coordinator.settings = settings.control
         self._control.settings = settings.control
+        self._context.admission = settings.admission
         self._placing.apply_settings(settings.balancing)
 
     @property
--- a/cowslipcourse/entry/settings.py
+++ b/cowslipcourse/entry/settings.py
@@ -7,6 +7,7 @@
 from cowslipcourse.settings_file import Address, LogSettings, Seconds, Section
 
 __all__ = [
+    "AdmissionSettings",
     "BalancingSettings",
     "ControlSettings",
     "EntrySettings",
@@ -110,6 +111,15 @@
     grace_s: Seconds = 8.0
 
 
+class AdmissionSettings(Section):
+    """Order in which requests that wait get slots.
+
+    :param order: by arrival, or by the priority of their routes and workspaces.
+    """
+
+    order: Literal["arrival", "priority"] = "arrival"
+
+
 class BalancingSettings(Section):
     """Choice among the targets of a request.
 
@@ -136,5 +146,6 @@
     control: ControlSettings = ControlSettings()
     retries: RetrySettings = RetrySettings()
     stop: StopSettings = StopSettings()
+    admission: AdmissionSettings = AdmissionSettings()
     balancing: BalancingSettings = BalancingSettings()
     log: LogSettings = LogSettings(level="info")
