Observe whether a daemon reaches any target

A daemon now probes connections to four targets of different data centres and domains after a failed connection, a silent target, or a second in which requests are in flight and nothing arrives: it has lost its links once all fail, and has them back once most succeed. It logs targets-unreachable and targets-reachable, says so with each failed attempt, and shows cowslip_state{name="reaches_targets"}. No decision uses it yet.

Probes are bare connections: they ask nothing of a target, and come at most every 0.5 s. Tests: pure decisions and the monitor in virtual time, features/reachability.

--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -1,7 +1,7 @@
 """Single attempts at targets: connections, requests and in-flight counts."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from typing import NamedTuple
 
 from cowslipcourse.admission.urgency import urgency
@@ -74,12 +74,16 @@
     :param fleet: :class:`~cowslipcourse.entry.fleet_view.FleetView`
     :param conditions:
         :class:`~cowslipcourse.entry.target_conditions.TargetConditions`
+    :param on_unreachable: called when no connection to a target could be opened.
     """
 
-    def __init__(self, fleet, conditions):
+    def __init__(self, fleet, conditions, on_unreachable=lambda: None):
         self._fleet = fleet
         self._conditions = conditions
+        self._on_unreachable = on_unreachable
         self._pool = ConnectionPool(CONNECT_TIMEOUT_S)
+        self._sent_at_by_connection = {}
+        self._last_received_at = float("-inf")
 
     @asynccontextmanager
     async def open(self, call, run, last_event_id=None):
@@ -99,9 +103,7 @@
         self._fleet.request_started(entry.id)
         connection = None
         try:
-            connection = await self._pool.acquire(
-                key, entry.address, needs_new_connection
-            )
+            connection = await self._connect(key, entry, needs_new_connection)
             left_s = call.deadline - loop.time()
             if left_s <= 0:
                 raise TargetUnreachable(
@@ -112,13 +114,44 @@
             self._conditions.verify(entry, permit)
             connection.send(request)
             run.connection = connection
-            yield Attempt(entry, connection, loop.time(), self._conditions)
+            with self._tracking(connection):
+                yield Attempt(entry, connection, loop.time(), self._conditions)
         finally:
             self._fleet.request_ended(entry.id)
             if connection is not None:
                 run.ended_by_target = connection.ended_by_target
                 self._pool.release(key, connection)
 
+    async def _connect(self, key, entry, needs_new_connection):
+        try:
+            return await self._pool.acquire(key, entry.address, needs_new_connection)
+        except TargetUnreachable:
+            self._on_unreachable()
+            raise
+
+    @contextmanager
+    def _tracking(self, connection):
+        now = asyncio.get_running_loop().time()
+        self._sent_at_by_connection[connection] = now
+        try:
+            yield
+        finally:
+            del self._sent_at_by_connection[connection]
+            self._last_received_at = max(
+                self._last_received_at, connection.last_received_at
+            )
+
+    def silent_s(self):
+        """Return the seconds for which all targets with open requests are silent."""
+        if not self._sent_at_by_connection:
+            return 0.0
+        silent_since = max(
+            self._last_received_at,
+            min(self._sent_at_by_connection.values()),
+            *(each.last_received_at for each in self._sent_at_by_connection),
+        )
+        return asyncio.get_running_loop().time() - silent_since
+
     def close_stale_connections(self):
         """Close connections that are too old or belong to targets no longer listed."""
         entries = self._fleet.entries.values()
--- a/cowslipcourse/entry/context.py
+++ b/cowslipcourse/entry/context.py
@@ -2,6 +2,7 @@
 
 from cowslipcourse.entry.settings import BalancingSettings
 from cowslipcourse.entry.target_placing import TargetPlacing
+from cowslipcourse.entry.unloaded_components import AlwaysReachable
 
 __all__ = ["DaemonContext"]
 
@@ -47,6 +48,8 @@
         self.placing = placing or TargetPlacing(
             BalancingSettings(), fleet, conditions, settings.data_centre
         )
+        self.reachability = AlwaysReachable()
+        """:class:`~cowslipcourse.entry.unloaded_components.Reachability`"""
         self.table = None
         self.metrics = None
         self.withheld_counts = {}
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -31,7 +31,7 @@
 from cowslipcourse.entry.state_replica import StateReplica
 from cowslipcourse.entry.target_conditions import TargetConditions
 from cowslipcourse.entry.target_placing import TargetPlacing
-from cowslipcourse.entry.unloaded_coordinator import UnloadedCoordinator
+from cowslipcourse.entry.unloaded_components import UnloadedCoordinator
 from cowslipcourse.peer_protocol import Heartbeat, Member, PeerRegistry
 from cowslipcourse.platform import (
     HttpEngineControl,
@@ -106,7 +106,7 @@
         self.speed_exchange = SpeedExchange(
             settings.name, settings.data_centre, self._peer_link, self._placing
         )
-        attempt_sender = AttemptSender(self._fleet, self._conditions)
+        attempt_sender = AttemptSender(self._fleet, self._conditions, self._doubt_links)
         exit_detector = TargetExitDetector(self._fleet.is_expected)
         verdict_store = VerdictStore(self._store, time.time)
         self.quarantine = Quarantine(self._peer_link, exit_detector, verdict_store)
@@ -153,7 +153,12 @@
             self.broadcast_group_update,
         )
         self._coordinator.domains.update_entries(self._fleet.entries.values())
+        reachability = late_components.ReachabilityMonitor(
+            self._fleet, self._context.rng, self._context.attempt_sender.silent_s
+        )
+        self._context.reachability = reachability
         log.info("all-components-loaded")
+        self._run_forever(reachability.run())
         self._run_forever(self._run_housekeeping())
         self._run_forever(self._coordinator.shares.run())
         await self._coordinator.run()
@@ -322,7 +327,11 @@
         """Send target changes to the daemons of the data centre."""
         self._peer_link.push_changes(changes)
 
+    def _doubt_links(self):
+        self._context.reachability.doubt()
+
     def _on_suspect(self):
+        self._doubt_links()
         now = asyncio.get_running_loop().time()
         self._peer_link.heartbeat_now()
         for target, epoch in self._fleet.suspects(now).items():
@@ -369,6 +378,9 @@
             self._context.attempt_sender.close_stale_connections()
             self._metrics.set_state("in_flight", self._front.in_flight)
             self._metrics.set_state("quarantined", self.quarantine.verdict_count)
+            self._metrics.set_state(
+                "reaches_targets", int(self._context.reachability.is_reachable)
+            )
             self._metrics.set_group_counts(
                 group_counter.count(self._context.table, self._fleet)
             )
--- a/cowslipcourse/entry/late_components.py
+++ b/cowslipcourse/entry/late_components.py
@@ -2,5 +2,6 @@
 
 from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.prometheus_metrics import EntryMetrics
+from cowslipcourse.entry.reachability_monitor import ReachabilityMonitor
 
-__all__ = ["Coordinator", "EntryMetrics"]
+__all__ = ["Coordinator", "EntryMetrics", "ReachabilityMonitor"]
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -104,5 +104,6 @@
         events=run.relayed_events,
         ended_by_target=run.ended_by_target,
         pause_left_s=round(context.conditions.pause_left_s(run.entry), 3),
+        reaches_targets=context.reachability.is_reachable,
     )
     context.quarantine.record_failed(call, run)
--- a/cowslipcourse/entry/unloaded_coordinator.py
+++ b/cowslipcourse/entry/unloaded_components.py
@@ -1,6 +1,28 @@
-"""What stands in the place of the coordinator until it is loaded."""
+"""What stands in the place of late components until they are loaded."""
 
-__all__ = ["UnloadedCoordinator"]
+from typing import Protocol
+
+__all__ = ["AlwaysReachable", "Reachability", "UnloadedCoordinator"]
+
+
+class Reachability(Protocol):
+    """Whether this daemon reaches targets over its own links."""
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether it reaches targets, as far as it knows."""
+
+    def doubt(self) -> None:
+        """Check the links soon, after a connection to a target has failed."""
+
+
+class AlwaysReachable:
+    """Implements :class:`Reachability` as long as nothing checks the links."""
+
+    is_reachable = True
+
+    def doubt(self):
+        """Ignore the doubt."""
 
 
 class _UnobservedDomains:
