Relay requests while a daemon has no links to the targets

Cause: a daemon had no path to targets but its own links, and no notion of whether these work. It took each failure for one of a target: went from target to target over dead links, used up the retry budget with connections that were never made, and refused.

Now a failed connection is followed by a round of probes. If all fail, requests go to another daemon, which decides about them like about its own. The same false conclusion elsewhere: suspicions are withdrawn, not told; a refused connection is evidence of a crash only where other targets accept connections.

--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -5,14 +5,17 @@
 from typing import NamedTuple
 
 from cowslipcourse.admission.urgency import urgency
-from cowslipcourse.exceptions import TargetUnreachable
+from cowslipcourse.exceptions import TargetSilent, TargetUnreachable
 from cowslipcourse.http_client import ConnectionPool, TargetRequest
 from cowslipcourse.platform.headers import attempt_id_header, target_headers
 
-__all__ = ["Attempt", "AttemptSender", "TargetRun"]
+__all__ = ["Attempt", "AttemptSender", "RelayPeer", "TargetRun", "relay_id"]
 
 CONNECT_TIMEOUT_S = 0.4
 """A healthy target accepts within a few ms; a lost packet costs a second or more."""
+MAX_SILENCE_S = 0.5
+"""Silence for which a request counts as lost with the links: longer than the pauses
+between events, as open connections may live on while new ones fail."""
 
 
 class Attempt(NamedTuple):
@@ -40,14 +43,50 @@
         return head
 
 
+class RelayPeer(NamedTuple):
+    """A daemon that a request is sent to in place of a target.
+
+    :param name: name of the daemon.
+    :param incarnation: incarnation of the daemon.
+    :param address: ``ip:port`` at which it serves callers.
+    :param peer_address: its address among the daemons.
+    """
+
+    name: str
+    incarnation: int
+    address: str
+    peer_address: str
+
+    @classmethod
+    def from_member(cls, member):
+        """Return the peer that a :class:`~cowslipcourse.peer_protocol.Member` is."""
+        return cls(
+            member.name,
+            member.incarnation,
+            member.front_address,
+            member.peer_address,
+        )
+
+    @property
+    def id(self):
+        """Id in place of that of a target."""
+        return relay_id(self.name)
+
+
+def relay_id(name):
+    """Return the id of a daemon in logs and among the targets that were tried."""
+    return f"relay:{name}"
+
+
 class TargetRun:
-    """Observed state of a request at one target.
+    """Observed state of a request at one target, or at a daemon that relays it.
 
-    :param entry: :class:`~cowslipcourse.ports.TargetEntry`
+    :param entry: :class:`~cowslipcourse.ports.TargetEntry` or :class:`RelayPeer`
     """
 
     def __init__(self, entry):
         self.entry = entry
+        self.is_relayed = isinstance(entry, RelayPeer)
         self.connection = None
         """:class:`~cowslipcourse.http_client.TargetConnection` that it was sent on."""
         self.answer_started = False
@@ -68,21 +107,24 @@
             self.connection.abort(error)
 
 
+class _SentRequest(NamedTuple):
+    sent_at: float
+    route: object
+
+
 class AttemptSender:
     """Sends requests to targets and counts them as in flight.
 
     :param fleet: :class:`~cowslipcourse.entry.fleet_view.FleetView`
     :param conditions:
         :class:`~cowslipcourse.entry.target_conditions.TargetConditions`
-    :param on_unreachable: called when no connection to a target could be opened.
     """
 
-    def __init__(self, fleet, conditions, on_unreachable=lambda: None):
+    def __init__(self, fleet, conditions):
         self._fleet = fleet
         self._conditions = conditions
-        self._on_unreachable = on_unreachable
         self._pool = ConnectionPool(CONNECT_TIMEOUT_S)
-        self._sent_at_by_connection = {}
+        self._sent_by_connection = {}
         self._last_received_at = float("-inf")
 
     @asynccontextmanager
@@ -103,7 +145,9 @@
         self._fleet.request_started(entry.id)
         connection = None
         try:
-            connection = await self._connect(key, entry, needs_new_connection)
+            connection = await self._pool.acquire(
+                key, entry.address, needs_new_connection
+            )
             left_s = call.deadline - loop.time()
             if left_s <= 0:
                 raise TargetUnreachable(
@@ -114,7 +158,7 @@
             self._conditions.verify(entry, permit)
             connection.send(request)
             run.connection = connection
-            with self._tracking(connection):
+            with self._tracking(connection, call.route):
                 yield Attempt(entry, connection, loop.time(), self._conditions)
         finally:
             self._fleet.request_ended(entry.id)
@@ -122,36 +166,40 @@
                 run.ended_by_target = connection.ended_by_target
                 self._pool.release(key, connection)
 
-    async def _connect(self, key, entry, needs_new_connection):
-        try:
-            return await self._pool.acquire(key, entry.address, needs_new_connection)
-        except TargetUnreachable:
-            self._on_unreachable()
-            raise
-
     @contextmanager
-    def _tracking(self, connection):
+    def _tracking(self, connection, route):
         now = asyncio.get_running_loop().time()
-        self._sent_at_by_connection[connection] = now
+        self._sent_by_connection[connection] = _SentRequest(now, route)
         try:
             yield
         finally:
-            del self._sent_at_by_connection[connection]
+            del self._sent_by_connection[connection]
             self._last_received_at = max(
                 self._last_received_at, connection.last_received_at
             )
 
     def silent_s(self):
         """Return the seconds for which all targets with open requests are silent."""
-        if not self._sent_at_by_connection:
+        if not self._sent_by_connection:
             return 0.0
         silent_since = max(
             self._last_received_at,
-            min(self._sent_at_by_connection.values()),
-            *(each.last_received_at for each in self._sent_at_by_connection),
+            min(request.sent_at for request in self._sent_by_connection.values()),
+            *(each.last_received_at for each in self._sent_by_connection),
         )
         return asyncio.get_running_loop().time() - silent_since
 
+    def abort_silent(self):
+        """Abort repeatable requests at silent targets, after the links were lost.
+
+        The others may have run and may still be answered once the links are back.
+        """
+        now = asyncio.get_running_loop().time()
+        for connection, request in list(self._sent_by_connection.items()):
+            received_at = max(request.sent_at, connection.last_received_at)
+            if request.route.is_retryable and now - received_at > MAX_SILENCE_S:
+                connection.abort(TargetSilent("the links to the targets are lost"))
+
     def close_stale_connections(self):
         """Close connections that are too old or belong to targets no longer listed."""
         entries = self._fleet.entries.values()
--- a/cowslipcourse/entry/caller_app.py
+++ b/cowslipcourse/entry/caller_app.py
@@ -8,14 +8,36 @@
 from cowslipcourse.admission.failure_attribution import SERVED
 from cowslipcourse.entry.calls import Responder, read_call
 from cowslipcourse.entry.graceful_stop import RequestDurations, can_finish
-from cowslipcourse.exceptions import CallerDisconnected, GatewayDraining, RequestError
-from cowslipcourse.platform.headers import attempt_id, retry_after_header
+from cowslipcourse.exceptions import (
+    CallerDisconnected,
+    GatewayDraining,
+    NoConfiguration,
+    NotAuthorised,
+    RelayRefused,
+    RequestError,
+    UnknownRoute,
+)
+from cowslipcourse.platform.headers import (
+    attempt_id,
+    relay_refusal_header,
+    retry_after_header,
+)
 
 __all__ = ["FrontApp"]
 
 DRAINING_RETRY_AFTER_S = 0.0
 """Retry-After of a draining daemon: the others are not known to be overloaded."""
 
+RELAY_REFUSALS = (
+    RelayRefused,
+    GatewayDraining,
+    NoConfiguration,
+    NotAuthorised,
+    UnknownRoute,
+)
+"""Errors of this daemon that others may not have, as their state or configuration
+differs."""
+
 log = get_logger(__name__)
 
 
@@ -137,6 +159,8 @@
             # Without the last chunk the caller sees that the response is incomplete.
             raise error
         headers = retry_after_header(error.retry_after_s)
+        if isinstance(error, RELAY_REFUSALS):
+            headers |= relay_refusal_header(scope["headers"], error.code)
         if self.is_draining:
             headers["Connection"] = "close"
         await problem_response(error, headers)(scope, receive, send)
--- a/cowslipcourse/entry/context.py
+++ b/cowslipcourse/entry/context.py
@@ -1,8 +1,11 @@
 """Objects shared by the components of a daemon."""
 
+from contextlib import nullcontext
+
 from cowslipcourse.entry.settings import BalancingSettings
 from cowslipcourse.entry.target_placing import TargetPlacing
-from cowslipcourse.entry.unloaded_components import AlwaysReachable
+from cowslipcourse.entry.unloaded_components import AlwaysReachable, NoRelays
+from cowslipcourse.load_balancing.target_speeds import UnobservedRequest
 
 __all__ = ["DaemonContext"]
 
@@ -50,6 +53,8 @@
         )
         self.reachability = AlwaysReachable()
         """:class:`~cowslipcourse.entry.unloaded_components.Reachability`"""
+        self.relays = NoRelays()
+        """:class:`~cowslipcourse.entry.unloaded_components.RelayService`"""
         self.table = None
         self.metrics = None
         self.withheld_counts = {}
@@ -62,6 +67,23 @@
         weights = [weight for _, weight in route.services]
         return self.rng.choices(names, weights)[0]
 
+    def open_attempt(self, call, run, last_event_id=None):
+        """Send a request to the target or the relay of a run.
+
+        See :meth:`~cowslipcourse.entry.attempts.AttemptSender.open`.
+        """
+        sender = self.relays if run.is_relayed else self.attempt_sender
+        return sender.open(call, run, last_event_id)
+
+    def observing(self, call, run):
+        """Observe the time of a request, unless another daemon does.
+
+        See :meth:`~cowslipcourse.entry.target_placing.TargetPlacing.observing`.
+        """
+        if run.is_relayed:
+            return nullcontext(UnobservedRequest())
+        return self.placing.observing(call, run.entry)
+
     def count_withheld(self, service):
         """Count a request that was not sent to a chosen target of a service."""
         self.withheld_counts[service] = self.withheld_counts.get(service, 0) + 1
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -41,7 +41,11 @@
 )
 from cowslipcourse.ports import era_of
 from cowslipcourse.quarantine import VerdictStore
-from cowslipcourse.quarantine_runtime import Quarantine, TargetExitDetector
+from cowslipcourse.quarantine_runtime import (
+    Quarantine,
+    TargetExitDetector,
+    refuses_connections,
+)
 from cowslipcourse.rate_limit_runtime import RateLimiter
 from cowslipcourse.rate_limits import ColdTargets
 
@@ -106,8 +110,8 @@
         self.speed_exchange = SpeedExchange(
             settings.name, settings.data_centre, self._peer_link, self._placing
         )
-        attempt_sender = AttemptSender(self._fleet, self._conditions, self._doubt_links)
-        exit_detector = TargetExitDetector(self._fleet.is_expected)
+        attempt_sender = AttemptSender(self._fleet, self._conditions)
+        exit_detector = TargetExitDetector(self._fleet.is_expected, self._has_refused)
         verdict_store = VerdictStore(self._store, time.time)
         self.quarantine = Quarantine(self._peer_link, exit_detector, verdict_store)
         self._context = DaemonContext(
@@ -154,11 +158,22 @@
         )
         self._coordinator.domains.update_entries(self._fleet.entries.values())
         reachability = late_components.ReachabilityMonitor(
-            self._fleet, self._context.rng, self._context.attempt_sender.silent_s
+            self._fleet,
+            self._context.rng,
+            self._context.attempt_sender.silent_s,
+            self._on_links_lost,
+        )
+        relays = late_components.Relays(
+            self._settings.data_centre,
+            self._ready_members,
+            self._peer_link.alive_addresses,
+            self._context.rng,
         )
         self._context.reachability = reachability
+        self._context.relays = relays
         log.info("all-components-loaded")
         self._run_forever(reachability.run())
+        self._run_forever(relays.run())
         self._run_forever(self._run_housekeeping())
         self._run_forever(self._coordinator.shares.run())
         await self._coordinator.run()
@@ -287,7 +302,7 @@
             is_healthy=self._is_healthy(now),
             targets_version=self.replica.targets_version,
             in_flight=dict(self._fleet.in_flight),
-            suspects=self._fleet.suspects(now),
+            suspects=self._told_suspects(now),
             interval_s=self.heartbeat_interval_s(),
         )
 
@@ -327,14 +342,26 @@
         """Send target changes to the daemons of the data centre."""
         self._peer_link.push_changes(changes)
 
-    def _doubt_links(self):
-        self._context.reachability.doubt()
+    def _on_links_lost(self):
+        """Withdraw what was concluded about targets from the lost links."""
+        self._fleet.clear_suspicions()
+        self._context.attempt_sender.abort_silent()
+
+    def _told_suspects(self, now):
+        """Return the suspects to name to others; without links there are none."""
+        is_reachable = self._context.reachability.is_reachable
+        return self._fleet.suspects(now) if is_reachable else {}
+
+    async def _has_refused(self, address):
+        """Return whether a target refuses connections while others accept them."""
+        is_refused = await refuses_connections(address)
+        return is_refused and await self._context.reachability.confirm()
 
     def _on_suspect(self):
-        self._doubt_links()
+        self._context.reachability.doubt()
         now = asyncio.get_running_loop().time()
         self._peer_link.heartbeat_now()
-        for target, epoch in self._fleet.suspects(now).items():
+        for target, epoch in self._told_suspects(now).items():
             self._coordinator.investigate(target, epoch)
 
     def _health_path(self, service):
@@ -349,10 +376,12 @@
         table = self._context.table
         return None if table is None else table.services.get(service)
 
-    def _ready_addresses(self):
+    def _ready_members(self):
         now = asyncio.get_running_loop().time()
-        ready = self._registry.ready_members(self._settings.name, now)
-        addresses = [member.front_address for member in ready]
+        return self._registry.ready_members(self._settings.name, now)
+
+    def _ready_addresses(self):
+        addresses = [member.front_address for member in self._ready_members()]
         if self._is_ready:
             addresses.append(self._settings.listen.front)
         self._context.rng.shuffle(addresses)
--- a/cowslipcourse/entry/fleet_view.py
+++ b/cowslipcourse/entry/fleet_view.py
@@ -165,6 +165,10 @@
         self._suspicions[target] = _Suspicion(instance, now + duration_s, duration_s)
         return True
 
+    def clear_suspicions(self):
+        """Forget all suspicions; they were about this daemon's own links."""
+        self._suspicions.clear()
+
     def suspects(self, now):
         """Return the group epochs of the suspected targets by target id."""
         for target, suspicion in list(self._suspicions.items()):
--- a/cowslipcourse/entry/forwarder.py
+++ b/cowslipcourse/entry/forwarder.py
@@ -39,7 +39,9 @@
         )
         call = call._replace(waited_elsewhere_s=waited_elsewhere_s)
         service = self._context.choose_service(call.route)
-        self._context.retry_budget.record_request(service, loop.time())
+        if self._context.reachability.is_reachable:
+            # A daemon that relays the request records it.
+            self._context.retry_budget.record_request(service, loop.time())
         is_stream = call.route.kind is RequestKind.STREAMING
         forwarder = self._stream_forwarder if is_stream else self._unary_forwarder
         try:
--- a/cowslipcourse/entry/late_components.py
+++ b/cowslipcourse/entry/late_components.py
@@ -3,5 +3,6 @@
 from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.prometheus_metrics import EntryMetrics
 from cowslipcourse.entry.reachability_monitor import ReachabilityMonitor
+from cowslipcourse.entry.relaying import Relays
 
-__all__ = ["Coordinator", "EntryMetrics", "ReachabilityMonitor"]
+__all__ = ["Coordinator", "EntryMetrics", "ReachabilityMonitor", "Relays"]
--- a/cowslipcourse/entry/reachability_monitor.py
+++ b/cowslipcourse/entry/reachability_monitor.py
@@ -13,6 +13,8 @@
 PROBE_TIMEOUT_S = 0.4
 """A healthy target accepts within a few ms."""
 CHECK_INTERVAL_S = 0.25
+CONFIRMATION_VALIDITY_S = 0.1
+"""Time for which the result of a round of probes holds for further failures."""
 MAX_SILENCE_S = 1.0
 """Time without any byte from targets, while requests are in flight, after which the
 links are probed."""
@@ -42,17 +44,20 @@
     :param rng: :class:`random.Random`
     :param silent_s: callable that returns the seconds for which no target has sent
         anything although requests are in flight.
+    :param on_lost: called after each round of probes that finds the links lost.
     :param probe: coroutine function like :func:`accepts_connections`.
     """
 
-    def __init__(self, fleet, rng, silent_s, probe=accepts_connections):
+    def __init__(self, fleet, rng, silent_s, on_lost, probe=accepts_connections):
         self._fleet = fleet
         self._rng = rng
         self._silent_s = silent_s
+        self._on_lost = on_lost
         self._probe = probe
         self._is_reachable = True
         self._doubted = asyncio.Event()
         self._round = None
+        self._confirmed_at = float("-inf")
 
     @property
     def is_reachable(self):
@@ -64,15 +69,22 @@
         self._doubted.set()
 
     async def confirm(self):
-        """Return whether this daemon reaches targets, by a round of probes."""
+        """See :class:`~cowslipcourse.entry.unloaded_components.Reachability`."""
+        now = asyncio.get_running_loop().time()
+        if self._is_reachable and now - self._confirmed_at > CONFIRMATION_VALIDITY_S:
+            await self._join_round()
+        return self._is_reachable
+
+    async def _join_round(self):
+        """Wait for the present round of probes, or for a new one."""
         if self._round is None:
             self._round = asyncio.create_task(self._probe_links())
             self._round.add_done_callback(self._end_round)
         await asyncio.shield(self._round)
-        return self._is_reachable
 
     def _end_round(self, task):
         self._round = None
+        self._confirmed_at = asyncio.get_running_loop().time()
 
     async def run(self):
         """Probe the links whenever they are in doubt or lost, until cancelled."""
@@ -80,7 +92,7 @@
             if self._is_reachable:
                 await self._wait_for_doubt()
             self._doubted.clear()
-            await self.confirm()
+            await self._join_round()
             await asyncio.sleep(PROBE_INTERVAL_S)
 
     async def _wait_for_doubt(self):
@@ -93,10 +105,11 @@
 
     async def _probe_links(self):
         probed = choose_probed(self._fleet.entries.values(), self._rng)
-        results = await asyncio.gather(*(self._probe(e.address) for e in probed))
-        reached_count = sum(results)
+        reached_count = await self._count_reached(probed)
         was_reachable = self._is_reachable
         self._is_reachable = reaches_targets(was_reachable, len(probed), reached_count)
+        if not self._is_reachable:
+            self._on_lost()
         if self._is_reachable == was_reachable:
             return
         log.warning(
@@ -104,3 +117,20 @@
             probed=len(probed),
             reached=reached_count,
         )
+
+    async def _count_reached(self, probed):
+        """Return how many targets accept connections.
+
+        While the links are not known to be lost, one success is enough to know.
+        """
+        tasks = [asyncio.create_task(self._probe(entry.address)) for entry in probed]
+        reached_count = 0
+        try:
+            for task in asyncio.as_completed(tasks):
+                reached_count += await task
+                if self._is_reachable and reached_count:
+                    break
+        finally:
+            for task in tasks:
+                task.cancel()
+        return reached_count
--- a/cowslipcourse/entry/stream_forwarder.py
+++ b/cowslipcourse/entry/stream_forwarder.py
@@ -1,6 +1,7 @@
 """Forward streams: relay complete events and resume at another target on failure."""
 
 import asyncio
+from contextlib import contextmanager
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.admission.failure_attribution import StreamTimes, late_cause
@@ -80,20 +81,32 @@
     async def _attempt(self, progress, run):
         call = progress.call
         run.last_event_id = progress.position.last_event_id or 0
-        async with self._context.attempt_sender.open(
+        async with self._context.open_attempt(
             call, run, progress.resume_event_id
         ) as attempt:
-            stream = WatchedStream(attempt, call.id)
-            self._context.silence_detector.add(stream)
             try:
-                with self._context.placing.observing(call, run.entry) as observed:
+                with (
+                    self._watching(call, run, attempt) as stream,
+                    self._context.observing(call, run) as observed,
+                ):
                     progress.observed = observed
                     await self._relay(progress, run, attempt, stream)
             except (TargetError, asyncio.CancelledError):
                 attempt.connection.abort()
                 raise
-            finally:
-                self._context.silence_detector.remove(stream)
+
+    @contextmanager
+    def _watching(self, call, run, attempt):
+        """Watch a stream for silence; that of a relay includes its retries."""
+        stream = WatchedStream(attempt, call.id)
+        if run.is_relayed:
+            yield stream
+            return
+        self._context.silence_detector.add(stream)
+        try:
+            yield stream
+        finally:
+            self._context.silence_detector.remove(stream)
 
     async def _relay(self, progress, run, attempt, stream):
         responder = progress.responder
@@ -102,7 +115,7 @@
         if is_not_executed(head):
             raise TargetRefused(f"answered {head.status}")
         if head.status != 200:
-            await self._relay_error(head, attempt, responder)
+            await self._relay_error(run, head, attempt, responder)
             return
         splitter = EventSplitter()
         while chunk := await attempt.connection.read():
@@ -133,9 +146,10 @@
         if error is not None:
             raise error
 
-    async def _relay_error(self, head, attempt, responder):
+    async def _relay_error(self, run, head, attempt, responder):
         body = await attempt.connection.read_all()
-        if responder.started or head.status in NOT_EXECUTED_STATUSES:
+        is_proven = run.is_relayed or head.status not in NOT_EXECUTED_STATUSES
+        if responder.started or not is_proven:
             raise IncompleteResponse(f"answered {head.status}")
         await responder.start(head.status, response_headers(head.headers))
         await responder.finish(body)
--- a/cowslipcourse/entry/unary_forwarder.py
+++ b/cowslipcourse/entry/unary_forwarder.py
@@ -62,21 +62,17 @@
         return TargetChoice(candidate.entry)
 
     async def _attempt(self, call, run, is_last):
-        async with self._context.attempt_sender.open(call, run) as attempt:
+        async with self._context.open_attempt(call, run) as attempt:
             # Nothing precedes the response, so the request may be running already.
             run.answer_started = True
             try:
-                with self._context.placing.observing(call, run.entry) as observed:
+                with self._context.observing(call, run) as observed:
                     head, body = await _read_answer(attempt, observed)
             except (TargetError, asyncio.CancelledError):
                 attempt.connection.abort()
                 raise
-        if head.status >= 500 and call.route.is_retryable and not is_last:
-            raise IncompleteResponse(f"answered {head.status}")
-        if head.status in NOT_EXECUTED_STATUSES:
-            raise IncompleteResponse(
-                f"answered {head.status} without proof that it did not run"
-            )
+        if not run.is_relayed:
+            _check_status(head, call.route.is_retryable and not is_last)
         run.succeeded = head.status < MIN_FAILURE_STATUS
         return head, body, observed
 
@@ -95,6 +91,20 @@
     return head, body
 
 
+def _check_status(head, may_repeat):
+    """Check that the response of a target may be forwarded to the caller.
+
+    :param may_repeat: whether the request may be sent to another target instead.
+    :raises IncompleteResponse: it may not.
+    """
+    if head.status >= 500 and may_repeat:
+        raise IncompleteResponse(f"answered {head.status}")
+    if head.status in NOT_EXECUTED_STATUSES:
+        raise IncompleteResponse(
+            f"answered {head.status} without proof that it did not run"
+        )
+
+
 def _log_completion(call, delivery, head, observed):
     now = asyncio.get_running_loop().time()
     log.info(
--- a/cowslipcourse/entry/unloaded_components.py
+++ b/cowslipcourse/entry/unloaded_components.py
@@ -2,7 +2,13 @@
 
 from typing import Protocol
 
-__all__ = ["AlwaysReachable", "Reachability", "UnloadedCoordinator"]
+__all__ = [
+    "AlwaysReachable",
+    "NoRelays",
+    "Reachability",
+    "RelayService",
+    "UnloadedCoordinator",
+]
 
 
 class Reachability(Protocol):
@@ -13,7 +19,13 @@
         """Whether it reaches targets, as far as it knows."""
 
     def doubt(self) -> None:
-        """Check the links soon, after a connection to a target has failed."""
+        """Check the links soon, as a target has become silent."""
+
+    async def confirm(self) -> bool:
+        """Check the links after a connection to a target has failed.
+
+        :returns: whether this daemon reaches targets.
+        """
 
 
 class AlwaysReachable:
@@ -24,6 +36,34 @@
     def doubt(self):
         """Ignore the doubt."""
 
+    async def confirm(self):
+        """Return that it reaches targets."""
+        return True
+
+
+class RelayService(Protocol):
+    """Other daemons, which serve requests while this one reaches no targets."""
+
+    def choose(self, tried_ids):
+        """Return the :class:`~cowslipcourse.entry.attempts.RelayPeer` to send to.
+
+        :param tried_ids: ids of the targets and peers that the request was sent to.
+        :returns: ``None`` if no daemon is likely to serve the request.
+        """
+
+    def record_failure(self, peer) -> None:
+        """Record that a peer has not served a request."""
+
+    def open(self, call, run, last_event_id=None):
+        """Send a request to the peer of a run, as an asynchronous context."""
+
+
+class NoRelays:
+    """Implements :class:`RelayService` as long as relays are not loaded."""
+
+    def choose(self, tried_ids):
+        """Return no peer."""
+
 
 class _UnobservedDomains:
     def update_entries(self, entries):
--- a/cowslipcourse/exceptions.py
+++ b/cowslipcourse/exceptions.py
@@ -394,6 +394,12 @@
     code = "no-target-available"
 
 
+class RelayRefused(AdmissionError):
+    """This daemon does not reach the targets of a request that it was to relay."""
+
+    code = "relay-refused"
+
+
 class RequestQuarantined(AdmissionError):
     """The request has crashed each target that started it."""
 
--- a/cowslipcourse/platform/headers.py
+++ b/cowslipcourse/platform/headers.py
@@ -14,6 +14,9 @@
     "is_not_executed",
     "not_executed_head",
     "parse_caller_headers",
+    "relay_refusal",
+    "relay_refusal_header",
+    "relayed_headers",
     "response_headers",
     "retry_after_header",
     "target_headers",
@@ -34,6 +37,10 @@
 _REQUEST_PRIORITY = b"x-request-priority"
 _TENANT = b"x-tenant"
 _TOKEN_USAGE = b"x-token-usage"
+_RELAYED = b"x-cowslip-relayed"
+"""On requests that one daemon has sent to another."""
+_RELAY_REFUSAL = b"x-cowslip-relay-refused"
+"""On responses to them: code of the error that another daemon may not have."""
 
 _TOKEN_COUNTS = re.compile(rb"(\d{1,9}),(\d{1,9})")
 
@@ -59,6 +66,7 @@
         _EXPECTED_INSTANCE,
         _TIME_BUDGET_MS,
         _REQUEST_PRIORITY,
+        _RELAYED,
         b"content-length",
     )
 )
@@ -75,6 +83,7 @@
     :param model: requested model, or empty.
     :param last_event_id: id of the last event that the caller received, or ``None``.
     :param size: :class:`~cowslipcourse.load_balancing.RequestSize`
+    :param is_relayed: whether another daemon has sent the request.
     """
 
     attempt_id: bytes = b""
@@ -83,6 +92,7 @@
     model: str = ""
     last_event_id: int | None = None
     size: RequestSize = RequestSize()
+    is_relayed: bool = False
 
 
 def total_header_bytes(headers):
@@ -109,6 +119,7 @@
             model=values_by_name.get(_MODEL, b"").decode("latin-1"),
             last_event_id=int(last_event_id) if last_event_id else None,
             size=_request_size(values_by_name.get(_TOKEN_USAGE, b"")),
+            is_relayed=_RELAYED in values_by_name,
         )
     except ValueError as error:
         raise BadRequest(f"invalid header value: {error}") from error
@@ -153,19 +164,52 @@
     :param last_event_id: id of the last event received of a resumed stream; ``None``
         keeps the caller's header.
     """
-    excluded = _HOP_BY_HOP | _SYSTEM_HEADERS | _connection_options(headers)
-    forwarded = [(name, value) for name, value in headers if name not in excluded]
-    forwarded.append((_TIME_BUDGET_MS, b"%d" % max(1, int(remaining_s * MS_PER_S))))
+    forwarded = _forwarded_headers(headers, _SYSTEM_HEADERS, remaining_s, last_event_id)
     forwarded.append((_EXPECTED_INSTANCE, entry.id.encode()))
     forwarded.append((_REQUEST_PRIORITY, b"%d" % urgency))
     if workspace is not None:
         forwarded.append((_TENANT, workspace.encode()))
+    return tuple(forwarded)
+
+
+def relayed_headers(headers, remaining_s, last_event_id=None):
+    """Return the headers of a request to another daemon, which checks the key itself.
+
+    The parameters are those of :func:`target_headers`.
+    """
+    replaced = _SYSTEM_HEADERS - {_AUTHORIZATION}
+    forwarded = _forwarded_headers(headers, replaced, remaining_s, last_event_id)
+    forwarded.append((_RELAYED, b"1"))
+    return tuple(forwarded)
+
+
+def _forwarded_headers(headers, replaced, remaining_s, last_event_id):
+    excluded = _HOP_BY_HOP | replaced | _connection_options(headers)
+    if last_event_id is not None:
+        excluded |= {_LAST_EVENT_ID}
+    forwarded = [(name, value) for name, value in headers if name not in excluded]
+    forwarded.append((_TIME_BUDGET_MS, b"%d" % max(1, int(remaining_s * MS_PER_S))))
     if last_event_id is not None:
-        forwarded = [
-            (name, value) for name, value in forwarded if name != _LAST_EVENT_ID
-        ]
         forwarded.append((_LAST_EVENT_ID, b"%d" % last_event_id))
-    return tuple(forwarded)
+    return forwarded
+
+
+def relay_refusal_header(headers, code):
+    """Return a dictionary with the header that another daemon may serve a request.
+
+    :param headers: the request's headers; it is empty unless the request is relayed.
+    :param code: code of the error of this daemon.
+    """
+    is_relayed = _RELAYED in dict(headers)
+    return {_RELAY_REFUSAL.decode(): code} if is_relayed else {}
+
+
+def relay_refusal(head):
+    """Return the code of the error for which a daemon has not relayed a request.
+
+    :param head: :class:`~cowslipcourse.http_client.ResponseHead`
+    """
+    return (head.get(_RELAY_REFUSAL) or b"").decode("latin-1")
 
 
 def _connection_options(headers):
--- a/cowslipcourse/reachability/__init__.py
+++ b/cowslipcourse/reachability/__init__.py
@@ -1,5 +1,6 @@
-"""Whether this daemon reaches targets. Pure decisions."""
+"""Whether this daemon reaches targets, and who relays for it. Pure decisions."""
 
 from cowslipcourse.reachability.probes import choose_probed, reaches_targets
+from cowslipcourse.reachability.relay_choice import RelayChoice
 
-__all__ = ["choose_probed", "reaches_targets"]
+__all__ = ["RelayChoice", "choose_probed", "reaches_targets"]
--- a/features/steps/judging_steps.py
+++ b/features/steps/judging_steps.py
@@ -17,6 +17,7 @@
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.retries import try_targets
 from cowslipcourse.entry.settings import RetrySettings
+from cowslipcourse.entry.unloaded_components import AlwaysReachable
 from cowslipcourse.exceptions import (
     IncompleteResponse,
     RequestQuarantined,
@@ -284,6 +285,7 @@
             retry_budget=budget,
             fleet=None,
             conditions=SimpleNamespace(pause_left_s=lambda entry: 0.0),
+            reachability=AlwaysReachable(),
         )
         try:
             await quarantine.admit(call)
--- a/features/steps/reachability_steps.py
+++ b/features/steps/reachability_steps.py
@@ -87,7 +87,9 @@
 
         fleet = FleetView()
         fleet.apply(_entries(3, 2), ())
-        monitor = ReachabilityMonitor(fleet, random.Random(1), silent_s, probe)
+        monitor = ReachabilityMonitor(
+            fleet, random.Random(1), silent_s, lambda: None, probe
+        )
         task = asyncio.create_task(monitor.run())
         if doubt_at_s is not None:
             loop.call_later(doubt_at_s, monitor.doubt)
--- a/features/steps/withheld_steps.py
+++ b/features/steps/withheld_steps.py
@@ -15,6 +15,7 @@
 from cowslipcourse.entry.stream_target_selection import StreamTargetChooser
 from cowslipcourse.entry.target_conditions import TargetConditions
 from cowslipcourse.entry.unary_forwarder import UnaryForwarder
+from cowslipcourse.entry.unloaded_components import AlwaysReachable
 from cowslipcourse.exceptions import TargetWithheld
 from cowslipcourse.http_client import ResponseHead
 from cowslipcourse.platform.headers import CallerHeaders
@@ -203,7 +204,10 @@
         withheld_counts[service] = withheld_counts.get(service, 0) + 1
 
     tools = SimpleNamespace(
-        quarantine=_Quarantine(), retry_budget=None, count_withheld=count_withheld
+        quarantine=_Quarantine(),
+        retry_budget=None,
+        count_withheld=count_withheld,
+        reachability=AlwaysReachable(),
     )
 
     async def forward():
