--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -412,6 +412,14 @@
                 del self._published_entries[engine_id]
                 self.store.drop("servers", engine_id)
 
+    def old_rows(self):
+        """Return the engines whose rows in the store are not as they last wrote them."""
+        return [
+            engine_id
+            for engine_id, fields in self._published_entries.items()
+            if self.store.value("servers", engine_id) != json.dumps(fields).encode()
+        ]
+
     async def _wait_for_engine(self, engine_id):
         """Return the current incarnation of an engine, waiting until it answers."""
         while True:
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -39,6 +39,10 @@
         self.rows[table, key] = (None, self.version)
         self._notify_feeds()
 
+    def value(self, table, key):
+        """Return the value of a row, or ``None``."""
+        return self.rows.get((table, key), (None, 0))[0]
+
     def copy(self):
         """Return a copy for :meth:`restore`."""
         return dict(self.rows), self.version
--- a/soak/run.py
+++ b/soak/run.py
@@ -89,11 +89,12 @@
         recovered = await _wait_until_serving(site, callers)
         if site.crashes:
             await _repeat_crashing_requests(site, callers)
-        violations = (
-            []
-            if recovered
-            else ["the site did not serve every kind of call after the faults"]
-        )
+        violations = []
+        if not recovered:
+            violations.append(
+                "the site did not serve every kind of call after the faults"
+            )
+            violations += [f"the list shows an old row of {e}" for e in site.old_rows()]
         return [*violations, *check(site)], site
     finally:
         if caller_task is not None:
