Store stand-in: rows that several restores have lost are all written again

Cause: in the stand-in, a restore that came before the lost rows of an earlier one were written again took old rows for the last ones, so rows of engines and of the configuration stayed old for good. The platform promises that they are written again. Ruled out: lost plans (the coordinator reads whole ones).

The stand-in now keeps the platform's last values apart from the rows. Checks and bounds of the soak are as they were.

--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -413,7 +413,7 @@
                 self.store.drop("servers", engine_id)
 
     def old_rows(self):
-        """Return the engines whose rows in the store are not as they last wrote them."""
+        """Return the engines whose rows in the store are not as last written."""
         return [
             engine_id
             for engine_id, fields in self._published_entries.items()
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -25,18 +25,23 @@
         self.is_down = False
         self.delay_s = 0.0
         self.loses_replies = False
+        self._platform_values = {}
+        """Last written values of the platform's own rows, whatever was restored."""
         self._changed = asyncio.Event()
 
     def put(self, table, key, value):
         """Write a row and wake the feeds."""
-        self.version += 1
-        self.rows[table, key] = (value, self.version)
-        self._notify_feeds()
+        self._write(table, key, value)
 
     def drop(self, table, key):
         """Drop a row and wake the feeds."""
+        self._write(table, key, None)
+
+    def _write(self, table, key, value):
         self.version += 1
-        self.rows[table, key] = (None, self.version)
+        self.rows[table, key] = (value, self.version)
+        if table in PLATFORM_TABLES:
+            self._platform_values[table, key] = value
         self._notify_feeds()
 
     def value(self, table, key):
@@ -50,30 +55,22 @@
     def restore(self, copy):
         """Begin the next era with the rows of an earlier copy.
 
-        :returns: the platform's own rows that were lost, as
-            ``(table, key, lost value, restored version)``.
+        :returns: the platform's own rows that are lost now, as ``(table, key)``.
         """
-        platform_rows = {
-            key: row for key, row in self.rows.items() if key[0] in PLATFORM_TABLES
-        }
         self.rows, self.version = dict(copy[0]), copy[1]
         self.era = (self.era or 0) + 1
         self._notify_feeds()
-        lost = []
-        for (table, key), (value, _) in platform_rows.items():
-            restored_value, version = self.rows.get((table, key), (None, 0))
-            if restored_value != value:
-                lost.append((table, key, value, version))
-        return lost
-
-    def rewrite_lost_row(self, table, key, value, version):
-        """Write a lost row again, unless it has been written since the restore."""
-        if self.rows.get((table, key), (None, 0))[1] != version:
-            return
-        if value is None:
-            self.drop(table, key)
-        else:
-            self.put(table, key, value)
+        return [
+            row
+            for row, value in self._platform_values.items()
+            if self.value(*row) != value
+        ]
+
+    def rewrite_lost_row(self, table, key):
+        """Write the last value of a lost row again, unless the row has it already."""
+        value = self._platform_values[table, key]
+        if self.value(table, key) != value:
+            self._write(table, key, value)
 
     def _respond(self, content, status=200):
         headers = {} if self.era is None else {"Store-Era": str(self.era)}
