Coordinators without links take no engine for silent

Its detector needs silent engines and unanswered probes.

Before an engine is taken for silent, the links are now confirmed; without links the coordinator leaves at once, as the detector made it do later, and nothing is recorded about engines. Test in features/group_plans/questions.feature: within 0.4 s, before 2.5 s. The detector stays for what probes cannot see.

Also a test that targets which are silent for a second make no daemon relay.

--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -72,6 +72,7 @@
             self.domains.update_from_report,
             self._check_isolation,
             self._on_group_opened,
+            self._confirm_links,
         )
         self.settings = settings
         self._isolation_detector = IsolationDetector(self.domains, self._engine_client)
@@ -286,6 +287,13 @@
         if engine is not None:
             self._engine_client.request_report(engine)
 
+    async def _confirm_links(self):
+        """Return whether this daemon reaches targets; otherwise leave coordination."""
+        if await self._context.reachability.confirm():
+            return True
+        self._isolation_detector.record_isolation(asyncio.get_running_loop().time())
+        return False
+
     def _check_isolation(self):
         self._isolation_detector.check(
             self._owned_domains, asyncio.get_running_loop().time()
--- a/cowslipcourse/entry/engine_calls.py
+++ b/cowslipcourse/entry/engine_calls.py
@@ -28,6 +28,10 @@
 log = get_logger(__name__)
 
 
+async def _assume_links():
+    return True
+
+
 class EngineClient:
     """Calls engines, one call at a time per incarnation, and records the results.
 
@@ -39,14 +43,25 @@
     :param on_report: called with an engine, its report and the request's loop time.
     :param on_silent: called after an engine has been found silent.
     :param on_opened: called with an engine and its order, after it has begun to open.
+    :param confirm_links: coroutine function that returns whether this daemon reaches
+        targets; without that, the silence of an engine proves nothing.
     """
 
-    def __init__(self, control, settings, on_report, on_silent, on_opened):
+    def __init__(
+        self,
+        control,
+        settings,
+        on_report,
+        on_silent,
+        on_opened,
+        confirm_links=_assume_links,
+    ):
         self._control = control
         self._settings = settings
         self._on_report = on_report
         self._on_silent = on_silent
         self._on_opened = on_opened
+        self._confirm_links = confirm_links
         self._busy_engines = set()
         self._tasks = set()
         self._last_report_at = float("-inf")
@@ -112,6 +127,9 @@
         if timeouts < SILENT_AFTER_TIMEOUTS:
             log.info("engine-not-heard", engine=engine.id, why=failure)
             return
+        if not await self._confirm_links():
+            log.info("engine-not-heard", engine=engine.id, why="no target is reached")
+            return
         if engine.silent_since is None:
             log.info("engine-silent", engine=engine.id, why=failure)
         engine.mark_silent(first_requested_at)
--- a/cowslipcourse/entry/isolation_detector.py
+++ b/cowslipcourse/entry/isolation_detector.py
@@ -38,6 +38,15 @@
         """Loop time until which this daemon must not coordinate."""
         return self._isolated_until
 
+    def record_isolation(self, now):
+        """Record that this daemon reaches no targets.
+
+        :param now: loop time.
+        """
+        if now >= self._isolated_until:
+            log.warning("coordinator-without-links")
+        self._isolated_until = now + ISOLATION_S
+
     def check(self, owned_domains, now):
         """Check for isolation after an engine was found silent.
 
--- a/features/group_plans/questions.feature
+++ b/features/group_plans/questions.feature
@@ -22,6 +22,11 @@
     When it reaches no engine, and requests reports of those of its domains for 4 s
     Then it stops coordinating within 2.5 s, and finds no engine of its domains silent
 
+  Scenario: A coordinator whose links are found lost takes no engine for silent, and stops coordinating
+    Given a coordinator that owns 2 of 6 domains of 8 engines
+    When it knows that it reaches no targets, and requests reports of those of its domains
+    Then it stops coordinating within 0.4 s, and finds no engine of its domains silent
+
   Scenario: An engine that does not answer is silent after two report requests
     Given an engine that never answers
     When a report is requested
--- a/features/reachability/partitions.feature
+++ b/features/reachability/partitions.feature
@@ -13,3 +13,9 @@
       | a1, a2, a4, a5, a7 | live on while new ones are refused |
     Then from 3 s after the start of each partition first attempts at these daemons are served at least 0.67 times as often as at the others
     And no booking is executed twice
+
+  Scenario: Targets that fall silent for a second and go on are no reason to relay
+    Given a platform with eight daemons in three data centres, whose groups serve
+    When a third of the targets fall silent for 1 s three times, under a steady load
+    Then all daemons know that they reach targets, and relay nothing
+    And no booking is executed twice
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -18,6 +18,9 @@
 """Time with sound links before each partition."""
 KINDS = ("draft", "book", "look")
 TIME_BUDGETS_S = {"draft": 8.0, "book": 2.5, "look": 2.5}
+SILENCE_S = 1.0
+SILENCE_CYCLE_S = 3.0
+WATCH_INTERVAL_S = 0.02
 _request_numbers = itertools.count(1)
 
 
@@ -117,6 +120,41 @@
     assert all(cut >= ratio * others for cut, others in shares), shares
 
 
+@when("a third of the targets fall silent for 1 s three times, under a steady load")
+def step_silent_targets(context):
+    site = context.platform
+    context.lost = set()
+
+    async def play():
+        load = asyncio.create_task(_load(site, [], 3 * SILENCE_CYCLE_S))
+        for _ in range(3):
+            site.silence(3)
+            await _watch_links(site, SILENCE_S, context.lost)
+            site.heal()
+            await _watch_links(site, SILENCE_CYCLE_S - SILENCE_S, context.lost)
+        await load
+
+    context.runner.run(play())
+
+
+async def _watch_links(site, duration_s, lost):
+    """Collect the names of the daemons that believe to have lost their links."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + duration_s
+    while loop.time() < end:
+        lost |= {
+            name
+            for name, daemon in site.daemons.items()
+            if not daemon._context.reachability.is_reachable
+        }
+        await asyncio.sleep(WATCH_INTERVAL_S)
+
+
+@then("all daemons know that they reach targets, and relay nothing")
+def step_links_known(context):
+    assert not context.lost, context.lost
+
+
 @then("no booking is executed twice")
 def step_no_double(context):
     bookings = [e for e in context.platform.executions if e.path.startswith("/book/")]
--- a/features/steps/question_steps.py
+++ b/features/steps/question_steps.py
@@ -1,13 +1,16 @@
 """Steps for report requests to engines and the silence of engines."""
 
 import asyncio
+from types import SimpleNamespace
 from unittest import mock
 
 from behave import given, then, when
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from cowslipcourse.entry import engine_calls
+from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.engine_calls import EngineClient
+from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.isolation_detector import IsolationDetector
 from cowslipcourse.entry.settings import ControlSettings
 from cowslipcourse.exceptions import TargetUnreachable
@@ -15,6 +18,7 @@
 from cowslipcourse.ports import EngineReport, TargetEntry
 
 ROUND_TRIP_S = 0.003
+POLL_S = 0.02
 SETTINGS = ControlSettings()
 
 
@@ -115,6 +119,25 @@
     assert len(_silent_ids(context)) > number, len(_silent_ids(context))
 
 
+class _LostLinks:
+    """Implements ``Reachability`` for a daemon that reaches no targets."""
+
+    is_reachable = False
+
+    async def confirm(self):
+        return False
+
+
+def _coordinator(context):
+    """Return a coordinator that reaches no targets."""
+    daemon_context = SimpleNamespace(reachability=_LostLinks(), fleet=FleetView())
+    coordinator = Coordinator(
+        daemon_context, None, _UnansweredEngineControl(0.0), SETTINGS, None, None
+    )
+    coordinator.domains = context.domains
+    return coordinator
+
+
 class _Domain:
     """A domain with its engines by id."""
 
@@ -214,6 +237,32 @@
     _request_domain_reports(context, owned, all_ids)
 
 
+@when(
+    "it knows that it reaches no targets, and requests reports of those of its domains"
+)
+def step_knows_lost_links(context):
+    domains = context.domains.by_name
+    context.silent, context.isolated_at = set(), None
+    owned = [
+        e for name in context.owned_domains for e in domains[name].engines.values()
+    ]
+
+    async def run():
+        started_at = asyncio.get_running_loop().time()
+        coordinator = _coordinator(context)
+        for engine in owned:
+            coordinator._engine_client.request_report(engine)
+        while context.isolated_at is None:
+            await asyncio.sleep(POLL_S)
+            now = asyncio.get_running_loop().time()
+            if coordinator.isolated_until > now:
+                context.isolated_at = now - started_at
+        await asyncio.sleep(1.0)
+        context.silent = {e.id for e in owned if e.silent_since is not None}
+
+    run_in_virtual_time(run())
+
+
 @then("it continues to coordinate, and those {number:d} engines are silent")
 def step_continues(context, number):
     assert context.isolated_at is None and len(context.silent) == number
--- a/features/support/partitioned_site.py
+++ b/features/support/partitioned_site.py
@@ -106,6 +106,13 @@
             elif name in names and how is Cut.RESET:
                 proxy.reset()
 
+    def silence(self, every):
+        """Silence each nth target on the open connections of all daemons."""
+        silent = set(sorted(self._target_addresses)[::every])
+        for (_, address), proxy in self._proxies.items():
+            if address in silent:
+                proxy.state = LinkState.SILENT
+
     def heal(self):
         """Restore all links."""
         self._cuts.clear()
