--- a/features/group_plans/settling.feature
+++ b/features/group_plans/settling.feature
@@ -34,6 +34,21 @@
     When a report shows its second member in g1 at epoch 7
     Then the group stays as it is
 
+  Scenario: A group whose member refuses its epoch as too old is formed again
+    Given a planned group g1 at epoch 9 whose members are in no group
+    When the order to join it is refused by its second member, which has seen epoch 12
+    Then the group is to be formed again
+
+  Scenario: The refusal of an order of an earlier plan does not dissolve a group
+    Given a planned group g1 at epoch 9 whose members are in no group
+    When an order to join g1 at epoch 7 is refused by its second member, which has seen epoch 8
+    Then the group stays as it is
+
+  Scenario: A refusal for another reason does not dissolve a group
+    Given a planned group g1 at epoch 9 whose members are in no group
+    When the order to join it is refused by its second member, as its state differs
+    Then the group stays as it is
+
   Scenario Outline: Few engines are in no group 25 s after the last fault
     Six idle engines of eight, or four that could serve a model without groups, were seen at these seeds.
     When a run with faults is made with seed <seed> on a <site> site
--- a/features/steps/settling_steps.py
+++ b/features/steps/settling_steps.py
@@ -1,11 +1,14 @@
 """Steps for engines that no longer are where the plan has them."""
 
+import asyncio
 import logging
 import re
 
 from behave import given, then, when
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
+from cowslipcourse.entry.engine_calls import EngineClient
+from cowslipcourse.entry.settings import ControlSettings
 from cowslipcourse.group_plans import (
     DomainPlan,
     ObservedDomain,
@@ -15,10 +18,12 @@
     next_steps,
 )
 from cowslipcourse.ports import (
+    EngineOrder,
     EngineReport,
     GroupMembership,
     GroupState,
     OrderOperation,
+    OrderResult,
     TargetEntry,
 )
 from features.support.coordinator_runs import SITES
@@ -26,6 +31,7 @@
 
 MEMBERS = ("e1", "e2")
 STALL_S = 4.0
+ORDER_S = 0.1
 
 
 def _membership(text, rank=0):
@@ -70,6 +76,57 @@
         _report(context, engine, _membership("g1 at epoch 9", rank))
 
 
+@given("a planned group g1 at epoch 9 whose members are in no group")
+def step_planned_without_members(context):
+    _set_up(context, False)
+    for engine in MEMBERS:
+        _report(context, engine, None)
+
+
+class _RefusingControl:
+    """Implements ``EngineControl`` for engines that refuse all orders alike."""
+
+    def __init__(self, result):
+        self._result = result
+
+    async def order(self, entry, order):
+        return self._result
+
+
+def _send_join(context, epoch, result):
+    async def send():
+        engine = context.domain.engines["e2"]
+        order = EngineOrder(OrderOperation.JOIN, 5, "g1", epoch, "m", MEMBERS)
+        client = EngineClient(
+            _RefusingControl(result), ControlSettings(), None, None, None
+        )
+        client.send_order(engine, order, {})
+        await asyncio.sleep(ORDER_S)
+
+    run_in_virtual_time(send())
+
+
+@when(
+    "the order to join it is refused by its second member, which has seen epoch "
+    "{seen:d}"
+)
+def step_epoch_refused(context, seen):
+    _send_join(context, 9, OrderResult.EPOCH_TOO_OLD)
+
+
+@when(
+    "an order to join g1 at epoch {epoch:d} is refused by its second member, which has "
+    "seen epoch {seen:d}"
+)
+def step_earlier_epoch_refused(context, epoch, seen):
+    _send_join(context, epoch, OrderResult.EPOCH_TOO_OLD)
+
+
+@when("the order to join it is refused by its second member, as its state differs")
+def step_state_refused(context):
+    _send_join(context, 9, OrderResult.STATE_DIFFERS)
+
+
 @when("reports at {first:f} s and {second:f} s show its head in no group")
 def step_head_left(context, first, second):
     _report(context, "e1", None, first)
