--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -302,7 +302,7 @@
             is_healthy=self._is_healthy(now),
             targets_version=self.replica.targets_version,
             in_flight=dict(self._fleet.in_flight),
-            suspects=self._told_suspects(now),
+            suspects=self._announced_suspects(now),
             interval_s=self.heartbeat_interval_s(),
         )
 
@@ -347,7 +347,7 @@
         self._fleet.clear_suspicions()
         self._context.attempt_sender.abort_silent()
 
-    def _told_suspects(self, now):
+    def _announced_suspects(self, now):
         """Return the suspects to name to others; without links there are none."""
         is_reachable = self._context.reachability.is_reachable
         return self._fleet.suspects(now) if is_reachable else {}
@@ -361,7 +361,7 @@
         self._context.reachability.doubt()
         now = asyncio.get_running_loop().time()
         self._peer_link.heartbeat_now()
-        for target, epoch in self._told_suspects(now).items():
+        for target, epoch in self._announced_suspects(now).items():
             self._coordinator.investigate(target, epoch)
 
     def _health_path(self, service):
--- a/cowslipcourse/entry/unloaded_components.py
+++ b/cowslipcourse/entry/unloaded_components.py
@@ -59,7 +59,10 @@
 
 
 class NoRelays:
-    """Implements :class:`RelayService` as long as relays are not loaded."""
+    """Implements :class:`RelayService` as long as relays are not loaded.
+
+    It chooses no peer, so nothing is ever sent to one.
+    """
 
     def choose(self, tried_ids):
         """Return no peer."""
