Fakes of coordinators reach targets, so engines can be silent in duels again

Since a coordinator asks whether it reaches targets before it takes an engine for silent. No product code changed.

--- a/features/steps/life_steps.py
+++ b/features/steps/life_steps.py
@@ -12,6 +12,7 @@
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.plan_table import GROUPS_TABLE
 from cowslipcourse.entry.settings import ControlSettings
+from cowslipcourse.entry.unloaded_components import AlwaysReachable
 from cowslipcourse.group_plans import (
     DomainAssignment,
     DomainPlan,
@@ -208,6 +209,7 @@
 
 class _CoordinatorContext:
     def __init__(self, table):
+        self.reachability = AlwaysReachable()
         self.table = table
         self.fleet = FleetView()
 
--- a/features/support/coordinator_runs.py
+++ b/features/support/coordinator_runs.py
@@ -11,6 +11,7 @@
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.model_shares import SHARES_TABLE
 from cowslipcourse.entry.settings import ControlSettings
+from cowslipcourse.entry.unloaded_components import AlwaysReachable
 from cowslipcourse.exceptions import StoreError, TargetUnreachable
 from cowslipcourse.group_plans import (
     AgreedShares,
@@ -118,6 +119,7 @@
     """Provides the configuration and the fleet of a daemon."""
 
     def __init__(self):
+        self.reachability = AlwaysReachable()
         self.table = route_table()
         self.fleet = FleetView()
 
