--- a/features/steps/practice_steps.py
+++ b/features/steps/practice_steps.py
@@ -15,6 +15,7 @@
 from cowslipcourse.entry.coordinator import Coordinator
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.settings import ControlSettings
+from cowslipcourse.entry.unloaded_components import AlwaysReachable
 from cowslipcourse.group_plans import (
     DomainPlan,
     ObservedDomain,
@@ -139,6 +140,7 @@
         1, (), (ServiceSpec(SERVICE, models=(LARGE,), slots=13),), CallerLimits(), {}
     )
     fleet = FleetView()
+    reachability = AlwaysReachable()
 
 
 async def _update_target_list(world, coordinator):
