Observe which parts prompts share, and answers that end with their connection

Logs could refute late verdicts and engines that crash for other reasons, but no line named the parts of a prompt, so that requests which share one could not be told from others, nor whether an answer was to end with its connection, so that a crash could be taken for its end.

X-Prompt-Prefix is decoded into the ids of the parts that other requests may share, at the platform's boundary; an invalid list counts as none. attempt-failed and ended-under name them, streamed and attempt-failed say whether the answer ends with its connection.

--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -104,6 +104,7 @@
         self._error = None
         self._has_started = False
         self.ended_by_target = False
+        self.is_close_delimited = False
         self._changed = asyncio.Event()
 
     async def head(self):
--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -98,6 +98,9 @@
         """Id of the last event that the caller has received; 0 for none."""
         self.ended_by_target = False
         """Whether the target closed or reset the connection during the request."""
+        self.ends_with_connection = False
+        """Whether the answer states neither a length nor chunks, so that it ends with
+        its connection."""
         self.succeeded = False
         """Whether the target sent a complete, successful response."""
 
@@ -164,6 +167,7 @@
             self._fleet.request_ended(entry.id)
             if connection is not None:
                 run.ended_by_target = connection.ended_by_target
+                run.ends_with_connection = connection.is_close_delimited
                 self._pool.release(key, connection)
 
     @contextmanager
--- a/cowslipcourse/entry/calls.py
+++ b/cowslipcourse/entry/calls.py
@@ -35,6 +35,8 @@
     :param arrived_at: loop time at which its head had been received.
     :param deadline: loop time at which the time of the caller or of the route ends.
     :param waited_elsewhere_s: seconds that the caller waited before this request.
+    :param part_fingerprints: fingerprints of the shared parts of its prompt for the
+        service that it is sent to, in order.
     """
 
     id: str
@@ -49,6 +51,7 @@
     arrived_at: float
     deadline: float
     waited_elsewhere_s: float = 0.0
+    part_fingerprints: tuple = ()
 
     def waited_s(self, now):
         """Return the seconds that the caller has waited in all.
--- a/cowslipcourse/entry/forwarder.py
+++ b/cowslipcourse/entry/forwarder.py
@@ -7,6 +7,7 @@
 from cowslipcourse.entry.stream_forwarder import StreamForwarder
 from cowslipcourse.entry.unary_forwarder import UnaryForwarder
 from cowslipcourse.exceptions import DeadlineWhileRunning
+from cowslipcourse.quarantine import part_fingerprints
 from cowslipcourse.routes import RequestKind
 
 __all__ = ["Forwarder"]
@@ -37,8 +38,13 @@
         waited_elsewhere_s = self._prior_waits.observe(
             call.route, call.caller_headers.time_budget_s
         )
-        call = call._replace(waited_elsewhere_s=waited_elsewhere_s)
         service = self._context.choose_service(call.route)
+        call = call._replace(
+            waited_elsewhere_s=waited_elsewhere_s,
+            part_fingerprints=part_fingerprints(
+                service, call.caller_headers.prompt_parts
+            ),
+        )
         if self._context.reachability.is_reachable:
             # A daemon that relays the request records it.
             self._context.retry_budget.record_request(service, loop.time())
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -137,6 +137,7 @@
         "attempt-failed",
         request=call.id,
         fingerprint=call.fingerprint.hex(),
+        parts=",".join(call.caller_headers.prompt_parts),
         target=run.entry.id,
         error=error.code,
         detail=error,
@@ -144,6 +145,7 @@
         begun=run.answer_started,
         events=run.relayed_events,
         ended_by_target=run.ended_by_target,
+        ends_with_connection=run.ends_with_connection,
         pause_left_s=_pause_left_s(context, run),
         reaches_targets=context.reachability.is_reachable,
     )
--- a/cowslipcourse/entry/stream_forwarder.py
+++ b/cowslipcourse/entry/stream_forwarder.py
@@ -33,6 +33,7 @@
         self.first_event_s = None
         self.longest_pause_s = 0.0
         self.slot_wait_s = 0.0
+        self.ends_with_connection = False
         self.observed = UnobservedRequest()
         self._last_event_at = None
 
@@ -112,6 +113,7 @@
         responder = progress.responder
         head = await attempt.read_head()
         run.answer_started = True
+        progress.ends_with_connection = attempt.connection.is_close_delimited
         if is_not_executed(head):
             raise TargetRefused(f"answered {head.status}")
         if head.status != 200:
@@ -175,6 +177,7 @@
         attempts=delivery.attempts,
         withheld=delivery.withheld,
         events=progress.position.relayed_events,
+        ends_with_connection=progress.ends_with_connection,
         first_s=None
         if progress.first_event_s is None
         else round(progress.first_event_s, 3),
--- a/cowslipcourse/gateway/quarantine_adapters.py
+++ b/cowslipcourse/gateway/quarantine_adapters.py
@@ -37,10 +37,12 @@
 
     :param id: id of the request.
     :param fingerprint: digest of workspace, path and body.
+    :param part_fingerprints: fingerprints of the shared parts of its prompt, in order.
     """
 
     id: str
     fingerprint: bytes
+    part_fingerprints: tuple = ()
 
 
 class GroupLeader(NamedTuple):
--- a/cowslipcourse/http_client/connection.py
+++ b/cowslipcourse/http_client/connection.py
@@ -125,6 +125,13 @@
         """Whether the target closed or reset it before its response was complete."""
         return self._ended_by_target
 
+    @property
+    def is_close_delimited(self):
+        """Whether the response states neither a length nor chunks, so that it ends with
+        the connection.
+        """
+        return self._response is not None and self._response.is_close_delimited
+
     def send(self, request):
         """Send a request. The connection must be reusable.
 
--- a/cowslipcourse/platform/headers.py
+++ b/cowslipcourse/platform/headers.py
@@ -37,12 +37,17 @@
 _REQUEST_PRIORITY = b"x-request-priority"
 _TENANT = b"x-tenant"
 _TOKEN_USAGE = b"x-token-usage"
+_PROMPT_PARTS = b"x-prompt-prefix"
+"""Lists all parts of the prompt in order, the request's own part last."""
 _RELAYED = b"x-cowslip-relayed"
 """On requests that one daemon has sent to another."""
 _RELAY_REFUSAL = b"x-cowslip-relay-refused"
 """On responses to them: code of the error that another daemon may not have."""
 
 _TOKEN_COUNTS = re.compile(rb"(\d{1,9}),(\d{1,9})")
+_PROMPT_PART = re.compile(rb"([0-9A-Fa-f]{1,64}):\d{1,9}")
+MAX_PROMPT_PARTS = 32
+"""Shared parts of a prompt that are considered; a list of more is cut."""
 
 _HOP_BY_HOP = frozenset(
     (
@@ -83,6 +88,8 @@
     :param model: requested model, or empty.
     :param last_event_id: id of the last event that the caller received, or ``None``.
     :param size: :class:`~cowslipcourse.load_balancing.RequestSize`
+    :param prompt_parts: ids of the parts of the prompt that other requests may share,
+        in order; without the last one, which belongs to this request.
     :param is_relayed: whether another daemon has sent the request.
     """
 
@@ -92,6 +99,7 @@
     model: str = ""
     last_event_id: int | None = None
     size: RequestSize = RequestSize()
+    prompt_parts: tuple[str, ...] = ()
     is_relayed: bool = False
 
 
@@ -119,6 +127,7 @@
             model=values_by_name.get(_MODEL, b"").decode("latin-1"),
             last_event_id=int(last_event_id) if last_event_id else None,
             size=_request_size(values_by_name.get(_TOKEN_USAGE, b"")),
+            prompt_parts=_prompt_parts(values_by_name.get(_PROMPT_PARTS, b"")),
             is_relayed=_RELAYED in values_by_name,
         )
     except ValueError as error:
@@ -134,6 +143,19 @@
     return RequestSize(int(fields[1]), int(fields[2])) if fields else RequestSize()
 
 
+def _prompt_parts(value):
+    """Return the ids of the shared parts; an invalid list counts as none.
+
+    The parts only help to recognise requests that crash targets, so a bad list is no
+    reason to refuse a request.
+    """
+    parts = [_PROMPT_PART.fullmatch(part.strip()) for part in value.split(b",")]
+    if not all(parts):
+        return ()
+    ids = [part[1].decode().lower() for part in parts]
+    return tuple(dict.fromkeys(ids[:-1]))[:MAX_PROMPT_PARTS]
+
+
 def attempt_id(headers):
     """Return the id of the caller's attempt for logs; empty if there is none."""
     return dict(headers).get(_ATTEMPT_ID, b"").decode("latin-1")
--- a/cowslipcourse/quarantine/__init__.py
+++ b/cowslipcourse/quarantine/__init__.py
@@ -1,6 +1,6 @@
 """Detection and quarantine of requests that end the targets which run them."""
 
-from cowslipcourse.quarantine.fingerprints import fingerprint
+from cowslipcourse.quarantine.fingerprints import fingerprint, part_fingerprints
 from cowslipcourse.quarantine.verdict_store import VerdictStore
 from cowslipcourse.quarantine.verdicts import CrashReport, Suspects, Verdict, Verdicts
 
@@ -11,4 +11,5 @@
     "VerdictStore",
     "Verdicts",
     "fingerprint",
+    "part_fingerprints",
 ]
--- a/cowslipcourse/quarantine_runtime/crash_reporting.py
+++ b/cowslipcourse/quarantine_runtime/crash_reporting.py
@@ -83,18 +83,19 @@
             run.relayed_events,
             run.last_event_id,
         )
-        task = asyncio.create_task(self._report_if_exited(call.id, entry, report))
+        task = asyncio.create_task(self._report_if_exited(call, entry, report))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _report_if_exited(self, request, entry, report):
+    async def _report_if_exited(self, call, entry, report):
         if not await self._exit_detector.detect_exit(entry):
             return
         is_cleared = self._suspects.was_answered(report.fingerprint, _now())
         log.info(
             "ended-under",
-            request=request,
+            request=call.id,
             fingerprint=report.fingerprint.hex(),
+            parts=",".join(part.hex() for part in call.part_fingerprints),
             target=report.target,
             begun=report.has_begun,
             events=report.relayed_events,
--- a/features/steps/judging_steps.py
+++ b/features/steps/judging_steps.py
@@ -23,6 +23,7 @@
     RequestQuarantined,
     TargetFailed,
 )
+from cowslipcourse.platform.headers import CallerHeaders
 from cowslipcourse.ports import RowWrite, TargetEntry
 from cowslipcourse.quarantine import (
     CrashReport,
@@ -221,7 +222,13 @@
 
 
 def _call():
-    return _Call(id="a1", fingerprint=FINGERPRINT, route=ROUTE)
+    return _Call(
+        id="a1",
+        fingerprint=FINGERPRINT,
+        part_fingerprints=(),
+        caller_headers=CallerHeaders(),
+        route=ROUTE,
+    )
 
 
 class _Daemons:
--- a/features/support/spread_runs.py
+++ b/features/support/spread_runs.py
@@ -19,7 +19,7 @@
 SPREAD_LIMIT_S = 2.5
 REPEAT_WINDOW_S = 4.0
 EXIT_INTERVAL_S = 0.2
-REQUEST = SimpleNamespace(id="a1", fingerprint=b"f" * 16)
+REQUEST = SimpleNamespace(id="a1", fingerprint=b"f" * 16, part_fingerprints=())
 
 
 class SpreadScenario(NamedTuple):
