--- a/cowslipcourse/emulator/callers.py
+++ b/cowslipcourse/emulator/callers.py
@@ -49,6 +49,7 @@
     event_count: int
     tokens_per_event: int
     crashes_targets: bool = False
+    crashing_part: str = ""
 
 
 class _SizedCall:
@@ -101,17 +102,20 @@
     :param burst_factor: callable that takes the name of a kind and a time in seconds,
         and returns the factor on its request rate.
     :param rng: :class:`random.Random`
+    :param part_rng: :class:`random.Random` for the parts of prompts.
     """
 
-    def __init__(self, daemons, settings, burst_factor, rng):
+    def __init__(self, daemons, settings, burst_factor, rng, part_rng):
         self._daemons = daemons
         self._settings = settings
         self._burst_factor = burst_factor
         self._rng = rng
         self._tasks = set()
         self._request_numbers = itertools.count()
+        self._part_rng = part_rng
+        self._crashing_parts = set()
         self.records = []
-        self.wrongly_quarantined = 0
+        self.wrongly_quarantined_at = []
 
     async def run(self, duration_s):
         """Send requests for ``duration_s`` seconds, and wait for the last answers."""
@@ -133,6 +137,37 @@
         for _ in range(fault.count):
             self._start_task(self._send_until_answered(kinds[0], size, None, content))
 
+    def send_requests_with_part(self, fault):
+        """Send different requests with a part that crashes targets to some daemons.
+
+        From now on all requests with that part crash their targets.
+
+        :param fault: :class:`~cowslipcourse.emulator.site_file.FaultSettings`
+        """
+        self._crashing_parts.add(fault.part)
+        kind = next(k for k in self._settings.kinds if k.name == fault.request)
+        for _ in range(fault.count):
+            parts = self._draw_parts(kind)
+            if fault.is_first_part:
+                parts = (fault.part, *parts[1:])
+            elif fault.part not in parts:
+                parts = (*parts[:1], fault.part)
+            size = self._draw_size(kind, self._part_rng)
+            self._start_task(
+                self._send_until_answered(kind, size, None, self._new_content(), parts)
+            )
+
+    def _new_content(self):
+        return b"%d" % next(self._request_numbers)
+
+    def _draw_parts(self, kind):
+        """Draw the shared parts of a prompt: that of its kind, and a subject."""
+        if not kind.subjects:
+            return ()
+        # Squaring makes the first subjects the most frequent ones.
+        subject = int(kind.subjects * self._part_rng.random() ** 2)
+        return kind.name, f"{kind.name}-{subject}"
+
     def _start_task(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -149,33 +184,39 @@
             at_s = loop.time() - started_at
             if at_s >= duration_s:
                 return
-            content = b"%d" % next(self._request_numbers)
             self._start_task(
                 self._send_until_answered(
-                    kind, self._draw_size(kind, rng), at_s, content
+                    kind,
+                    self._draw_size(kind, rng),
+                    at_s,
+                    self._new_content(),
+                    self._draw_parts(kind),
                 )
             )
 
-    async def _send_until_answered(self, kind, size, at_s, content):
+    async def _send_until_answered(self, kind, size, at_s, content, parts=()):
         """Send a request until it is answered; record it if it has an arrival time."""
         loop = asyncio.get_running_loop()
         arrived_at = loop.time()
         deadline = arrived_at + kind.deadline_s
         responder, attempt_count, outcome = _Responder(), 0, Outcome.FAILED
+        crashing_part = next((p for p in parts if p in self._crashing_parts), "")
+        if crashing_part:
+            size = size._replace(crashes_targets=True, crashing_part=crashing_part)
         while attempt_count <= kind.retries and loop.time() < deadline:
             attempt_count += 1
             outcome, wait_s = await self._send_once(
-                kind, size, responder, deadline, content
+                kind, size, responder, deadline, content, parts
             )
             if outcome is None:
                 outcome = _timeliness(kind, responder, arrived_at)
                 break
             remaining_s = deadline - loop.time()
             await asyncio.sleep(max(0.0, min(wait_s, remaining_s * MAX_WAIT_FRACTION)))
-        if at_s is not None:
+        if at_s is not None and not crashing_part:
             self.records.append(CallRecord(kind.name, at_s, outcome, attempt_count))
 
-    async def _send_once(self, kind, size, responder, deadline, content):
+    async def _send_once(self, kind, size, responder, deadline, content, parts):
         """Return ``(None, 0)`` after a complete answer, else outcome and wait in s."""
         loop = asyncio.get_running_loop()
         remaining_s = deadline - loop.time()
@@ -190,6 +231,7 @@
                 time_budget_s=remaining_s,
                 model=kind.model,
                 last_event_id=responder.last_event or None,
+                prompt_parts=parts,
             ),
             route=_route(kind),
             workspace=None,
@@ -200,7 +242,8 @@
         try:
             await daemon.forwarder.forward(_SizedCall(call, size), responder)
         except RequestQuarantined as error:
-            self.wrongly_quarantined += not size.crashes_targets
+            if not size.crashes_targets:
+                self.wrongly_quarantined_at.append(loop.time())
             return Outcome.REFUSED, error.retry_after_s or 0.0
         except RequestError as error:
             is_refused = error.outcome == "not_run"
--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -7,7 +7,10 @@
 
 from cowslipcourse.admission.urgency import urgency
 from cowslipcourse.emulator.batches import CRASH_DELAY_S, BatchedRequest, GroupBatch
-from cowslipcourse.emulator.crashes import CrashOracle
+from cowslipcourse.emulator.crashes import (
+    MAX_PART_CRASHES_BEFORE_DETECTION,
+    CrashOracle,
+)
 from cowslipcourse.emulator.limit_oracle import LimitOracle
 from cowslipcourse.emulator.pause_oracle import PauseOracle
 from cowslipcourse.entry.attempts import CONNECT_TIMEOUT_S, Attempt
@@ -39,6 +42,7 @@
     def __init__(self, world, spec):
         self.world = world
         self.crash_oracle = CrashOracle()
+        self.part_oracle = CrashOracle(MAX_PART_CRASHES_BEFORE_DETECTION)
         self.limit_oracle = LimitOracle()
         self.pause_oracle = PauseOracle()
         self.leaving_oracle = PauseOracle()
@@ -223,6 +227,10 @@
             return _EmulatedConnection(not_executed_head(FULL_STATUS), stated_headers)
         if call.size.crashes_targets:
             self._heads.crash_oracle.record_arrival(call.fingerprint, self._name)
+            if call.size.crashing_part:
+                self._heads.part_oracle.record_arrival(
+                    call.size.crashing_part, self._name
+                )
         waited_s = call.waited_s(asyncio.get_running_loop().time())
         connection = _EmulatedConnection(ResponseHead(200, ()), stated_headers)
         delivered_events = last_event_id or call.caller_headers.last_event_id or 0
@@ -254,5 +262,9 @@
         def on_start():
             connection.start()
             self._heads.crash_oracle.record_crash(call.fingerprint, CRASH_DELAY_S)
+            if call.size.crashing_part:
+                self._heads.part_oracle.record_crash(
+                    call.size.crashing_part, CRASH_DELAY_S
+                )
 
         return on_start
--- a/cowslipcourse/emulator/site.py
+++ b/cowslipcourse/emulator/site.py
@@ -54,14 +54,17 @@
     :param violations: violations found by the oracle of the groups, as texts.
     :param crashes: :class:`~cowslipcourse.emulator.crashes.CrashFigures` list, one for
         each request that crashed engines.
-    :param wrongly_quarantined: number of times that a request which crashes no engine
-        was refused as quarantined.
+    :param wrongly_quarantined_at_s: times from the start of the traffic at which a
+        request that crashes no engine was refused as quarantined.
     :param limits: :class:`~cowslipcourse.emulator.limit_oracle.LimitFigures` list, one
         for each engine that stated a rate limit.
     :param pauses: :class:`~cowslipcourse.emulator.pause_oracle.PauseFigures` list, one
         for each engine and daemon that it asked for a pause.
     :param departures: the same for each engine and daemon to which it stated that it
         leaves, as an endless pause.
+    :param part_crashes: :class:`~cowslipcourse.emulator.crashes.CrashFigures` list, one
+        for each part that crashed engines.
+    :param traffic_started_at: loop time of the start of the traffic.
     """
 
     records: list[CallRecord]
@@ -70,10 +73,17 @@
     first_groups: dict[str, int]
     violations: list[str]
     crashes: list[CrashFigures]
-    wrongly_quarantined: int
+    wrongly_quarantined_at_s: list[float]
     limits: list[LimitFigures]
     pauses: list[PauseFigures]
     departures: list[PauseFigures]
+    part_crashes: list[CrashFigures]
+    traffic_started_at: float
+
+    @property
+    def wrongly_quarantined(self):
+        """Number of refusals of requests that crash no engine."""
+        return len(self.wrongly_quarantined_at_s)
 
 
 class EmulatedSite:
@@ -131,6 +141,7 @@
         for daemon in self._daemons:
             daemon.coordinators = coordinators
         self._caller_rng = caller_rng
+        self._part_rng = random.Random(f"parts-{seed}")
         self._callers = None
         self._unreachable_since = {}
         self._traffic_started_at = None
@@ -168,7 +179,13 @@
             asyncio.create_task(self._inject_fault(f)) for f in self._settings.faults
         ]
         site = self._settings.site
-        callers = Callers(self._daemons, site, self._burst_factor, self._caller_rng)
+        callers = Callers(
+            self._daemons,
+            site,
+            self._burst_factor,
+            self._caller_rng,
+            self._part_rng,
+        )
         self._callers = callers
         await callers.run(self._settings.seconds)
         self._network.stop()
@@ -186,10 +203,12 @@
             {model: numbers[0] for model, numbers in self._open_group_counts.items()},
             self._world.violations,
             self._heads.crash_oracle.figures(),
-            callers.wrongly_quarantined,
+            [at - self._traffic_started_at for at in callers.wrongly_quarantined_at],
             self._heads.limit_oracle.figures(),
             self._heads.pause_oracle.figures(),
             self._heads.leaving_oracle.figures(),
+            self._heads.part_oracle.figures(),
+            self._traffic_started_at,
         )
 
     # Messages between daemons, and the list of targets.
@@ -337,11 +356,15 @@
     def _crash(self, fault):
         self._callers.send_crashing_requests(fault)
 
+    def _crash_part(self, fault):
+        self._callers.send_requests_with_part(fault)
+
     def _silence(self, fault):
         """Isolate some daemons from the others for a while."""
         for daemon in self._fault_rng.sample(self._daemons, fault.count):
             self._network.isolate(daemon.name, fault.for_s)
             self._heads.crash_oracle.record_disturbance(daemon.name, fault.for_s)
+            self._heads.part_oracle.record_disturbance(daemon.name, fault.for_s)
             self._heads.limit_oracle.record_disturbance(daemon.name, fault.for_s)
             self._heads.pause_oracle.record_disturbance(daemon.name, fault.for_s)
 
@@ -350,6 +373,7 @@
         for daemon in self._fault_rng.sample(self._daemons, fault.count):
             daemon.forget()
             self._heads.crash_oracle.record_disturbance(daemon.name, 0.0)
+            self._heads.part_oracle.record_disturbance(daemon.name, 0.0)
             self._heads.limit_oracle.record_disturbance(daemon.name, 0.0)
             self._heads.pause_oracle.record_disturbance(daemon.name, 0.0)
 
--- a/cowslipcourse/emulator/site_file.py
+++ b/cowslipcourse/emulator/site_file.py
@@ -29,6 +29,8 @@
         of their means.
     :param aim_s: objective for the time to the first event.
     :param pause_s: objective for the longest pause between events.
+    :param subjects: number of subjects, each a part that the prompts about it share;
+        if 0, requests state no parts.
     :param worth: credit for an answer on time.
     :param late_worth: credit for a late answer.
     """
@@ -43,6 +45,7 @@
     pause_s: Seconds
     deadline_s: Seconds
     retries: int = Field(default=1, ge=0)
+    subjects: int = Field(default=0, ge=0)
     worth: float = Field(default=1.0, gt=0)
     late_worth: float = Field(default=0.25, ge=0)
 
@@ -94,7 +97,8 @@
         makes daemons discard what they know of such requests, as a restart does.
         ``limit`` makes heads of groups state a rate limit for a while. ``pause`` makes
         them refuse all requests for a while and ask for a pause each time. ``leave``
-        makes them state that they leave; they stop after a while.
+        makes them state that they leave; they stop after a while. ``crash_part`` sends
+        ``count`` different requests with a part that crashes engines to daemons.
     :param at_s: first occurrence, from the start of the traffic.
     :param every_s: interval between occurrences; 0 for a single one.
     :param until_s: latest time of an occurrence.
@@ -107,6 +111,9 @@
         that serve this model; empty for any.
     :param limit_per_s: rate limit in requests per second.
     :param pause_s: duration of the pauses.
+    :param part: id of the part that crashes engines, from the first occurrence on.
+    :param is_first_part: whether it is the first part of the prompts of these requests,
+        in place of the last one that is shared.
     """
 
     kind: Literal[
@@ -122,6 +129,7 @@
         "limit",
         "pause",
         "leave",
+        "crash_part",
     ]
     at_s: float = Field(ge=0)
     every_s: float = Field(default=0.0, ge=0)
@@ -133,6 +141,8 @@
     model: str = ""
     limit_per_s: float = Field(default=1.0, gt=0)
     pause_s: Seconds = 3.0
+    part: str = ""
+    is_first_part: bool = False
 
     def times(self):
         """Return the times of all occurrences, in seconds."""
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -34,6 +34,9 @@
 
 def _simulate(context, seconds, seed):
     with _logging_disabled():
+        if "simulate_run" in context:
+            context.result = context.simulate_run(seconds, context.faults, seed)
+            return
         context.result = simulate_crashes(crash_settings(seconds, context.faults), seed)
 
 
--- /dev/null
+++ b/features/support/part_runs.py
@@ -0,0 +1,93 @@
+"""Runs of parts of prompts that crash the targets that answer them, in virtual time."""
+
+from typing import NamedTuple
+
+from cowslipcourse.emulator.callers import Outcome
+from features.support.crash_runs import FAULTS_END_S, crash_settings, simulate_crashes
+
+__all__ = [
+    "FIRST_REQUEST_S",
+    "MAX_LATE_ARRIVALS",
+    "PartRun",
+    "part_fault",
+    "simulate_part_crashes",
+]
+
+MAX_LATE_ARRIVALS = 3
+"""Arrivals allowed later than the limit for spreading the verdict after the fifth
+crash."""
+FIRST_REQUEST_S = 4.0
+SETTLING_S = 6.0
+"""Time from the fifth crash, or from the last one, until sound requests are served."""
+SUBJECTS = 60
+KIND = "query"
+PART = "bad"
+
+
+class PartRun(NamedTuple):
+    """Results of a run.
+
+    :param crashes: :class:`~cowslipcourse.emulator.crashes.CrashFigures` of each part.
+    :param share_before: share of the sound requests of the kind that were answered at
+        the first attempt before the first request with the part.
+    :param share_after: the same from :data:`SETTLING_S` after the fifth crash on.
+    :param wrongly_quarantined: refusals of sound requests from then on.
+    :param violations: violations of the oracle of the groups.
+    """
+
+    crashes: list
+    share_before: float
+    share_after: float
+    wrongly_quarantined: int
+    violations: list
+
+
+def part_fault(count, interval_s, **extra):
+    """Return the fault of a part that comes with new requests at intervals."""
+    fault = {"kind": "crash_part", "request": KIND, "part": PART, "count": count}
+    times = {"at_s": FIRST_REQUEST_S, "every_s": interval_s, "until_s": FAULTS_END_S}
+    return fault | times | extra
+
+
+def _settings(seconds, faults, **site_overrides):
+    settings = crash_settings(seconds, faults, **site_overrides)
+    kinds = tuple(
+        kind.model_copy(update={"subjects": SUBJECTS}) for kind in settings.site.kinds
+    )
+    return settings.model_copy(
+        update={"site": settings.site.model_copy(update={"kinds": kinds})}
+    )
+
+
+def simulate_part_crashes(seconds, faults, seed, **site_overrides):
+    """Return the :class:`PartRun` of a site with faults."""
+    result = simulate_crashes(_settings(seconds, faults, **site_overrides), seed)
+    settled_s = _settled_s(result)
+    return PartRun(
+        result.part_crashes,
+        _first_attempt_share(result.records, 0.0, FIRST_REQUEST_S),
+        _first_attempt_share(result.records, settled_s, seconds),
+        sum(at_s > settled_s for at_s in result.wrongly_quarantined_at_s),
+        result.violations,
+    )
+
+
+def _settled_s(result):
+    """Return when sound requests must be served again, from the start of traffic."""
+    detected = [
+        figures.detected_by - result.traffic_started_at
+        for figures in result.part_crashes
+        if figures.detected_by is not None
+    ]
+    return max(detected, default=FIRST_REQUEST_S) + SETTLING_S
+
+
+def _first_attempt_share(records, from_s, to_s):
+    """Return the share of requests of the kind answered at the first attempt."""
+    chosen = [r for r in records if r.kind == KIND and from_s <= r.at_s < to_s]
+    answered = [
+        r
+        for r in chosen
+        if r.attempt_count == 1 and r.outcome in (Outcome.ON_TIME, Outcome.LATE)
+    ]
+    return len(answered) / max(1, len(chosen))
