Streams that end with their connection are whole only after an event

Callers got an empty stream as complete if a target crashed after the head of an answer without length or chunks, and a crash inside an event was not held against the request: the end of the connection counted as the end of the response, so the target had not broken it off, and a whole answer cleared the request. The class: an end that is only implied was believed before what it ended was checked.

A stream that ends with its connection inside an event, or without one, is now broken off by its target: it is resumed elsewhere and the target is checked for its exit. An end after an event stays a whole answer, as the protocol says; a crash exactly there cannot be told from it.

Evidence: features/exchange/connection_ends.feature over real connections; three of its four rows failed before (an empty stream passed on as complete; two crashes not recorded).

--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -134,6 +134,9 @@
         """Return the rest of the body, which is always empty."""
         return b""
 
+    def reject_end(self):
+        """Do nothing: emulated streams do not end with their connections."""
+
     def abort(self, error=None):
         """Close the connection; the engine cancels the request."""
         if self.request is not None:
--- a/cowslipcourse/entry/stream_forwarder.py
+++ b/cowslipcourse/entry/stream_forwarder.py
@@ -129,8 +129,7 @@
             progress.observed.record_events(len(events), now)
             await self._relay_events(progress, run, head, events)
             self._context.quarantine.record_progress(progress.call, run)
-        if splitter.has_partial_event:
-            raise IncompleteResponse("the stream ended inside an event")
+        _check_end(run, attempt.connection, splitter)
         run.succeeded = True
         if not responder.started:
             await responder.start(200, _stream_headers(head))
@@ -158,6 +157,19 @@
         await responder.finish(body)
 
 
+def _check_end(run, connection, splitter):
+    """Check that a stream which has ended is whole.
+
+    A crash and the end of a stream look alike if the stream ends with its connection.
+
+    :raises IncompleteResponse: it ended inside an event, or before its first one.
+    """
+    is_cut_at_start = connection.is_close_delimited and not run.relayed_events
+    if splitter.has_partial_event or is_cut_at_start:
+        connection.reject_end()
+        raise IncompleteResponse("the stream ended inside an event or without one")
+
+
 def _log_completion(progress, delivery):
     call = progress.call
     now = asyncio.get_running_loop().time()
--- a/cowslipcourse/http_client/connection.py
+++ b/cowslipcourse/http_client/connection.py
@@ -193,6 +193,12 @@
             chunks_read.append(chunk)
         return b"".join(chunks_read)
 
+    def reject_end(self):
+        """Declare a response incomplete whose only end was that of the connection."""
+        if self.is_close_delimited and self._response.complete:
+            self._response.complete = False
+            self._ended_by_target = True
+
     def abort(self, error=None):
         """Close the connection at once.
 
@@ -255,7 +261,8 @@
         """See :class:`asyncio.Protocol`."""
         self._closed = True
         is_complete = self._response is not None and self._response.complete
-        self._ended_by_target = not (self._closed_locally or is_complete)
+        if not (self._closed_locally or is_complete):
+            self._ended_by_target = True
         self._wake_waiter()
 
     # Called by the parser.
--- /dev/null
+++ b/features/steps/connection_end_steps.py
@@ -0,0 +1,219 @@
+"""Steps for streams that end with their connection."""
+
+import asyncio
+import itertools
+import random
+from unittest import mock
+
+from behave import given, then, when
+
+from cowslipcourse.admission import SharedRetryBudget
+from cowslipcourse.emulator.messages import MessageNetwork
+from cowslipcourse.emulator.site_file import SiteSettings
+from cowslipcourse.entry.attempts import AttemptSender
+from cowslipcourse.entry.calls import Call
+from cowslipcourse.entry.context import DaemonContext
+from cowslipcourse.entry.fleet_view import FleetView
+from cowslipcourse.entry.forwarder import Forwarder
+from cowslipcourse.entry.settings import EntrySettings
+from cowslipcourse.entry.silence_detector import SilenceDetector
+from cowslipcourse.entry.target_conditions import TargetConditions
+from cowslipcourse.platform.headers import CallerHeaders
+from cowslipcourse.ports import TargetEntry
+from cowslipcourse.quarantine import VerdictStore, fingerprint
+from cowslipcourse.quarantine_runtime import Quarantine, TargetExitDetector
+from cowslipcourse.quarantine_runtime.part_evaluation import PartEvaluation
+from cowslipcourse.rate_limit_runtime import RateLimiter
+from cowslipcourse.routes import (
+    CallerLimits,
+    RequestKind,
+    Route,
+    RouteTable,
+    ServiceSpec,
+)
+from features.support.limiter_peers import RecordingPeers
+from features.support.scripted_target import RESPONSE_HEAD, ScriptedTarget
+from harness.ports import free_ports
+
+EVENTS = [b"id: %d\ndata: word\n\n" % number for number in range(1, 5)]
+STREAM = b"".join(EVENTS)
+CONTENTS = {
+    "a whole stream": STREAM,
+    "a stream that ends inside an event": EVENTS[0] + EVENTS[1][:-5],
+    "a stream that ends in its first event": EVENTS[0][:-5],
+    "the head of a stream": b"",
+}
+SERVICE = "s"
+ROUTE = Route(
+    "r",
+    "h",
+    "/",
+    RequestKind.STREAMING,
+    ((SERVICE, 1.0),),
+    5.0,
+    1.0,
+    1,
+    2,
+    is_resumable=True,
+)
+SITE = SiteSettings(domains={"d": "x"}, engines_a_domain=1, models=(), kinds=())
+SETTLING_S = 0.1
+UNUSED_ADDRESS = "127.0.0.1:1"
+PARTS = ("first", "second")
+"""Shared parts of the prompt."""
+
+
+class _Responder:
+    """Collects the response to the caller."""
+
+    def __init__(self):
+        self.started = False
+        self.body = b""
+        self.is_finished = False
+
+    async def start(self, status, headers):
+        self.started = True
+
+    async def send_chunk(self, content):
+        self.body += content
+
+    async def finish(self, body=b""):
+        self.body += body
+        self.is_finished = True
+
+
+class _InOrder:
+    """Draws increasing numbers, so that targets are chosen in the order of the list."""
+
+    def __init__(self):
+        self._numbers = itertools.count()
+
+    def random(self):
+        """Return the next number."""
+        return next(self._numbers)
+
+
+def _settings():
+    listen = dict.fromkeys(("front", "directory", "ready", "peer"), UNUSED_ADDRESS)
+    return EntrySettings(
+        name="a", data_centre="x", listen=listen, store={"address": UNUSED_ADDRESS}
+    )
+
+
+def _entry(number, port):
+    return TargetEntry(f"t{number}", SERVICE, f"127.0.0.1:{port}", "x", 6)
+
+
+def _call(now):
+    return Call(
+        id="a1",
+        method="POST",
+        path=b"/",
+        headers=(),
+        body=b"",
+        fingerprint=fingerprint(None, b"/", b""),
+        caller_headers=CallerHeaders(b"a1", prompt_parts=PARTS),
+        route=ROUTE,
+        workspace=None,
+        arrived_at=now,
+        deadline=now + 5,
+    )
+
+
+class _Daemon:
+    """Forwards a stream to real connections.
+
+    :param ports: ports of the targets, in the order in which they are asked.
+    """
+
+    def __init__(self, ports):
+        fleet = FleetView()
+        fleet.apply([_entry(n, port) for n, port in enumerate(ports, start=1)], ())
+        limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
+        conditions = TargetConditions(limiter, fleet)
+        settings = _settings()
+        network = MessageNetwork(SITE, random.Random(1))
+        self.quarantine = Quarantine(
+            network.peers_of("a"),
+            TargetExitDetector(fleet.is_expected),
+            VerdictStore(None, lambda: 0.0),
+        )
+        self.quarantine.load_part_evaluation(PartEvaluation)
+        context = DaemonContext(
+            settings,
+            fleet,
+            AttemptSender(fleet, conditions),
+            SharedRetryBudget(settings.retries),
+            SilenceDetector(fleet, lambda: None),
+            conditions,
+            self.quarantine,
+            _InOrder(),
+        )
+        services = (ServiceSpec(SERVICE),)
+        context.table = RouteTable(1, (ROUTE,), services, CallerLimits(), {})
+        self._forwarder = Forwarder(context)
+
+    async def forward(self):
+        """Forward a stream and return the :class:`_Responder`."""
+        responder = _Responder()
+        call = _call(asyncio.get_running_loop().time())
+        await self._forwarder.forward(call, responder)
+        return responder
+
+
+class _ExitingTarget(ScriptedTarget):
+    """A scripted target that stops listening before it closes the connection."""
+
+    server = None
+
+    async def serve(self, reader, writer):
+        self.server.close()
+        await super().serve(reader, writer)
+
+
+@given(
+    "a target that sends {content} without length or chunks, and whose process then "
+    "exits"
+)
+def step_exiting_target(context, content):
+    context.content = RESPONSE_HEAD + b"\r\n" + CONTENTS[content]
+
+
+@given("a target that sends a whole stream")
+def step_whole_target(context):
+    length = b"Content-Length: %d\r\n\r\n" % len(STREAM)
+    context.whole_content = RESPONSE_HEAD + length + STREAM
+
+
+@when("a caller asks for the stream")
+def step_ask(context):
+    async def run():
+        ports = free_ports(2)
+        exiting = _ExitingTarget(context.content, "close")
+        whole = ScriptedTarget(context.whole_content, None)
+        exiting.server = await asyncio.start_server(
+            exiting.serve, "127.0.0.1", ports[0]
+        )
+        server = await asyncio.start_server(whole.serve, "127.0.0.1", ports[1])
+        async with server:
+            with mock.patch.object(PartEvaluation, "report_crash") as report_crash:
+                context.responder = await _Daemon(ports).forward()
+                await asyncio.sleep(SETTLING_S)
+        context.asked_targets = 1 + bool(whole.writers)
+        context.crash_count = report_crash.call_count
+        for writer in whole.writers:
+            writer.close()
+
+    asyncio.run(run())
+
+
+@then("it gets the whole stream from target {number:d}")
+def step_whole_stream(context, number):
+    assert context.responder.body == STREAM, context.responder.body
+    assert context.responder.is_finished
+    assert context.asked_targets == number, context.asked_targets
+
+
+@then("a crash of the first target is recorded: {crash}")
+def step_crash_recorded(context, crash):
+    assert context.crash_count == (crash == "yes"), context.crash_count
--- a/features/steps/withheld_steps.py
+++ b/features/steps/withheld_steps.py
@@ -44,6 +44,7 @@
     return _Call(
         id="a1",
         fingerprint=b"f" * 16,
+        part_fingerprints=(),
         route=ROUTE,
         workspace=None,
         workspace_name=None,
@@ -68,6 +69,7 @@
     """A connection that records what is sent on it."""
 
     ended_by_target = False
+    is_close_delimited = False
 
     def __init__(self):
         self.sent = []
