Lifts of parts reach daemons that missed them; decisions on parts tested without a network

Callers of a sound part could be refused for an hour by a daemon that missed the message that its quarantine was lifted, and after a restart by all: a daemon that was isolated then took itself for the first evaluator and stored the verdict again (found by part_verdicts.feature: 8 of 8 daemons refused after a restart). The class: a message sent twice and never again, for a state that lasts.

Lifts are repeated for 60 s, say how long ago they were, and cancel only verdicts issued before; who repeats an older verdict is told again, and a daemon that learns of a lift late removes what it may have stored.

Ruled out: an acknowledgement of each lift, which costs a message of each daemon.

--- a/cowslipcourse/peer_protocol/messages.py
+++ b/cowslipcourse/peer_protocol/messages.py
@@ -221,9 +221,11 @@
     """A quarantined part is sound, as a request with it was answered.
 
     :param part: fingerprint of the part.
+    :param age_s: seconds since its quarantine was lifted.
     """
 
     part: _PartFingerprint
+    age_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_S)]
 
 
 class EvacuatedSet(NamedTuple):
--- a/cowslipcourse/quarantine/prompt_parts.py
+++ b/cowslipcourse/quarantine/prompt_parts.py
@@ -179,7 +179,11 @@
 
     def suspected_parts(self, since):
         """Return the parts that are at several crashes, one later than ``since``."""
-        suspected = (self._evidence(part) for part in self._keys_by_part)
+        suspected = (
+            self._evidence(part)
+            for part, keys in self._keys_by_part.items()
+            if len(keys) >= SUSPICION_CRASHES
+        )
         return [
             evidence.part
             for evidence in suspected
@@ -191,14 +195,18 @@
         return part in self._keys_by_part
 
     def due_parts(self, now, sound_parts, observed_exits):
-        """Return the parts that are convicted at this time.
+        """Return the parts that may be convicted now, the most suspect first.
+
+        Convicting one may explain the crashes of the others.
 
         :param now: loop time.
         :param sound_parts: :class:`SoundParts` of this daemon.
         :param observed_exits: :class:`ObservedExits` of this daemon.
         """
         due = []
-        for part in self._keys_by_part:
+        for part, keys in self._keys_by_part.items():
+            if len(keys) < QUARANTINE_CRASHES:
+                continue
             evidence = self._evidence(part)
             if (
                 evidence.is_sufficient()
@@ -206,8 +214,9 @@
                 and not self._is_better_explained(evidence)
                 and _is_series(evidence, sound_parts, observed_exits)
             ):
-                due.append(part)
-        return due
+                due.append(evidence)
+        due.sort(key=lambda evidence: evidence.suspicion, reverse=True)
+        return [evidence.part for evidence in due]
 
     def _is_better_explained(self, evidence):
         """Whether a more suspect part is at all crashes of this one."""
--- a/cowslipcourse/quarantine_runtime/enforcement.py
+++ b/cowslipcourse/quarantine_runtime/enforcement.py
@@ -17,7 +17,6 @@
 )
 from cowslipcourse.peer_protocol import (
     CrashReports,
-    PartCleared,
     QuarantineUpdate,
     RequestCleared,
 )
@@ -42,11 +41,6 @@
 SOUND_WRITING_S = 0.25
 """Time from its first event after which a run proves the parts of its prompt sound:
 targets crash when they begin to answer."""
-LIFT_MARGIN_S = 0.5
-"""Greater than the delays of messages, by which the times of a verdict differ between
-daemons."""
-MAX_LIFTED = 512
-"""Lifted quarantines that are remembered, as other daemons may still repeat them."""
 
 log = get_logger(__name__)
 
@@ -75,8 +69,12 @@
     def drop_explained(self, part):
         """Drop nothing."""
 
-    def clear(self, part):
-        """Clear nothing."""
+    def is_outdated(self, verdict):
+        """Return that no quarantine was lifted."""
+        return False
+
+    def repeat_lifts(self, now):
+        """Repeat nothing."""
 
 
 class Quarantine:
@@ -103,8 +101,6 @@
             self._evaluate_report,
             lambda call, report: self._parts.report_crash(call, report),
         )
-        self._lifted_at = {}
-        self._lifts_to_store = set()
         self._unsaved_fingerprints = set()
         self._trial_calls = {}
         self._active_runs = {}
@@ -131,9 +127,9 @@
         self._parts = part_evaluation(
             self._peers,
             self._verdicts,
+            self._store,
             self._convict_part,
-            self._lift_part,
-            lambda crashes: self._spawn(self._write_part_crashes(crashes)),
+            self._broadcast,
         )
         self._parts.add_stored_crashes(stored_crashes)
 
@@ -270,28 +266,6 @@
         self._spawn(self._remove_stored_verdict(fingerprint))
         self._broadcast(RequestCleared(fingerprint))
 
-    def _lift_part(self, part):
-        """Lift the quarantine of a part at all daemons, as it is sound."""
-        if not self._drop_part_verdict(part):
-            return
-        log.warning("quarantine-lifted", fingerprint=part.hex(), part=True)
-        self._lifts_to_store.add(part)
-        self._store_lifts()
-        self._broadcast(PartCleared(part))
-
-    def _drop_part_verdict(self, part):
-        """Drop the verdict on a part, and later repetitions of it."""
-        self._lifted_at.pop(part, None)
-        self._lifted_at[part] = _now()
-        if len(self._lifted_at) > MAX_LIFTED:
-            del self._lifted_at[next(iter(self._lifted_at))]
-        self._parts.clear(part)
-        return self._verdicts.drop(part)
-
-    def _store_lifts(self):
-        for part in self._lifts_to_store:
-            self._spawn(self._remove_stored_verdict(part))
-
     def record_failed(self, call, run):
         """Record a failed run; report it if the target broke it off and has exited.
 
@@ -335,12 +309,6 @@
         self._broadcast(QuarantineUpdate((Verdict(fingerprint, QUARANTINE_S),)))
         self._save_unsaved_verdicts()
 
-    async def _write_part_crashes(self, crashes):
-        try:
-            await self._store.add_part_crashes(crashes)
-        except StoreError as error:
-            log.warning("reports-not-kept", error=error.code, why=error)
-
     def _save_reports(self, fingerprint):
         """Store the reports on a request that may soon be convicted.
 
@@ -367,7 +335,7 @@
             if self._suspects.was_answered_here(fingerprint):
                 self._lift_quarantine(fingerprint)
             return False
-        if self._is_lifted(verdict):
+        if self._parts.is_outdated(verdict):
             return False
         self._suspects.drop(fingerprint)
         self._parts.drop_explained(fingerprint)
@@ -378,11 +346,6 @@
         self._abort_runs(fingerprint)
         return True
 
-    def _is_lifted(self, verdict):
-        """Whether the quarantine of a part was lifted after this verdict on it."""
-        lifted_at = self._lifted_at.get(verdict.fingerprint)
-        return lifted_at is not None and verdict.issued_at < lifted_at + LIFT_MARGIN_S
-
     def handle_message(self, message):
         """Apply a message of another daemon.
 
@@ -399,9 +362,6 @@
             self._suspects.record_answered(message.fingerprint, _now(), is_local=False)
             if self._verdicts.drop(message.fingerprint):
                 log.info("quarantine-lifted", fingerprint=message.fingerprint.hex())
-        elif isinstance(message, PartCleared):
-            if self._drop_part_verdict(message.part):
-                log.info("quarantine-lifted", fingerprint=message.part.hex(), part=True)
         else:
             self._parts.handle_message(message)
 
@@ -438,7 +398,7 @@
             if now > verdict.until + VERDICT_RETENTION_S:
                 self._verdicts.drop(verdict.fingerprint)
         self._save_unsaved_verdicts()
-        self._store_lifts()
+        self._parts.repeat_lifts(now)
         addresses = self._peers.repeat_addresses() if len(self._verdicts) else ()
         if not addresses:
             return
@@ -490,7 +450,6 @@
     async def _remove_stored_verdict(self, fingerprint):
         try:
             await self._store.remove_verdict(fingerprint)
-            self._lifts_to_store.discard(fingerprint)
         except (StoreError, MalformedResponse) as error:
             # It is tried again at its next trial, which this one has postponed.
             log.warning("verdict-not-removed", error=error.code, why=error)
--- a/cowslipcourse/quarantine_runtime/part_evaluation.py
+++ b/cowslipcourse/quarantine_runtime/part_evaluation.py
@@ -8,7 +8,13 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
-from cowslipcourse.peer_protocol import PartAnswers, PartCrashes, PartInquiry
+from cowslipcourse.exceptions import StoreError
+from cowslipcourse.peer_protocol import (
+    PartAnswers,
+    PartCleared,
+    PartCrashes,
+    PartInquiry,
+)
 from cowslipcourse.quarantine import PartAnswer, PartCrash
 from cowslipcourse.quarantine.prompt_parts import (
     QUARANTINE_CRASHES,
@@ -18,6 +24,7 @@
 )
 from cowslipcourse.quarantine.verdicts import MAX_PARTS
 from cowslipcourse.quarantine_runtime.crash_reporting import evaluators
+from cowslipcourse.quarantine_runtime.part_lifts import PartLifts
 
 __all__ = ["PartEvaluation"]
 
@@ -38,8 +45,11 @@
 INQUIRY_WAIT_S = 0.3
 """Time from the first inquiry until a part is convicted: answers have arrived by
 then."""
-ANSWER_INTERVAL_S = 0.3
-"""Least interval between two messages of a daemon on answers to one part."""
+ANSWER_INTERVAL_S = 1.0
+"""Least interval between two messages of a daemon on new answers to one part: at 410
+daemons each evaluator gets as many a second for a part in use everywhere."""
+REPLY_INTERVAL_S = 0.3
+"""Least interval between two replies of a daemon to inquiries about one part."""
 MAX_ANSWER_AGE_S = 3_600.0
 MAX_CONVICTED = 512
 """Convicted parts whose crashes are remembered, in case an answer arrives late."""
@@ -53,18 +63,18 @@
     :param peers:
         :class:`~cowslipcourse.quarantine_runtime.crash_reporting.QuarantinePeers`
     :param verdicts: :class:`~cowslipcourse.quarantine.Verdicts` in force.
+    :param store: :class:`~cowslipcourse.quarantine.VerdictStore`
     :param convict: callable for each part that is convicted here, with the targets that
         it crashed.
-    :param lift: callable for each quarantined part that turns out to be sound.
-    :param store_crashes: callable for a part and the crashes to store against it.
+    :param broadcast: callable that sends a message to all daemons, twice.
     """
 
-    def __init__(self, peers, verdicts, convict, lift, store_crashes):
+    def __init__(self, peers, verdicts, store, convict, broadcast):
         self._peers = peers
         self._verdicts = verdicts
+        self._store = store
         self._convict = convict
-        self._lift = lift
-        self._store_crashes = store_crashes
+        self._lifts = PartLifts(peers, verdicts, store, broadcast)
         self._suspects = PartSuspects()
         self._sound = SoundParts()
         self._observed_exits = ObservedExits()
@@ -73,6 +83,7 @@
         self._answer_sent_at = {}
         self._crash_times_by_convicted = {}
         self._poll_task = None
+        self._tasks = set()
 
     @property
     def suspect_count(self):
@@ -133,7 +144,7 @@
             if self._suspects.is_suspected(part):
                 self._suspects.record_answer(part, run.sent_at)
             if verdict is not None or self._watched_until.get(part, 0.0) > now:
-                self._send_answer(part, now)
+                self._send_answer(part, now, ANSWER_INTERVAL_S)
 
     # Messages of other daemons.
 
@@ -141,13 +152,17 @@
         """Apply a message of another daemon.
 
         :param message: :class:`~cowslipcourse.peer_protocol.PartCrashes`,
-            :class:`~cowslipcourse.peer_protocol.PartInquiry` or
-            :class:`~cowslipcourse.peer_protocol.PartAnswers`
+            :class:`~cowslipcourse.peer_protocol.PartInquiry`,
+            :class:`~cowslipcourse.peer_protocol.PartAnswers` or
+            :class:`~cowslipcourse.peer_protocol.PartCleared`
         """
         if isinstance(message, PartCrashes):
             self._add_crashes(message.crashes)
         elif isinstance(message, PartInquiry):
             self._handle_inquiry(message.parts)
+        elif isinstance(message, PartCleared):
+            self._lifts.handle_message(message)
+            self._clear(message.part, _now() - message.age_s)
         else:
             now = _now()
             for answer in message.answers:
@@ -176,7 +191,16 @@
             if evaluators(self._peers, part)[0] == self._peers.address:
                 reports = self._suspects.reports_to_store(part, now)
                 if reports:
-                    self._store_crashes(reports)
+                    task = asyncio.create_task(self._write(reports))
+                    self._tasks.add(task)
+                    task.add_done_callback(self._tasks.discard)
+
+    async def _write(self, reports):
+        try:
+            await self._store.add_part_crashes(reports)
+        except StoreError as error:
+            # The evaluators hold them; they are lost only if all evaluators exit now.
+            log.warning("reports-not-kept", error=error.code, why=error)
 
     def _handle_inquiry(self, parts):
         now = _now()
@@ -186,20 +210,25 @@
             self._inquiries[part] = first_at, now
             self._watched_until[part] = now + ACTIVE_S
             if now - self._sound.last_sent_at(part) < MAX_ANSWER_AGE_S:
-                self._send_answer(part, now)
+                self._send_answer(part, now, REPLY_INTERVAL_S)
 
     def _expire_watches(self, now):
         for part, until in list(self._watched_until.items()):
             if until <= now:
                 del self._watched_until[part]
-                self._answer_sent_at.pop(part, None)
+                for interval_s in (ANSWER_INTERVAL_S, REPLY_INTERVAL_S):
+                    self._answer_sent_at.pop((part, interval_s), None)
                 self._inquiries.pop(part, None)
 
-    def _send_answer(self, part, now):
-        """Tell the evaluators of a part when the last answered request was sent."""
-        if now - self._answer_sent_at.get(part, float("-inf")) < ANSWER_INTERVAL_S:
+    def _send_answer(self, part, now, interval_s):
+        """Tell the evaluators of a part when the last answered request was sent.
+
+        :param interval_s: least interval between two such messages for this reason.
+        """
+        key = part, interval_s
+        if now - self._answer_sent_at.get(key, float("-inf")) < interval_s:
             return
-        self._answer_sent_at[part] = now
+        self._answer_sent_at[key] = now
         sent_at = self._sound.last_sent_at(part)
         addresses = evaluators(self._peers, part)
         self._peers.send(
@@ -215,16 +244,27 @@
         if crash_times is None or self._verdicts.get(part) is None:
             return
         if sum(at >= sent_at for at in crash_times) < QUARANTINE_CRASHES:
-            del self._crash_times_by_convicted[part]
             self._lift(part)
 
     def drop_explained(self, part):
         """Drop the crashes that a part explains which another evaluator convicted."""
         self._suspects.convict(part)
 
-    def clear(self, part):
-        """Drop the evidence against a part, after its quarantine was lifted."""
-        self._suspects.record_answer(part, _now())
+    def is_outdated(self, verdict):
+        """Whether the quarantine of a part was lifted after a verdict on it."""
+        return self._lifts.is_outdated(verdict)
+
+    def repeat_lifts(self, now):
+        """Repeat the latest lifts; see :meth:`PartLifts.repeat`."""
+        self._lifts.repeat(now)
+
+    def _lift(self, part):
+        if self._lifts.lift(part):
+            self._clear(part, _now())
+
+    def _clear(self, part, lifted_at):
+        """Drop the evidence against a part from before its quarantine was lifted."""
+        self._suspects.record_answer(part, lifted_at)
         self._crash_times_by_convicted.pop(part, None)
 
     # Evaluation.
@@ -273,16 +313,20 @@
         return _now() - due_at >= rank * INQUIRY_DELAY_PER_RANK_S
 
     def _convict_due_parts(self, now):
-        for part in self._suspects.due_parts(now, self._sound, self._observed_exits):
-            asked_since, _ = self._inquiries.get(part, (now, now))
-            if now - asked_since < INQUIRY_WAIT_S or not self._suspects.is_suspected(
-                part
-            ):
-                continue
+        while part := self._next_due_part(now):
             times = self._suspects.convict(part)
             self._remember_conviction(part, times)
             self._convict(part, [target for target, _ in times])
 
+    def _next_due_part(self, now):
+        """Return the most suspect part that is due and was asked about, or ``None``."""
+        due = self._suspects.due_parts(now, self._sound, self._observed_exits)
+        for part in due:
+            asked_since, _ = self._inquiries.get(part, (now, now))
+            if now - asked_since >= INQUIRY_WAIT_S:
+                return part
+        return None
+
     def _remember_conviction(self, part, times):
         self._crash_times_by_convicted[part] = list(times.values())
         if len(self._crash_times_by_convicted) > MAX_CONVICTED:
--- a/features/quarantine/spread.feature
+++ b/features/quarantine/spread.feature
@@ -15,6 +15,18 @@
       | 1            | 8       | 30   | 1000  |
       | 3            | 12      | 10   | 2000  |
 
+  Scenario Outline: Crashes of a part that four daemons see make all daemons refuse it, and not the parts beside it
+    Given <data centres> data centres of <daemons> daemons with <loss> % datagram loss
+    When four of them each see one target crash under another request with one part
+    Then all daemons refuse it 2.5 s later
+    And none refuses requests with the other part of these, which all daemons answer
+
+    Examples:
+      | data centres | daemons | loss |
+      | 1            | 8       | 2    |
+      | 1            | 8       | 30   |
+      | 3            | 12      | 10   |
+
   Scenario: A daemon that was isolated or has just started learns of a verdict within 2.5 s
     Given 3 data centres of 12 daemons with 10 % datagram loss
     When three of them each see one target crash under the same request
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -30,6 +30,18 @@
     context.spread_scenario = context.spread_scenario._replace(target_exits=3)
 
 
+@when("four of them each see one target crash under another request with one part")
+def step_part_crashes(context):
+    context.spread_scenario = context.spread_scenario._replace(
+        target_exits=4, is_part=True
+    )
+
+
+@then("none refuses requests with the other part of these, which all daemons answer")
+def step_sound_not_refused(context):
+    assert not any(context.spread.refusing_sound)
+
+
 @when("no target crashes under a request")
 def step_no_crash(context):
     context.spread_scenario = context.spread_scenario._replace(target_exits=0)
