Real processes and the store's loss in the tests of quarantined parts

The quarantine of parts was played over emulated links only. Three daemons as processes get ever new streams with a part that crashes stand-in engines, beside sound callers whose prompts share its first part: no arrival beyond the bound, the last callers are refused within 0.5 s, all sound ones of the last 3 s are served. Without the store the eight daemons in virtual time refuse as soon. Ruled out: the same with the store unreachable over processes, as the stand-in's engines are then never listed again after two crashes, so that there is nothing to bound.

--- a/features/quarantine/part_verdicts.feature
+++ b/features/quarantine/part_verdicts.feature
@@ -40,7 +40,12 @@
     When that one is answered
     Then no daemon refuses requests with the part, not even after all have restarted
 
-  Scenario: Evidence outlives the restart of all daemons, and the loss of the store only costs time
+  Scenario: Without the store all daemons refuse the part as soon
+    Given eight daemons that do not reach the store
+    When targets have crashed under requests with the part
+    Then all daemons refuse new requests with the part as not run, and say when it is tried
+
+  Scenario: Evidence outlives the restart of all daemons
     Given eight daemons at which two targets have crashed under requests with a part
     When all daemons restart
     And two more targets crash under requests with the part
--- a/features/quarantine/processes.feature
+++ b/features/quarantine/processes.feature
@@ -16,3 +16,10 @@
     When a booking that crashes targets is sent to all daemons every 0.5 s for 9 s, beside other callers
     Then no more than 3 targets get it later than 3 s after the third crash
     And its last callers learn within 0.5 s that it has not run, and when it is tried again
+
+  Scenario: Ever new streams with a part that crashes their targets are quarantined, and sound ones are served
+    Given a platform with three daemons, whose groups serve
+    When ever new streams with a part that crashes targets is sent to all daemons every 0.5 s for 14 s, beside other callers
+    Then no more than 3 targets get one later than 3 s after the fourth crash
+    And its last callers learn within 0.5 s that it has not run, and when it is tried again
+    And in the last 3 s all other callers got complete streams
--- a/features/steps/ending_steps.py
+++ b/features/steps/ending_steps.py
@@ -7,21 +7,37 @@
 from behave import then, when
 
 from features.steps.platform_steps import _all_ready, _call, _run_in_loop, _wait_until
-from features.support.platform_site import CRASH_PREFIX, HOST, KEY, stream_events
+from features.support.platform_site import (
+    CRASH_PREFIX,
+    CRASHING_PART,
+    HOST,
+    KEY,
+    stream_events,
+)
 
 FINAL_WINDOW_S = 3.0
 RESEND_INTERVAL_S = 0.5
-PATHS = {"stream": f"/draft/{CRASH_PREFIX}x", "booking": f"/book/{CRASH_PREFIX}x"}
+PATHS = {
+    "a stream that": f"/draft/{CRASH_PREFIX}x",
+    "a booking that": f"/book/{CRASH_PREFIX}x",
+    "ever new streams with a part that": "/draft/new-",
+}
+SHARED_PART = "5c1e"
+"""First part of the prompts with the part that crashes targets, and of sound ones."""
 
 
 async def _send_crashing_request(session, front, path, request_number):
     """Return the status, headers and duration in seconds of one attempt."""
+    is_new = path.endswith("-")
+    parts = f"{SHARED_PART}:40,{CRASHING_PART}:10," if is_new else ""
+    path = f"{path}{request_number}" if is_new else path
     headers = {
         "Host": HOST,
         "X-Attempt-Id": f"e{request_number}",
         "X-Model": "small",
         "X-Time-Budget-Ms": "3000",
         "Authorization": f"Bearer {KEY}",
+        "X-Prompt-Prefix": f"{parts}{request_number:x}:5",
     }
     began_at = time.monotonic()
     try:
@@ -44,8 +60,8 @@
 
 
 @when(
-    "a {kind} that crashes targets is sent to all daemons every 0.5 s for {seconds:d} "
-    "s, beside other callers"
+    "{kind} crashes targets is sent to all daemons every 0.5 s for {seconds:d} s, "
+    "beside other callers"
 )
 def step_sent_repeatedly(context, kind, seconds):
     site = context.platform
@@ -62,7 +78,12 @@
             front = fronts[request_number % len(fronts)]
             sent_at = asyncio.get_running_loop().time()
             try:
-                status, body, _ = await _call(session, front, f"/draft/{name}")
+                status, body, _ = await _call(
+                    session,
+                    front,
+                    f"/draft/{name}",
+                    prompt_parts=f"{SHARED_PART}:40,{request_number:x}:5",
+                )
             except aiohttp.ClientError:
                 status, body = None, b""
             is_complete = status == 200 and body == b"".join(stream_events(name))
--- a/features/steps/part_verdict_steps.py
+++ b/features/steps/part_verdict_steps.py
@@ -62,7 +62,7 @@
 
     def __init__(self):
         self.network = MessageNetwork(SITE, random.Random(1))
-        self._store = World(random.Random(1), NO_FAULTS, ())
+        self.store = World(random.Random(1), NO_FAULTS, ())
         self.quarantines = []
         self.request_count = 0
         self.aborted = []
@@ -78,7 +78,7 @@
         quarantine = Quarantine(
             self.network.peers_of(name),
             TargetExitDetector(fleet.is_expected, _refuses),
-            VerdictStore(self._store, asyncio.get_running_loop().time),
+            VerdictStore(self.store, asyncio.get_running_loop().time),
         )
         quarantine.load_part_evaluation(PartEvaluation)
         self.network.attach(name, quarantine)
@@ -298,6 +298,15 @@
     _play(context, crash)
 
 
+@given("eight daemons that do not reach the store")
+def step_without_store(context):
+    async def cut(context, daemons):
+        daemons.store.faults = NO_FAULTS._replace(store_failure_fraction=1.0)
+
+    context.run = None
+    _play(context, cut)
+
+
 @when("all daemons restart")
 def step_restart(context):
     async def restart(context, daemons):
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -30,7 +30,7 @@
     raise AssertionError(f"condition did not hold in time: {what}")
 
 
-async def _call(session, front, path, key=KEY, method="POST"):
+async def _call(session, front, path, key=KEY, method="POST", prompt_parts=None):
     headers = {
         "Host": HOST,
         "X-Attempt-Id": f"t{next(_attempt_numbers)}",
@@ -38,6 +38,8 @@
         "X-Time-Budget-Ms": "8000",
         "Authorization": f"Bearer {key}",
     }
+    if prompt_parts is not None:
+        headers["X-Prompt-Prefix"] = prompt_parts
     async with session.request(
         method, f"http://{front}{path}", headers=headers
     ) as response:
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -9,6 +9,7 @@
 from cowslipcourse.emulator.crashes import MAX_CRASHES_BEFORE_DETECTION
 from cowslipcourse.emulator.messages import MessageNetwork
 from cowslipcourse.quarantine import Suspects
+from cowslipcourse.quarantine.prompt_parts import QUARANTINE_CRASHES
 from cowslipcourse.quarantine_runtime.part_evaluation import PartEvaluation
 from features.support.crash_runs import (
     FAULTS_END_S,
@@ -93,7 +94,9 @@
 )
 def step_bound(context, max_arrivals, seconds):
     if "platform" in context:
-        _check_arrivals(context.platform, max_arrivals, seconds)
+        _check_arrivals(
+            context.platform, max_arrivals, seconds, MAX_CRASHES_BEFORE_DETECTION
+        )
         return
     crashes = context.result.crashes
     assert crashes and all(
@@ -103,11 +106,19 @@
     assert not context.result.violations, context.result.violations
 
 
-def _check_arrivals(platform, max_arrivals, seconds):
-    """Check the arrivals of a request at the real targets that it crashes."""
+@then(
+    "no more than {max_arrivals:d} targets get one later than {seconds:d} s after the "
+    "fourth crash"
+)
+def step_part_bound_of_processes(context, max_arrivals, seconds):
+    _check_arrivals(context.platform, max_arrivals, seconds, QUARANTINE_CRASHES)
+
+
+def _check_arrivals(platform, max_arrivals, seconds, crash_count):
+    """Check the arrivals at the real targets that requests crash."""
     crash_times = sorted(crash.at for crash in platform.crashes)
-    assert len(crash_times) >= MAX_CRASHES_BEFORE_DETECTION, crash_times
-    due_at = crash_times[MAX_CRASHES_BEFORE_DETECTION - 1] + seconds
+    assert len(crash_times) >= crash_count, crash_times
+    due_at = crash_times[crash_count - 1] + seconds
     late_arrivals = [arrival for arrival in platform.arrivals if arrival.at > due_at]
     assert len(late_arrivals) <= max_arrivals, (len(crash_times), len(late_arrivals))
 
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -40,6 +40,7 @@
 from harness.ports import free_ports
 
 __all__ = [
+    "CRASHING_PART",
     "CRASH_PREFIX",
     "HOST",
     "KEY",
@@ -57,6 +58,8 @@
 EVENT_COUNT = 25
 FULL_STATUS = 503
 CRASH_PREFIX = "end-"
+CRASHING_PART = "bad0"
+"""Part of prompts that crashes the engines which answer it."""
 """Prefix of the last path segment of requests that crash each target that runs them."""
 CRASH_DELAY_S = 0.08
 """Time for which a target runs such a request before it crashes."""
@@ -460,10 +463,11 @@
         after = int(request.headers.get("last-event-id", 0))
         name = request.path_params["name"]
         events = stream_events(name)[after:]
+        parts = request.headers.get("x-prompt-prefix", "")
         headers["x-response-seal"] = engine.id
 
         async def produce():
-            if name.startswith(CRASH_PREFIX):
+            if name.startswith(CRASH_PREFIX) or CRASHING_PART in parts:
                 attempt_id = headers["x-attempt-id"]
                 await self._run_and_crash(name, attempt_id, engine_id)
             for event in events:
