Groups whose members refuse their epoch as too old are formed again

A coordinator that starts after the engine has left that epoch cannot see it, and the refusal that says so was not remembered; the class is that of the limits that were ignored.

A refused join now counts as the sight of a later epoch.

--- a/cowslipcourse/entry/engine_calls.py
+++ b/cowslipcourse/entry/engine_calls.py
@@ -171,11 +171,7 @@
             if order.operation is OrderOperation.LEAVE:
                 engine.membership = None
         else:
-            _clear_order_count(engine, order)
-            if result is OrderResult.OTHER_ENGINE:
-                engine.mark_replaced(asyncio.get_running_loop().time())
-            else:
-                engine.mark_order_refused(asyncio.get_running_loop().time())
+            _record_refusal(engine, order, result, asyncio.get_running_loop().time())
 
 
 def _engine_instance(engine):
@@ -189,6 +185,16 @@
         engine.staging_model = None
 
 
+def _record_refusal(engine, order, result, now):
+    _clear_order_count(engine, order)
+    if result is OrderResult.OTHER_ENGINE:
+        engine.mark_replaced(now)
+        return
+    if result is OrderResult.EPOCH_TOO_OLD:
+        engine.mark_epoch_refused(order.epoch)
+    engine.mark_order_refused(now)
+
+
 def _record_order_start(engine, order, models, sent_at):
     if order.operation is OrderOperation.JOIN:
         engine.join_sent_at[order.epoch] = sent_at
--- a/cowslipcourse/group_plans/observed_domain.py
+++ b/cowslipcourse/group_plans/observed_domain.py
@@ -63,7 +63,7 @@
 
     @property
     def highest_epoch(self):
-        """Highest epoch at which it was seen in a group; it refuses earlier ones."""
+        """Highest epoch that it is known to have seen; it refuses earlier ones."""
         return self._highest_epoch
 
     @property
@@ -159,6 +159,10 @@
         self.order_count = None
         self.report_request_after = now + MAX_REPORT_LAG_S
 
+    def mark_epoch_refused(self, epoch):
+        """Record that it refused to join at an epoch, so it has seen a later one."""
+        self._highest_epoch = max(self._highest_epoch, epoch + 1)
+
     def require_evidence_since(self, now):
         """Accept only reports requested after ``now`` as evidence that it is ungrouped.
 
