A run that only repeats events proves no part of its prompt sound

A resumed run whose target sends again what the caller has could clear a part that crashes targets, as any events counted as progress. Only newly relayed ones do now. No play has shown it.

--- a/cowslipcourse/quarantine_runtime/enforcement.py
+++ b/cowslipcourse/quarantine_runtime/enforcement.py
@@ -233,11 +233,14 @@
             run.abort(IncompleteResponse("the request is quarantined"))
 
     def record_progress(self, call, run):
-        """Record that a run has relayed events, which may prove its parts sound.
+        """Record that a run has sent events, which may prove its parts sound.
 
         :param call: :class:`~cowslipcourse.entry.calls.Call`
         :param run: :class:`~cowslipcourse.entry.attempts.TargetRun`
         """
+        if not run.relayed_events:
+            # It has only repeated events that the caller has from another run.
+            return
         now = _now()
         if run.first_event_at is None:
             run.first_event_at = now
--- a/features/steps/part_verdict_steps.py
+++ b/features/steps/part_verdict_steps.py
@@ -190,6 +190,22 @@
     _play(context, answer)
 
 
+@when("the run sends events for {seconds:g} s")
+def step_sends_events(context, seconds):
+    async def send(context, daemons):
+        for _ in range(2):
+            daemons.quarantines[3].record_progress(context.call, context.run)
+            await asyncio.sleep(seconds)
+
+    _play(context, send)
+    _run_all(context)
+
+
+@then("it proves the part sound: {proof}")
+def step_proof(context, proof):
+    assert context.run.is_proof == (proof == "yes")
+
+
 @when("the daemon that repeats verdicts is isolated for {seconds:d} s")
 def step_isolated(context, seconds):
     async def isolate(context, daemons):
