Two bad parts at once do not convict the sound part before them

A part is not convicted while one or two more suspect ones, each at crashes of several requests and not answered since, explain so many of its crashes that fewer than four are left. Of three or more the common part is the likelier cause.

--- a/cowslipcourse/quarantine/prompt_parts.py
+++ b/cowslipcourse/quarantine/prompt_parts.py
@@ -39,6 +39,9 @@
 MIN_OBSERVED_EXITS = 3
 """Exits that a daemon has observed itself and a part must explain, all of them, if a
 short series is to convict it before others are answered."""
+MAX_ALTERNATIVES = 2
+"""Parts at some of the crashes each that together explain those of a part before them.
+A cause that more of them share is likelier than as many bad parts at once."""
 MAX_CRASHES = 1_024
 """About 1 MB with ten parts each; the crash reported the longest ago is dropped."""
 MAX_SOUND_PARTS = 4_096
@@ -219,17 +222,55 @@
         return [evidence.part for evidence in due]
 
     def _is_better_explained(self, evidence):
-        """Whether a more suspect part is at all crashes of this one."""
+        """Whether more suspect parts are at the crashes of this one.
+
+        One may be at all of them, or a few at so many that too few are left.
+        """
         common = set.intersection(*(set(crash.parts) for crash in evidence.crashes))
-        return any(
+        if any(
             self._evidence(other).suspicion > evidence.suspicion
             for other in common
             if other != evidence.part
-        )
+        ):
+            return True
+        alternatives = self._alternatives(evidence)
+        if len(alternatives) > MAX_ALTERNATIVES:
+            return False
+        unexplained = [
+            crash for crash in evidence.crashes if alternatives.isdisjoint(crash.parts)
+        ]
+        return evidence._replace(crashes=unexplained).count < QUARANTINE_CRASHES
+
+    def _alternatives(self, evidence):
+        """Return the parts that may have caused some of the crashes instead.
+
+        Each is at crashes of several requests, was not answered since the first crash,
+        and is more suspect but for the number of its crashes.
+        """
+        requests_by_part = {}
+        for crash in evidence.crashes:
+            position = crash.parts.index(evidence.part)
+            for other_position, other in enumerate(crash.parts):
+                was_answered = self._was_answered(other)
+                is_more_suspect = (not was_answered, other_position) > (
+                    not evidence.was_answered,
+                    position,
+                )
+                if is_more_suspect and self._answered.get(other) <= evidence.first_at:
+                    requests = requests_by_part.setdefault(other, set())
+                    requests.add(crash.report.request)
+        return {
+            part
+            for part, requests in requests_by_part.items()
+            if len(requests) >= MIN_REQUESTS
+        }
 
     def _evidence(self, part):
         crashes = [self._crashes[key] for key in self._keys_by_part[part]]
-        return _Evidence(part, crashes, self._answered.get(part) > float("-inf"))
+        return _Evidence(part, crashes, self._was_answered(part))
+
+    def _was_answered(self, part):
+        return self._answered.get(part) > float("-inf")
 
     def reports_to_store(self, part, now):
         """Return the crashes against a suspected part.
--- a/features/quarantine/part_judging.feature
+++ b/features/quarantine/part_judging.feature
@@ -29,6 +29,13 @@
       | 0 r1 t1 A B, 0.3 r1 t2 A B, 1 r2 t3 A B, 1.2 r2 t4 A B    | -1 A, -1 B       | 2.1 | B     |
       | 0 r1 t1 A, 0.3 r1 t2 A, 1 r2 t3 A, 1.2 r2 t4 A            | -1 A             | 2.1 | A     |
 
+    Examples: three crashes of each of two bad parts do not convict the sound one before them, but of three parts they do
+      | crashes                                                                                                                            | answers | at  | parts |
+      | 0 r1 t1 A B, 0 r2 t2 A C, 0.3 r1 t3 A B, 0.3 r2 t4 A C, 1 r3 t5 A B, 1 r4 t6 A C                                                    | -1 A    | 9.0 | none  |
+      | 0 r1 t1 A B, 0 r2 t2 A C, 0.3 r1 t3 A B, 0.3 r2 t4 A C, 1 r3 t5 A B, 1 r4 t6 A C                                                    | none    | 9.0 | none  |
+      | 0 r1 t1 A B, 0 r2 t2 A C, 0 r5 t7 A D, 1 r3 t5 A B, 1 r4 t6 A C, 1 r6 t8 A D                                                        | -1 A    | 9.0 | A     |
+      | 0 r1 t1 A B, 0 r2 t2 A C, 0.3 r1 t3 A B, 0.3 r2 t4 A C, 1 r1 t5 A B, 1 r2 t6 A C                                                    | -1 A    | 9.0 | A     |
+
     Examples: two bad parts behind one first part
       | crashes                                                                                                                            | answers | at  | parts |
       | 0 r1 t1 A B, 0 r2 t2 A C, 0.3 r1 t3 A B, 0.3 r2 t4 A C, 1 r3 t5 A B, 1 r4 t6 A C, 1.2 r3 t7 A B, 1.2 r4 t8 A C                      | -1 A    | 2.1 | B, C  |
--- a/features/quarantine/prompt_parts.feature
+++ b/features/quarantine/prompt_parts.feature
@@ -29,6 +29,7 @@
       | 3     | a part that crashes targets, and restarts | 1        | 7    |
 
   # 78: three daemons are isolated while all groups crash. 134: all groups crash at once, so nothing else is answered.
+  # 85: two parts crash three targets each; the part before both was refused.
   Scenario Outline: The bound holds under lost, late and cut messages, daemon restarts and engine losses
     When a random run with crashing parts is made with seed <seed>
     Then the bound holds, and no other request is quarantined
@@ -38,6 +39,7 @@
       | 4    |
       | 9    |
       | 78   |
+      | 85   |
       | 134  |
 
   Scenario: The loss of half of all engines at once quarantines no part
