The place of a part in prompts does not depend on the order of a set

Which of two equally suspect parts is the later one was read from any one crash, in the order of a set of texts, which differs between processes, and from lists that lack cleared parts. It is now the last place in the lists as reported. Found by reading; no play has shown it.

--- a/cowslipcourse/quarantine/prompt_parts.py
+++ b/cowslipcourse/quarantine/prompt_parts.py
@@ -97,7 +97,8 @@
     @property
     def suspicion(self):
         """Key by which the most suspect of several parts comes last."""
-        position = self.crashes[0].parts.index(self.part)
+        # The reported lists, from which no part has been cleared.
+        position = max(crash.report.parts.index(self.part) for crash in self.crashes)
         return not self.was_answered, self.count, position
 
     def is_sufficient(self):
