--- a/review/1/case.py
+++ b/review/1/case.py
@@ -46,7 +46,7 @@
     for number in (1, 2):
         await site.add_server(f"i-{number}", SERVICE)
     _configure(site, KEYS)
-    await site.start_daemons(3)
+    await site.start_daemons()
     await asyncio.sleep(CONTACT_S)
     sent, revoked_at = {}, {}
     users = [
--- a/review/standins.py
+++ b/review/standins.py
@@ -29,6 +29,7 @@
     "BROKEN",
     "HELD",
     "NOT_RUN",
+    "ZONES",
     "Answer",
     "Client",
     "Daemon",
@@ -36,6 +37,7 @@
     "Record",
     "Site",
     "Store",
+    "route",
     "run_case",
 ]
 
@@ -204,12 +206,17 @@
 
 
 class Store(HttpServer):
-    """The platform's metadata store: versioned rows, conditional writes and a feed."""
+    """The platform's metadata store: versioned rows, conditional writes and a feed.
+
+    Heartbeats of servers, which change nothing but their own counts, are not written.
+    """
 
     def __init__(self):
         super().__init__()
         self.rows = {}
         self.version = 0
+        self._is_down = False
+        self._outages = 0
         self._started_at = time.monotonic()
         self._changed = asyncio.Event()
 
@@ -221,6 +228,15 @@
         """Delete a row; the return is the acknowledgement."""
         self._write(table, key, None)
 
+    def take_down(self):
+        """Answer nothing from now on, also what was asked before."""
+        self._is_down = True
+        self._outages += 1
+
+    def bring_back(self):
+        """Answer new calls again; all rows are as they were."""
+        self._is_down = False
+
     def _write(self, table, key, value):
         self.version += 1
         self.rows[table, key] = value, self.version
@@ -234,7 +250,12 @@
             "/rows-feed": self._feed_rows,
             "/rows-tx": self._transact,
         }
-        status, content = await handlers[request.path](request)
+        outages = self._outages
+        if not self._is_down:
+            status, content = await handlers[request.path](request)
+        if self._is_down or self._outages != outages:
+            # Nothing further arrives on this connection.
+            await asyncio.Event().wait()
         content["nowMs"] = int((time.monotonic() - self._started_at) * 1000)
         body = json.dumps(content).encode()
         _write_response(writer, status, {"Content-Type": "application/json"}, body)
@@ -698,14 +719,14 @@
         self.record.add("configuration-acknowledged", version=self._version)
         return self._version
 
-    async def start_daemons(self, count):
+    async def start_daemons(self, zones=ZONES):
         """Start daemons and wait until all say that they are ready.
 
+        :param zones: zone of each daemon.
         :raises TimeoutError: one is not ready in time.
         """
-        for number in range(count):
-            zone = ZONES[number % len(ZONES)]
-            name = f"front-{zone}-{number + 1}"
+        for number, zone in enumerate(zones, start=1):
+            name = f"front-{zone}-{number}"
             self.daemons.append(Daemon(name, zone, self.store.address, self.folder))
         seeds = [daemon.address("control") for daemon in self.daemons[:3]]
         for daemon in self.daemons:
