Review case 2: streams are cut at silent engines under planned work

The silence watch aborts a stream 0.3 s after its target's last event, whether it may be resumed or not.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,95 +1,50 @@
-"""A machine gets SIGTERM; the streams that it still accepts must be answered whole."""
+"""A sound server falls silent for a second; streams must go on where they run."""
 
 import asyncio
 import signal
 import sys
 from pathlib import Path
-from typing import NamedTuple
 
 from standins import BOUNDS, Client, route, run_case
 
 KEY = "n2ctnfzs989anu6wsjnb"
 SERVICE = "redacteur"
-GRACE_S = BOUNDS["graceS"]
 CONTACT_S = BOUNDS["contactMs"] / 1000
-LOSS_SLACK_S = BOUNDS["lossSlackMs"] / 1000
-EXCUSED_SENT_S = 3.0
-"""Requests sent no later after SIGTERM are excused if their engine works that long."""
-LAST_SIXTH_S = GRACE_S * 5 / 6
+APPLY_S = BOUNDS["applyMs"] / 1000
 EVENT_S = 0.06
 """Time between events: five token steps of a full batch on the small sheets."""
-USUAL_EVENTS = (5, 27)
-"""Events of a summary and of a mean answer on the small sheets."""
-MOST_EVENTS = 67
-"""Events of the longest answer on the small sheets."""
+EVENTS = 27
+"""Events of a mean answer on the small sheets."""
 BUDGET_S = 8.0
-LONG_SENT_S = (3.4, 3.5, 3.6, 3.7)
-"""Seconds after SIGTERM at which clients use their open connections."""
-ROUTES = ("/round/", "/notice/")
+CLIENTS_PER_PATH = 4
+SEND_INTERVAL_S = 0.1
+SILENT_AT_S = (0.8, 1.4)
+"""Seconds after SIGHUP at which the servers fall silent, one after the other."""
+SILENT_S = 1.0
+PATHS = (f"/round/stream/{EVENTS}", f"/notice/stream/{EVENTS}")
+"""Streams that may be resumed at another server, and streams that may not."""
 
 
-class Sent(NamedTuple):
-    """A request to the machine that is stopped, and its answer.
-
-    :param attempt_id: id of the attempt.
-    :param after_s: seconds from SIGTERM to the sending of the request.
-    :param ended_s: seconds from SIGTERM to the end of the answer.
-    :param answer: the answer.
-    """
-
-    attempt_id: str
-    after_s: float
-    ended_s: float
-    answer: object
-
-
-async def _stream(client, prefix, events):
-    attempt_id = Client.new_id()
-    path = f"{prefix}stream/{events}"
-    answer = await client.send("POST", path, KEY, BUDGET_S, attempt_id, b"prompt")
-    return attempt_id, answer
-
-
-async def _use_after(client, prefix, events, stopped_at, after_s):
-    """Send a stream on an open connection some seconds after SIGTERM."""
+async def _send_stream(client, path, reload_at, after_s):
+    """Send a stream on an open connection some seconds after SIGHUP."""
     loop = asyncio.get_running_loop()
-    await asyncio.sleep(stopped_at + after_s - loop.time())
-    sent_at = loop.time()
-    attempt_id, answer = await _stream(client, prefix, events)
-    ended_s = loop.time() - stopped_at
-    return Sent(attempt_id, sent_at - stopped_at, ended_s, answer)
-
-
-async def _stop_like_platform(daemon, record):
-    """Send SIGTERM, and SIGKILL after the grace period."""
-    record.add("SIGTERM", daemon=daemon.name)
-    daemon.signal(signal.SIGTERM)
-    await asyncio.sleep(GRACE_S)
-    if daemon.process.poll() is None:
-        record.add("SIGKILL", daemon=daemon.name)
-        daemon.signal(signal.SIGKILL)
+    await asyncio.sleep(reload_at + after_s - loop.time())
+    attempt_id, sent_s = Client.new_id(), loop.time() - reload_at
+    answer = await client.send("POST", path, KEY, BUDGET_S, attempt_id, b"prompt")
+    return attempt_id, path, sent_s, loop.time() - reload_at, answer
 
 
-async def _warm_up(site, daemon):
-    """Return clients whose connections are open after a few usual answers."""
-    clients = {
-        (prefix, after_s): Client(daemon.address("front"), site.record)
-        for prefix in ROUTES
-        for after_s in (2.6, *LONG_SENT_S)
-    }
-    for (prefix, _), client in clients.items():
-        for events in USUAL_EVENTS:
-            _, answer = await _stream(client, prefix, events)
-            if answer.status != 200 or not answer.is_complete:
-                raise RuntimeError("no answer in the calm")
-    return clients
+async def _fall_silent(server, reload_at, after_s):
+    await asyncio.sleep(reload_at + after_s - asyncio.get_running_loop().time())
+    await server.fall_silent(SILENT_S)
 
 
 async def case(site, has_trouble):
-    """Return whether no accepted stream was cut."""
+    """Return whether all streams were answered whole."""
     loop = asyncio.get_running_loop()
-    for number in (1, 2):
-        await site.add_server(f"i-{number}", SERVICE, EVENT_S)
+    servers = [
+        await site.add_server(f"i-{number}", SERVICE, EVENT_S) for number in (1, 2)
+    ]
     routes = [
         route("round-sheet", "/round/", "streaming", SERVICE, resumable=True),
         route("notice", "/notice/", "streaming", SERVICE, maxAttempts=1),
@@ -98,49 +53,51 @@
     await site.start_daemons()
     await asyncio.sleep(CONTACT_S)
     daemon = site.daemons[0]
-    clients = await _warm_up(site, daemon)
-    stopped_at = loop.time()
-    stopping = None
+    clients = []
+    for path in PATHS:
+        for _ in range(CLIENTS_PER_PATH):
+            client = Client(daemon.address("front"), site.record)
+            clients.append((client, path))
+            await client.send("POST", path, KEY, BUDGET_S, Client.new_id(), b"prompt")
+    reload_at = loop.time()
+    site.record.add("SIGHUP", daemon=daemon.name)
+    daemon.signal(signal.SIGHUP)
+    silences = []
     if has_trouble:
-        stopping = asyncio.create_task(_stop_like_platform(daemon, site.record))
+        silences = [
+            asyncio.create_task(_fall_silent(server, reload_at, after_s))
+            for server, after_s in zip(servers, SILENT_AT_S, strict=True)
+        ]
     sent = await asyncio.gather(
         *(
-            _use_after(
-                client,
-                prefix,
-                MOST_EVENTS if after_s in LONG_SENT_S else USUAL_EVENTS[-1],
-                stopped_at,
-                after_s,
-            )
-            for (prefix, after_s), client in clients.items()
+            _send_stream(client, path, reload_at, 0.3 + number * SEND_INTERVAL_S)
+            for number, (client, path) in enumerate(clients)
         )
     )
-    if stopping is not None:
-        await stopping
-    return _judge(site, sent, has_trouble)
+    await asyncio.gather(*silences)
+    return _judge(site, sent)
 
 
-def _judge(site, sent, has_trouble):
+def _judge(site, sent):
     running = {run.attempt_id for run in site.runs()}
     lost = 0
-    for request in sent:
-        answer = request.answer
-        if answer.is_complete:
+    for attempt_id, path, sent_s, ended_s, answer in sent:
+        if answer.is_complete and answer.status == 200:
             continue
-        is_passed_on = request.attempt_id in running
-        is_at_work_late = is_passed_on and request.ended_s >= LAST_SIXTH_S
-        is_excused = request.after_s <= EXCUSED_SENT_S and is_at_work_late
-        is_late = request.ended_s - request.after_s > LOSS_SLACK_S
-        if has_trouble and not is_excused and (is_passed_on or is_late):
-            lost += 1
-            site.record.add(
-                "LOST",
-                id=request.attempt_id,
-                sent_after_SIGTERM_s=f"{request.after_s:.2f}",
-                cut_after_SIGTERM_s=f"{request.ended_s:.2f}",
-                status=answer.status,
-                events=answer.body.count(b"\n\n"),
-            )
+        is_reloading = sent_s <= APPLY_S
+        is_passed_on = attempt_id in running
+        is_cut = not answer.is_complete
+        is_lost = is_cut and is_reloading and is_passed_on
+        lost += is_lost
+        site.record.add(
+            "LOST" if is_lost else "not-served",
+            id=attempt_id,
+            path=path,
+            sent_after_SIGHUP_s=f"{sent_s:.2f}",
+            ended_after_SIGHUP_s=f"{ended_s:.2f}",
+            status=answer.status,
+            events=answer.body.count(b"\n\n"),
+        )
     site.record.add("result", sent=len(sent), lost=lost)
     return not lost
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,105 +1,148 @@
-"""A server leaves just before the store is away; no machine may go on using it."""
+"""A machine gets SIGTERM; the streams that it still accepts must be answered whole."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
+from typing import NamedTuple
 
-from standins import BOUNDS, ZONES, Client, route, run_case
+from standins import BOUNDS, Client, route, run_case
 
 KEY = "n2ctnfzs989anu6wsjnb"
-SERVICE = "registre"
-LEAVING = "i-3"
+SERVICE = "redacteur"
+GRACE_S = BOUNDS["graceS"]
 CONTACT_S = BOUNDS["contactMs"] / 1000
-DRAIN_S = BOUNDS["drainMs"] / 1000
-OUTAGE_S = 3.0
-OBSERVED_S = 6.0
-"""Time after the machines are in touch again until the server that left exits."""
-AFTER_EXIT_S = 2.0
-WORK_S = 0.045
-"""Work of a request, and time between the events of a stream."""
-PATHS = ("/hall/status", "/notice/stream/27")
-"""Requests that may run once only: a look-up, and a stream that can't be resumed."""
-SEND_INTERVAL_S = 0.1
-DAEMON_ZONES = (ZONES[0], ZONES[0], ZONES[0], ZONES[1], ZONES[1])
-
-
-async def _send_all(site, daemon, path, sent):
-    """Send requests on a kept connection until cancelled."""
-    client = Client(daemon.address("front"), site.record)
+LOSS_SLACK_S = BOUNDS["lossSlackMs"] / 1000
+EXCUSED_SENT_S = 3.0
+"""Requests sent no later after SIGTERM are excused if their engine works that long."""
+LAST_SIXTH_S = GRACE_S * 5 / 6
+EVENT_S = 0.06
+"""Time between events: five token steps of a full batch on the small sheets."""
+USUAL_EVENTS = (5, 27)
+"""Events of a summary and of a mean answer on the small sheets."""
+MOST_EVENTS = 67
+"""Events of the longest answer on the small sheets."""
+BUDGET_S = 8.0
+LONG_SENT_S = (3.4, 3.5, 3.6, 3.7)
+"""Seconds after SIGTERM at which clients use their open connections."""
+ROUTES = ("/round/", "/notice/")
+
+
+class Sent(NamedTuple):
+    """A request to the machine that is stopped, and its answer.
+
+    :param attempt_id: id of the attempt.
+    :param after_s: seconds from SIGTERM to the sending of the request.
+    :param ended_s: seconds from SIGTERM to the end of the answer.
+    :param answer: the answer.
+    """
+
+    attempt_id: str
+    after_s: float
+    ended_s: float
+    answer: object
+
+
+async def _stream(client, prefix, events):
+    attempt_id = Client.new_id()
+    path = f"{prefix}stream/{events}"
+    answer = await client.send("POST", path, KEY, BUDGET_S, attempt_id, b"prompt")
+    return attempt_id, answer
+
+
+async def _use_after(client, prefix, events, stopped_at, after_s):
+    """Send a stream on an open connection some seconds after SIGTERM."""
     loop = asyncio.get_running_loop()
-    while True:
-        attempt_id = Client.new_id()
-        sent[attempt_id] = daemon.name, loop.time(), None
-        answer = await client.send("POST", path, KEY, 6.0, attempt_id)
-        status = answer.status if answer.is_complete else "cut"
-        sent[attempt_id] = daemon.name, sent[attempt_id][1], status
-        await asyncio.sleep(SEND_INTERVAL_S)
+    await asyncio.sleep(stopped_at + after_s - loop.time())
+    sent_at = loop.time()
+    attempt_id, answer = await _stream(client, prefix, events)
+    ended_s = loop.time() - stopped_at
+    return Sent(attempt_id, sent_at - stopped_at, ended_s, answer)
+
+
+async def _stop_like_platform(daemon, record):
+    """Send SIGTERM, and SIGKILL after the grace period."""
+    record.add("SIGTERM", daemon=daemon.name)
+    daemon.signal(signal.SIGTERM)
+    await asyncio.sleep(GRACE_S)
+    if daemon.process.poll() is None:
+        record.add("SIGKILL", daemon=daemon.name)
+        daemon.signal(signal.SIGKILL)
+
+
+async def _warm_up(site, daemon):
+    """Return clients whose connections are open after a few usual answers."""
+    clients = {
+        (prefix, after_s): Client(daemon.address("front"), site.record)
+        for prefix in ROUTES
+        for after_s in (2.6, *LONG_SENT_S)
+    }
+    for (prefix, _), client in clients.items():
+        for events in USUAL_EVENTS:
+            _, answer = await _stream(client, prefix, events)
+            if answer.status != 200 or not answer.is_complete:
+                raise RuntimeError("no answer in the calm")
+    return clients
 
 
 async def case(site, has_trouble):
-    """Return whether no request reached the server that had left."""
+    """Return whether no accepted stream was cut."""
     loop = asyncio.get_running_loop()
-    servers = [await site.add_server(f"i-{n}", SERVICE, WORK_S) for n in (1, 2, 3)]
+    for number in (1, 2):
+        await site.add_server(f"i-{number}", SERVICE, EVENT_S)
     routes = [
-        route("hall-status", "/hall/", "non_idempotent", SERVICE, maxAttempts=1),
+        route("round-sheet", "/round/", "streaming", SERVICE, resumable=True),
         route("notice", "/notice/", "streaming", SERVICE, maxAttempts=1),
     ]
     site.configure(routes, [SERVICE], [{"name": "hule930", "apiKeys": [KEY]}])
-    await site.start_daemons(DAEMON_ZONES)
+    await site.start_daemons()
     await asyncio.sleep(CONTACT_S)
-    sent = {}
-    users = [
-        asyncio.create_task(_send_all(site, daemon, path, sent))
-        for daemon in site.daemons
-        for path in PATHS
-    ]
-    try:
-        await asyncio.sleep(2.0)
-        # The server reports nothing before it leaves: its entry is removed, and it
-        # serves on for a while.
-        site.store.drop("servers", LEAVING)
-        left_at = loop.time()
-        site.record.add("removal-acknowledged", server=LEAVING)
-        if has_trouble:
-            site.store.take_down()
-            site.record.add("store-down")
-        await asyncio.sleep(OUTAGE_S)
-        if has_trouble:
-            site.store.bring_back()
-            site.record.add("store-back")
-        in_touch_at = loop.time() + CONTACT_S if has_trouble else left_at
-        await asyncio.sleep(CONTACT_S + OBSERVED_S)
-        await servers[-1].stop()
-        site.record.add("exit-of-server", server=LEAVING)
-        await asyncio.sleep(AFTER_EXIT_S)
-    finally:
-        for user in users:
-            user.cancel()
-        await asyncio.gather(*users, return_exceptions=True)
-    return _judge(site, sent, servers[-1], max(left_at + DRAIN_S, in_touch_at))
-
-
-def _judge(site, sent, server, due_at):
-    if not any(status == 200 for _, _, status in sent.values()):
-        raise RuntimeError("no request was served")
-    late_runs = [run for run in server.runs if sent[run.attempt_id][1] > due_at]
-    for run in late_runs:
-        daemon, sent_at, status = sent[run.attempt_id]
-        site.record.add(
-            "DRAIN",
-            id=run.attempt_id,
-            daemon=daemon,
-            late_s=f"{sent_at - due_at:.2f}",
-            status=status,
+    daemon = site.daemons[0]
+    clients = await _warm_up(site, daemon)
+    stopped_at = loop.time()
+    stopping = None
+    if has_trouble:
+        stopping = asyncio.create_task(_stop_like_platform(daemon, site.record))
+    sent = await asyncio.gather(
+        *(
+            _use_after(
+                client,
+                prefix,
+                MOST_EVENTS if after_s in LONG_SENT_S else USUAL_EVENTS[-1],
+                stopped_at,
+                after_s,
+            )
+            for (prefix, after_s), client in clients.items()
         )
-    by_daemon = {daemon.name: 0 for daemon in site.daemons}
-    for run in late_runs:
-        by_daemon[sent[run.attempt_id][0]] += 1
-    cut = sum(sent[run.attempt_id][2] != 200 for run in late_runs)
-    site.record.add(
-        "result", sent=len(sent), late_runs=len(late_runs), cut=cut, **by_daemon
     )
-    return not late_runs
+    if stopping is not None:
+        await stopping
+    return _judge(site, sent, has_trouble)
+
+
+def _judge(site, sent, has_trouble):
+    running = {run.attempt_id for run in site.runs()}
+    lost = 0
+    for request in sent:
+        answer = request.answer
+        if answer.is_complete:
+            continue
+        is_passed_on = request.attempt_id in running
+        is_at_work_late = is_passed_on and request.ended_s >= LAST_SIXTH_S
+        is_excused = request.after_s <= EXCUSED_SENT_S and is_at_work_late
+        is_late = request.ended_s - request.after_s > LOSS_SLACK_S
+        if has_trouble and not is_excused and (is_passed_on or is_late):
+            lost += 1
+            site.record.add(
+                "LOST",
+                id=request.attempt_id,
+                sent_after_SIGTERM_s=f"{request.after_s:.2f}",
+                cut_after_SIGTERM_s=f"{request.ended_s:.2f}",
+                status=answer.status,
+                events=answer.body.count(b"\n\n"),
+            )
+    site.record.add("result", sent=len(sent), lost=lost)
+    return not lost
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -215,29 +215,11 @@
         super().__init__()
         self.rows = {}
         self.version = 0
-        self._is_down = False
-        self._outages = 0
         self._started_at = time.monotonic()
         self._changed = asyncio.Event()
 
     def put(self, table, key, value):
         """Write a row; the return is the acknowledgement."""
-        self._write(table, key, value)
-
-    def drop(self, table, key):
-        """Delete a row; the return is the acknowledgement."""
-        self._write(table, key, None)
-
-    def take_down(self):
-        """Answer nothing from now on, also what was asked before."""
-        self._is_down = True
-        self._outages += 1
-
-    def bring_back(self):
-        """Answer new calls again; all rows are as they were."""
-        self._is_down = False
-
-    def _write(self, table, key, value):
         self.version += 1
         self.rows[table, key] = value, self.version
         self._changed.set()
@@ -250,12 +232,7 @@
             "/rows-feed": self._feed_rows,
             "/rows-tx": self._transact,
         }
-        outages = self._outages
-        if not self._is_down:
-            status, content = await handlers[request.path](request)
-        if self._is_down or self._outages != outages:
-            # Nothing further arrives on this connection.
-            await asyncio.Event().wait()
+        status, content = await handlers[request.path](request)
         content["nowMs"] = int((time.monotonic() - self._started_at) * 1000)
         body = json.dumps(content).encode()
         _write_response(writer, status, {"Content-Type": "application/json"}, body)
@@ -346,10 +323,11 @@
         self.name = name
         self.service = service
         self.runs = []
-        self.ended = set()
         self._record = record
         self._work_s = work_s
         self._born = int(time.time() * 1000)
+        self._speaks = asyncio.Event()
+        self._speaks.set()
 
     def entry(self, state="ready"):
         """Return the encoded entry of the list of servers."""
@@ -366,6 +344,14 @@
         }
         return json.dumps(fields).encode()
 
+    async def fall_silent(self, seconds):
+        """Send nothing for some seconds, and go on then."""
+        self._record.add("server-silent", server=self.name)
+        self._speaks.clear()
+        await asyncio.sleep(seconds)
+        self._speaks.set()
+        self._record.add("server-goes-on", server=self.name)
+
     async def handle(self, request, writer):
         """Answer a request; a path with ``/stream/COUNT`` gets that many events."""
         attempt_id = request.headers.get("x-attempt-id", "")
@@ -388,8 +374,8 @@
             await self._stream(request, writer, headers)
         else:
             await asyncio.sleep(self._work_s)
+            await self._speaks.wait()
             _write_response(writer, 200, headers, b"done " + attempt_id.encode())
-        self.ended.add(attempt_id)
         self._record.add("run-ends", id=attempt_id, server=self.name)
 
     async def _stream(self, request, writer, headers):
@@ -402,6 +388,7 @@
         writer.write(encode_head(200, headers))
         for number in range(first, count + 1):
             await asyncio.sleep(self._work_s)
+            await self._speaks.wait()
             if writer.is_closing():
                 raise ConnectionResetError("the daemon has closed the connection")
             event = f"id: {number}\ndata: piece {number} of {count}\n\n".encode()
@@ -642,10 +629,6 @@
         if self.process.poll() is None:
             self.process.send_signal(number)
 
-    def log(self):
-        """Return what the process has written."""
-        return self._log_path.read_text(errors="replace")
-
     def kill(self):
         """End the process, which this object has started."""
         if self.process is not None and self.process.poll() is None:
