Review cases end their processes at a signal, and within 100 s

A script that was ended from outside left its daemons running, and nothing kept it to its time. The checks now hold only what was passed on to a server, as a client can't see what else a process has read, and name the deadline and the route's timeout as excuses.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,6 +16,7 @@
 EVENTS = 27
 """Events of a mean answer on the small sheets."""
 BUDGET_S = 8.0
+"""The clients' deadline and the routes' timeout, which excuse."""
 CLIENTS_PER_PATH = 4
 SEND_INTERVAL_S = 0.1
 SILENT_AT_S = (0.8, 1.4)
@@ -87,7 +88,8 @@
         is_reloading = sent_s <= APPLY_S
         is_passed_on = attempt_id in running
         is_cut = not answer.is_complete
-        is_lost = is_cut and is_reloading and is_passed_on
+        is_over = ended_s - sent_s >= BUDGET_S
+        is_lost = is_cut and is_reloading and is_passed_on and not is_over
         lost += is_lost
         site.record.add(
             "LOST" if is_lost else "not-served",
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,6 @@
 SERVICE = "redacteur"
 GRACE_S = BOUNDS["graceS"]
 CONTACT_S = BOUNDS["contactMs"] / 1000
-LOSS_SLACK_S = BOUNDS["lossSlackMs"] / 1000
 EXCUSED_SENT_S = 3.0
 """Requests sent no later after SIGTERM are excused if their engine works that long."""
 LAST_SIXTH_S = GRACE_S * 5 / 6
@@ -23,6 +22,7 @@
 MOST_EVENTS = 67
 """Events of the longest answer on the small sheets."""
 BUDGET_S = 8.0
+"""The clients' deadline and the routes' timeout, which excuse."""
 LONG_SENT_S = (3.4, 3.5, 3.6, 3.7)
 """Seconds after SIGTERM at which clients use their open connections."""
 ROUTES = ("/round/", "/notice/")
@@ -128,10 +128,12 @@
         if answer.is_complete:
             continue
         is_passed_on = request.attempt_id in running
-        is_at_work_late = is_passed_on and request.ended_s >= LAST_SIXTH_S
-        is_excused = request.after_s <= EXCUSED_SENT_S and is_at_work_late
-        is_late = request.ended_s - request.after_s > LOSS_SLACK_S
-        if has_trouble and not is_excused and (is_passed_on or is_late):
+        is_planned = has_trouble and request.ended_s <= GRACE_S + 1.0
+        is_over = request.ended_s - request.after_s >= BUDGET_S
+        is_excused = (
+            request.after_s <= EXCUSED_SENT_S and request.ended_s >= LAST_SIXTH_S
+        )
+        if is_planned and is_passed_on and not is_over and not is_excused:
             lost += 1
             site.record.add(
                 "LOST",
--- a/review/standins.py
+++ b/review/standins.py
@@ -14,6 +14,7 @@
 import random
 import re
 import shutil
+import signal
 import socket
 import subprocess
 import tempfile
@@ -75,6 +76,10 @@
 }
 """The bounds of the small deployments' sheets."""
 READY_TIMEOUT_S = 30.0
+MAX_RUN_S = 100.0
+"""Time after which a case is given up; it may run for 120 s."""
+END_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+"""Signals from outside at which a case ends its processes before it exits."""
 ROW_TX_S = 0.004
 
 
@@ -763,15 +768,19 @@
 
     async def run():
         site = Site(record)
+        task = asyncio.current_task()
+        for number in END_SIGNALS:
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
-            await site.start_store()
-            return HELD if await case(site, has_trouble) else BROKEN
+            async with asyncio.timeout(MAX_RUN_S):
+                await site.start_store()
+                return HELD if await case(site, has_trouble) else BROKEN
         finally:
             await site.stop()
 
     try:
         code = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.add("case-not-run", why=repr(error))
         code = NOT_RUN
     record.add("exit", code=code)
