--- a/cowslipcourse/admission/failure_attribution.py
+++ b/cowslipcourse/admission/failure_attribution.py
@@ -43,11 +43,14 @@
     :param entry: :class:`~cowslipcourse.ports.TargetEntry` or ``None``.
     :param cause: :class:`LossCause` if no target was found.
     :param retry_after_s: seconds until a target may accept the request, if known.
+    :param refusal: :class:`~cowslipcourse.exceptions.RequestError` for a request that
+        must not be sent to a target and has not run, or ``None``.
     """
 
     entry: object
     cause: str = ""
     retry_after_s: float | None = None
+    refusal: Exception | None = None
 
 
 class StreamTimes(NamedTuple):
--- a/cowslipcourse/entry/attempt_outcomes.py
+++ b/cowslipcourse/entry/attempt_outcomes.py
@@ -1,6 +1,7 @@
 """Classify failed attempts by whether the request may have run. Pure functions."""
 
 from cowslipcourse.exceptions import (
+    AttemptSuperseded,
     IncompleteResponse,
     MalformedResponse,
     NoTargetAvailable,
@@ -10,7 +11,13 @@
     TargetUnreachable,
 )
 
-__all__ = ["NOT_EXECUTED_STATUSES", "final_error", "may_have_run", "may_retry"]
+__all__ = [
+    "NOT_EXECUTED_STATUSES",
+    "final_error",
+    "may_have_run",
+    "may_retry",
+    "may_run_again",
+]
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 """Statuses that callers take as proof that a request has not run and will not run."""
@@ -28,7 +35,19 @@
         return False
     if isinstance(error, TargetUnreachable):
         return error.sent
-    return isinstance(error, IncompleteResponse | MalformedResponse | TargetSilent)
+    return isinstance(
+        error,
+        AttemptSuperseded | IncompleteResponse | MalformedResponse | TargetSilent,
+    )
+
+
+def may_run_again(route, possible_runs):
+    """Whether a request may run once more.
+
+    :param route: :class:`~cowslipcourse.routes.Route`
+    :param possible_runs: attempts in which it may have run or may be running.
+    """
+    return route.is_retryable and possible_runs < route.max_attempts
 
 
 def may_retry(route, possible_runs, error):
@@ -40,7 +59,7 @@
     """
     if not may_have_run(error):
         return True
-    return route.is_retryable and possible_runs < route.max_attempts
+    return may_run_again(route, possible_runs)
 
 
 def final_error(possible_runs, cause="", retry_after_s=None):
--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -5,7 +5,8 @@
 from typing import NamedTuple
 
 from cowslipcourse.admission.urgency import urgency
-from cowslipcourse.exceptions import TargetSilent, TargetUnreachable
+from cowslipcourse.entry.concurrent_attempts import NO_RIVALS
+from cowslipcourse.exceptions import AttemptSuperseded, TargetUnreachable
 from cowslipcourse.http_client import ConnectionPool, TargetRequest
 from cowslipcourse.platform.headers import attempt_id_header, target_headers
 
@@ -14,8 +15,8 @@
 CONNECT_TIMEOUT_S = 0.4
 """A healthy target accepts within a few ms; a lost packet costs a second or more."""
 MAX_SILENCE_S = 0.5
-"""Silence for which a request counts as lost with the links: longer than the pauses
-between events, as open connections may live on while new ones fail."""
+"""Silence after which a request is relayed once the links are lost: longer than the
+pauses between events, as open connections may live on while new ones fail."""
 
 
 class Attempt(NamedTuple):
@@ -82,10 +83,18 @@
     """Observed state of a request at one target, or at a daemon that relays it.
 
     :param entry: :class:`~cowslipcourse.ports.TargetEntry` or :class:`RelayPeer`
+    :param rivals: :class:`~cowslipcourse.entry.concurrent_attempts.Rivals`
+    :param is_hedge: whether it was sent while the target of another run was silent.
     """
 
-    def __init__(self, entry):
+    def __init__(self, entry, rivals=NO_RIVALS, is_hedge=False):
         self.entry = entry
+        self.is_hedge = is_hedge
+        self.is_silent = False
+        """Whether the target has sent nothing for longer than expected."""
+        self.is_superseded = False
+        """Whether another run of the request has delivered first."""
+        self._rivals = rivals
         self.is_relayed = isinstance(entry, RelayPeer)
         self.connection = None
         """:class:`~cowslipcourse.http_client.TargetConnection` that it was sent on."""
@@ -111,6 +120,36 @@
         self.succeeded = False
         """Whether the target sent a complete, successful response."""
 
+    @property
+    def has_rivals(self):
+        """Whether other attempts at the same request are in progress."""
+        return self._rivals.exist_beside(self)
+
+    def mark_silent(self):
+        """Record that the target is silent; the request may be sent to another one."""
+        self.is_silent = True
+        self._rivals.report_silence()
+
+    def mark_heard(self):
+        """Record that the target sends again."""
+        self.is_silent = False
+
+    def check_superseded(self):
+        """Check that no other attempt has delivered first.
+
+        :raises AttemptSuperseded: another one has.
+        """
+        if self.is_superseded:
+            raise AttemptSuperseded(f"{self.entry.id} was not the first to deliver")
+
+    def supersede_rivals(self):
+        """End the other attempts, as this one has something to deliver.
+
+        :raises AttemptSuperseded: another one has delivered first.
+        """
+        self.check_superseded()
+        self._rivals.supersede(self)
+
     def abort(self, error):
         """Abort the request; the reader of its response gets the error."""
         if self.connection is not None:
@@ -119,7 +158,7 @@
 
 class _SentRequest(NamedTuple):
     sent_at: float
-    route: object
+    run: TargetRun
 
 
 class AttemptSender:
@@ -168,7 +207,7 @@
             self._conditions.verify(entry, permit)
             connection.send(request)
             run.connection = connection
-            with self._tracking(connection, call.route):
+            with self._tracking(connection, run):
                 yield Attempt(entry, connection, loop.time(), self._conditions)
         finally:
             self._fleet.request_ended(entry.id)
@@ -178,9 +217,9 @@
                 self._pool.release(key, connection)
 
     @contextmanager
-    def _tracking(self, connection, route):
+    def _tracking(self, connection, run):
         now = asyncio.get_running_loop().time()
-        self._sent_by_connection[connection] = _SentRequest(now, route)
+        self._sent_by_connection[connection] = _SentRequest(now, run)
         try:
             yield
         finally:
@@ -200,16 +239,16 @@
         )
         return asyncio.get_running_loop().time() - silent_since
 
-    def abort_silent(self):
-        """Abort repeatable requests at silent targets, after the links were lost.
+    def report_silent(self):
+        """Mark the requests at silent targets, after the links were lost.
 
-        The others may have run and may still be answered once the links are back.
+        They may still be answered once the links are back.
         """
         now = asyncio.get_running_loop().time()
         for connection, request in list(self._sent_by_connection.items()):
             received_at = max(request.sent_at, connection.last_received_at)
-            if request.route.is_retryable and now - received_at > MAX_SILENCE_S:
-                connection.abort(TargetSilent("the links to the targets are lost"))
+            if now - received_at > MAX_SILENCE_S:
+                request.run.mark_silent()
 
     def close_stale_connections(self):
         """Close connections that are too old or belong to targets no longer listed."""
--- /dev/null
+++ b/cowslipcourse/entry/concurrent_attempts.py
@@ -0,0 +1,134 @@
+"""Attempts at one request that are in progress at the same time.
+
+A silent target may only be paused, so the attempt at it stays open while another target
+gets the request too. The first attempt that has something to deliver ends the others.
+"""
+
+import asyncio
+from typing import Protocol
+
+from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.exceptions import AttemptSuperseded
+
+__all__ = ["NO_RIVALS", "ConcurrentAttempts", "Rivals"]
+
+log = get_logger(__name__)
+
+
+class Rivals(Protocol):
+    """The other attempts at the request of a run."""
+
+    def exist_beside(self, run) -> bool:
+        """Whether an attempt other than this run is in progress."""
+
+    def report_silence(self) -> None:
+        """Report that the target of a run is silent."""
+
+    def supersede(self, run) -> None:
+        """End all attempts but this run."""
+
+
+class _NoRivals:
+    """Implements :class:`Rivals` for a request with a single attempt."""
+
+    def exist_beside(self, run):
+        """Return that there are none."""
+        return False
+
+    def report_silence(self):
+        """Ignore the silence."""
+
+    def supersede(self, run):
+        """End nothing."""
+
+
+NO_RIVALS = _NoRivals()
+
+
+class ConcurrentAttempts:
+    """Tasks of the attempts at one request; implements :class:`Rivals`.
+
+    :param request_id: id of the request, for logs.
+    :param count_hedge: called with the outcome of each hedge: ``"won"`` or ``"lost"``.
+    """
+
+    def __init__(self, request_id, count_hedge):
+        self._request_id = request_id
+        self._count_hedge = count_hedge
+        self._runs = {}
+        self._silence = asyncio.get_running_loop().create_future()
+
+    def __len__(self):
+        return len(self._runs)
+
+    @property
+    def are_silent(self):
+        """Whether there are attempts, all of them at silent targets."""
+        return bool(self._runs) and all(
+            run is not None and run.is_silent for run in self._runs.values()
+        )
+
+    def start(self, attempt):
+        """Start an attempt.
+
+        :param attempt: coroutine that calls :meth:`set_run` before it sends anything.
+        """
+        self._runs[asyncio.create_task(attempt)] = None
+
+    def set_run(self, run):
+        """Set the run of the attempt whose task is running."""
+        self._runs[asyncio.current_task()] = run
+
+    async def wait(self, timeout_s):
+        """Wait until attempts have ended or a target is silent.
+
+        :param timeout_s: maximum time to wait, in seconds, or ``None``.
+        :returns: list of the tasks that have ended, in order of their start.
+        """
+        ended, _ = await asyncio.wait(
+            {*self._runs, self._silence},
+            timeout=timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if self._silence in ended:
+            self._silence = asyncio.get_running_loop().create_future()
+        ended_tasks = [task for task in self._runs if task in ended]
+        for task in ended_tasks:
+            del self._runs[task]
+        return ended_tasks
+
+    async def stop(self):
+        """Cancel the attempts that are still in progress."""
+        tasks = list(self._runs)
+        self._runs.clear()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def exist_beside(self, run):
+        """See :class:`Rivals`."""
+        return any(other is not run for other in self._runs.values())
+
+    def report_silence(self):
+        """See :class:`Rivals`."""
+        if not self._silence.done():
+            self._silence.set_result(None)
+
+    def supersede(self, run):
+        """See :class:`Rivals`."""
+        for task, other in list(self._runs.items()):
+            if other is run or (other is not None and other.is_superseded):
+                continue
+            if other is None or other.connection is None:
+                task.cancel()
+                continue
+            other.is_superseded = True
+            self._count_hedge("won" if run.is_hedge else "lost")
+            log.info(
+                "attempt-superseded",
+                request=self._request_id,
+                target=other.entry.id,
+                by=run.entry.id,
+                hedge_won=run.is_hedge,
+            )
+            other.abort(AttemptSuperseded(f"{run.entry.id} delivered first"))
--- a/cowslipcourse/entry/context.py
+++ b/cowslipcourse/entry/context.py
@@ -58,6 +58,7 @@
         self.table = None
         self.metrics = None
         self.withheld_counts = {}
+        self.hedge_counts = {}
 
     def choose_service(self, route):
         """Return the name of a service of a route, drawn at random by weight."""
@@ -88,6 +89,10 @@
         """Count a request that was not sent to a chosen target of a service."""
         self.withheld_counts[service] = self.withheld_counts.get(service, 0) + 1
 
+    def count_hedge(self, outcome):
+        """Count a hedge by its outcome, ``"won"`` or ``"lost"``."""
+        self.hedge_counts[outcome] = self.hedge_counts.get(outcome, 0) + 1
+
     def has_priorities(self, service):
         """Whether requests to a service wait by priority and differ in it."""
         if self.admission.order != "priority" or self.table is None:
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -346,7 +346,7 @@
     def _on_links_lost(self):
         """Withdraw what was concluded about targets from the lost links."""
         self._fleet.clear_suspicions()
-        self._context.attempt_sender.abort_silent()
+        self._context.attempt_sender.report_silent()
 
     def _announced_suspects(self, now):
         """Return the suspects to name to others; without links there are none."""
@@ -424,6 +424,7 @@
             self._metrics.set_model_shares(self._coordinator.shares.report())
             self._metrics.set_evacuated(self._fleet.evacuations.data_centres)
             self._metrics.set_withheld_counts(self._context.withheld_counts)
+            self._metrics.set_hedge_counts(self._context.hedge_counts)
             self._check_store_era()
 
     def _check_store_era(self):
--- a/cowslipcourse/entry/fleet_view.py
+++ b/cowslipcourse/entry/fleet_view.py
@@ -80,6 +80,20 @@
             return entry._replace(is_leaving=True)
         return entry
 
+    def has_ended(self, entry):
+        """Whether the incarnation or the group of an entry is known to have ended.
+
+        :param entry: :class:`~cowslipcourse.ports.TargetEntry` as it was chosen.
+        """
+        listed = self._entries.get(entry.id)
+        if listed is None:
+            return False
+        if listed.incarnation != entry.incarnation:
+            return True
+        if entry.membership is None:
+            return False
+        return self._heads.has_ended(listed, entry.membership)
+
     def mark_leaving(self, entry):
         """Treat a target as leaving, whatever its entry says.
 
--- a/cowslipcourse/entry/group_heads.py
+++ b/cowslipcourse/entry/group_heads.py
@@ -94,6 +94,19 @@
         opened = self._opened_groups.get(engine)
         return 0 if opened is None else opened.epoch
 
+    def has_ended(self, listed, membership):
+        """Whether a head is in a later group, or its group has broken.
+
+        :param listed: list entry of the head.
+        :param membership: its :class:`~cowslipcourse.ports.GroupMembership` before.
+        """
+        if self.opened_epoch(listed.id) > membership.epoch:
+            return True
+        newest = listed.membership
+        if newest is None or newest.epoch < membership.epoch:
+            return False
+        return newest.epoch > membership.epoch or newest.state is GroupState.BROKEN
+
     def serving_heads(self, service, model, now):
         """Return the entries of heads that serve a model, with their open groups."""
         heads = []
--- a/cowslipcourse/entry/prometheus_metrics.py
+++ b/cowslipcourse/entry/prometheus_metrics.py
@@ -76,6 +76,13 @@
             ["service"],
             registry=self._registry,
         )
+        self._hedges = Gauge(
+            "cowslip_hedges",
+            "Requests sent to a second target while the first one was silent, by"
+            " outcome, since the start",
+            ["outcome"],
+            registry=self._registry,
+        )
         self._limited_targets = Gauge(
             "cowslip_limited_targets",
             "Targets that state a rate limit, by service",
@@ -228,6 +235,14 @@
         for service, count in counts.items():
             self._withheld_requests.labels(service).set(count)
 
+    def set_hedge_counts(self, counts):
+        """Set the gauge of requests sent to a second target.
+
+        :param counts: number of requests since the start by outcome.
+        """
+        for outcome, count in counts.items():
+            self._hedges.labels(outcome).set(count)
+
     def set_leaving_counts(self, counts):
         """Set the gauge of targets that are leaving.
 
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -1,13 +1,20 @@
-"""Retry a request at other targets where that is safe and useful."""
+"""Send a request to one target after another where that is safe and useful."""
 
 import asyncio
 from typing import NamedTuple
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.admission.failure_attribution import LossCause, TargetChoice
-from cowslipcourse.entry.attempt_outcomes import final_error, may_have_run, may_retry
+from cowslipcourse.entry.attempt_outcomes import (
+    final_error,
+    may_have_run,
+    may_retry,
+    may_run_again,
+)
 from cowslipcourse.entry.attempts import TargetRun
+from cowslipcourse.entry.concurrent_attempts import ConcurrentAttempts
 from cowslipcourse.exceptions import (
+    AttemptSuperseded,
     RelayRefused,
     TargetError,
     TargetUnreachable,
@@ -19,6 +26,8 @@
 RELAY_RETRY_AFTER_S = 0.5
 """Retry-After of a relayed request that this daemon cannot send on; the daemon that has
 relayed it asks another one at once."""
+HEDGE_RETRY_INTERVAL_S = 0.25
+"""Interval at which a target is sought again for a request whose targets are silent."""
 
 log = get_logger(__name__)
 
@@ -40,6 +49,9 @@
 async def try_targets(context, call, service, choose, attempt):
     """Send a call to one target after another until an attempt succeeds.
 
+    While its targets are silent, it is sent to another one if it may run there; the
+    first one that has something to deliver ends the other attempts.
+
     :param context: :class:`~cowslipcourse.entry.context.DaemonContext`
     :param call: :class:`~cowslipcourse.entry.calls.Call`
     :param service: name of the service.
@@ -47,110 +59,232 @@
         :class:`~cowslipcourse.admission.failure_attribution.TargetChoice`.
     :param attempt: coroutine function that takes the
         :class:`~cowslipcourse.entry.attempts.TargetRun` and whether this is the last
-        allowed attempt; raises :class:`~cowslipcourse.exceptions.TargetError`.
+        allowed attempt; raises :class:`~cowslipcourse.exceptions.TargetError`. It calls
+        ``run.supersede_rivals`` before it sends anything to the caller.
     :returns: :class:`Delivery`
     :raises RequestError: no attempt succeeded.
     """
-    loop = asyncio.get_running_loop()
-    tried_ids, possible_runs, withheld = set(), 0, 0
-    while True:
-        _check_quarantine(context, call, possible_runs)
-        choice = await _choose(context, call, choose, tried_ids, possible_runs)
-        entry = choice.entry
-        if entry is None:
-            raise final_error(possible_runs, choice.cause, choice.retry_after_s)
+    return await _RequestAttempts(context, call, service, choose, attempt).run()
+
+
+class _RequestAttempts:
+    """Attempts at one request. For the parameters see :func:`try_targets`."""
+
+    def __init__(self, context, call, service, choose, attempt):
+        self._context = context
+        self._call = call
+        self._service = service
+        self._choose_target = choose
+        self._attempt = attempt
+        self._running = ConcurrentAttempts(call.id, context.count_hedge)
+        self._tried_ids = set()
+        self._possible_runs = 0
+        self._withheld = 0
+        self._next_hedge_at = 0.0
+        self._failure = None
+
+    async def run(self):
+        """Make attempts until one succeeds; see :func:`try_targets`."""
+        self._running.start(self._send_to_next(is_hedge=False))
+        try:
+            while True:
+                ended = await self._running.wait(self._hedge_wait_s())
+                outcomes = [self._outcome(task) for task in ended]
+                for outcome in outcomes:
+                    if isinstance(outcome, Delivery):
+                        return outcome
+                if not len(self._running):
+                    self._retry(outcomes)
+                    continue
+                if any(isinstance(outcome, TargetChoice) for outcome in outcomes):
+                    now = asyncio.get_running_loop().time()
+                    self._next_hedge_at = now + HEDGE_RETRY_INTERVAL_S
+                if self._hedge_wait_s() == 0.0:
+                    self._running.start(self._send_to_next(is_hedge=True))
+        finally:
+            await self._running.stop()
+
+    def _hedge_wait_s(self):
+        """Return the seconds until a hedge may be sent, or ``None`` for never."""
+        possible_runs = self._possible_runs + len(self._running)
+        if not self._running.are_silent or not may_run_again(
+            self._call.route, possible_runs
+        ):
+            return None
+        return max(0.0, self._next_hedge_at - asyncio.get_running_loop().time())
+
+    def _outcome(self, task):
+        """Return the outcome of an attempt that has ended.
+
+        :returns: :class:`Delivery`, the :class:`TargetChoice` of one that found no
+            target, or ``None`` of one that failed or was superseded.
+        """
+        if task.cancelled():
+            return None
+        error = task.exception()
+        if not isinstance(error, TargetError):
+            return task.result()
+        if not isinstance(error, AttemptSuperseded):
+            self._failure = error
+        return None
+
+    def _retry(self, outcomes):
+        """Start the next attempt after the last one has ended.
+
+        :param outcomes: outcomes of the attempts that have ended.
+        :raises RequestError: there is no other attempt.
+        """
+        for outcome in outcomes:
+            if outcome is not None:
+                raise _no_target_error(outcome, self._possible_runs)
+        error = self._failure
+        if not may_retry(self._call.route, self._possible_runs, error):
+            raise final_error(self._possible_runs, error.code) from error
+        if not self._is_within_budget(error):
+            cause = LossCause.NO_RETRY_BUDGET
+            raise final_error(self._possible_runs, cause) from error
+        self._running.start(self._send_to_next(is_hedge=False))
+
+    def _is_within_budget(self, error):
+        """Whether another attempt is allowed; one never sent may be relayed.
+
+        :param error: error of the last attempt.
+        """
+        if not self._context.reachability.is_reachable and not may_have_run(error):
+            return True
+        return self._take_retry()
+
+    def _take_retry(self):
+        now = asyncio.get_running_loop().time()
+        return self._context.retry_budget.try_take(self._service, now)
+
+    async def _send_to_next(self, is_hedge):
+        """Send the request to the next target.
+
+        :param is_hedge: whether the targets of the other attempts are silent; a retry
+            is then taken from the budget once a target has been found.
+        :returns: :class:`Delivery`, or the :class:`TargetChoice` without a target.
+        :raises TargetError: the attempt failed.
+        """
+        needs_retry = is_hedge
+        while True:
+            choice = await self._choose()
+            entry = choice.entry
+            if entry is None:
+                return choice
+            if needs_retry and not self._take_retry():
+                return TargetChoice(None, LossCause.NO_RETRY_BUDGET)
+            needs_retry = False
+            self._tried_ids.add(entry.id)
+            run = TargetRun(entry, self._running, is_hedge)
+            self._running.set_run(run)
+            try:
+                await self._run_at_target(run)
+            except TargetWithheld:
+                # The target is not chosen again before it may accept a request.
+                self._tried_ids.discard(entry.id)
+                self._running.set_run(None)
+                self._withheld += 1
+                self._context.count_withheld(self._service)
+                continue
+            return Delivery(entry, len(self._tried_ids), self._withheld)
+
+    async def _choose(self):
+        """Return the :class:`TargetChoice` unless the request is quarantined."""
+        if self._is_quarantined():
+            return self._quarantine_refusal()
+        choice = await self._choose_reachable()
         # The request may have been quarantined while it waited for a free slot.
-        _check_quarantine(context, call, possible_runs)
-        tried_ids.add(entry.id)
-        run = TargetRun(entry)
-        is_last = possible_runs + 1 >= call.route.max_attempts
+        if choice.entry is not None and self._is_quarantined():
+            return self._quarantine_refusal()
+        return choice
+
+    async def _choose_reachable(self):
+        """Choose a target, or a relay while this daemon reaches no targets.
+
+        Without a relay that may serve it, the request is tried over the own links.
+        """
+        context = self._context
+        if context.reachability.is_reachable:
+            return await self._choose_target(self._tried_ids)
+        if self._call.caller_headers.is_relayed:
+            refusal = RelayRefused(
+                "this daemon reaches no targets", RELAY_RETRY_AFTER_S
+            )
+            return TargetChoice(None, refusal=refusal)
+        peer = context.relays.choose(self._tried_ids)
+        if peer is None:
+            return await self._choose_target(self._tried_ids)
+        return TargetChoice(peer)
+
+    def _is_quarantined(self):
+        return self._context.quarantine.is_quarantined(self._call)
+
+    def _quarantine_refusal(self):
+        refusal = self._context.quarantine.refusal(self._call)
+        return TargetChoice(None, refusal=refusal)
+
+    async def _run_at_target(self, run):
+        """Make one attempt and record how it ended.
+
+        :raises TargetError: it failed.
+        """
+        context, call = self._context, self._call
+        possible_runs = self._possible_runs + len(self._running)
+        is_last = possible_runs >= call.route.max_attempts
         try:
             with context.quarantine.tracking(call, run):
-                await attempt(run, is_last)
+                await self._attempt(run, is_last)
         except TargetWithheld:
-            # The target is not chosen again before it may accept a request.
-            tried_ids.discard(entry.id)
-            withheld += 1
-            context.count_withheld(service)
-            continue
+            raise
         except TargetError as error:
-            possible_runs += may_have_run(error)
-            _record_failure(context, call, run, error, loop.time())
-            if not may_retry(call.route, possible_runs, error):
-                raise final_error(possible_runs, error.code) from error
+            self._possible_runs += may_have_run(error)
+            if run.is_superseded:
+                raise
+            self._record_failure(run, error)
             if isinstance(error, TargetUnreachable) and not run.is_relayed:
                 await context.reachability.confirm()
-            if not _is_within_budget(context, service, error, loop.time()):
-                raise final_error(possible_runs, LossCause.NO_RETRY_BUDGET) from error
-            continue
+            raise
         if run.succeeded:
             context.quarantine.record_answered(call, run)
-        return Delivery(entry, len(tried_ids), withheld)
-
 
-async def _choose(context, call, choose, tried_ids, possible_runs):
-    """Choose a target, or a relay while this daemon reaches no targets.
-
-    Without a relay that may serve it, the request is tried over the own links.
-    """
-    if context.reachability.is_reachable:
-        return await choose(tried_ids)
-    if call.caller_headers.is_relayed:
-        raise (
-            final_error(possible_runs)
-            if possible_runs
-            else RelayRefused("this daemon reaches no targets", RELAY_RETRY_AFTER_S)
+    def _record_failure(self, run, error):
+        context, call = self._context, self._call
+        now = asyncio.get_running_loop().time()
+        if run.is_relayed:
+            context.relays.record_failure(run.entry)
+        elif isinstance(error, TargetUnreachable):
+            context.fleet.suspect(run.entry.id, now)
+        log.info(
+            "attempt-failed",
+            request=call.id,
+            fingerprint=call.fingerprint.hex(),
+            parts=",".join(call.caller_headers.prompt_parts),
+            target=run.entry.id,
+            error=error.code,
+            detail=error,
+            may_have_run=may_have_run(error),
+            is_hedge=run.is_hedge,
+            begun=run.answer_started,
+            events=run.relayed_events,
+            ended_by_target=run.ended_by_target,
+            ends_with_connection=run.ends_with_connection,
+            pause_left_s=_pause_left_s(context, run),
+            reaches_targets=context.reachability.is_reachable,
         )
-    peer = context.relays.choose(tried_ids)
-    return await choose(tried_ids) if peer is None else TargetChoice(peer)
+        if not run.is_relayed:
+            context.quarantine.record_failed(call, run)
 
 
-def _is_within_budget(context, service, error, now):
-    """Whether another attempt is allowed; a request that was never sent may be relayed.
+def _no_target_error(choice, possible_runs):
+    """Return the error for the caller of a request that found no target.
 
-    :param error: error of the last attempt.
+    :param choice: :class:`TargetChoice` without a target.
+    :param possible_runs: attempts in which the request may have run.
     """
-    if not context.reachability.is_reachable and not may_have_run(error):
-        return True
-    return context.retry_budget.try_take(service, now)
-
-
-def _check_quarantine(context, call, possible_runs):
-    """Refuse a request that crashes its targets before it is sent to another one.
-
-    :param possible_runs: attempts in which it may have run, which decide the error.
-    """
-    if context.quarantine.is_quarantined(call):
-        raise (
-            final_error(possible_runs)
-            if possible_runs
-            else context.quarantine.refusal(call)
-        )
-
-
-def _record_failure(context, call, run, error, now):
-    if run.is_relayed:
-        context.relays.record_failure(run.entry)
-    elif isinstance(error, TargetUnreachable):
-        context.fleet.suspect(run.entry.id, now)
-    log.info(
-        "attempt-failed",
-        request=call.id,
-        fingerprint=call.fingerprint.hex(),
-        parts=",".join(call.caller_headers.prompt_parts),
-        target=run.entry.id,
-        error=error.code,
-        detail=error,
-        may_have_run=may_have_run(error),
-        begun=run.answer_started,
-        events=run.relayed_events,
-        ended_by_target=run.ended_by_target,
-        ends_with_connection=run.ends_with_connection,
-        pause_left_s=_pause_left_s(context, run),
-        reaches_targets=context.reachability.is_reachable,
-    )
-    if not run.is_relayed:
-        context.quarantine.record_failed(call, run)
+    if choice.refusal is not None and not possible_runs:
+        return choice.refusal
+    return final_error(possible_runs, choice.cause, choice.retry_after_s)
 
 
 def _pause_left_s(context, run):
--- a/cowslipcourse/entry/silence_detector.py
+++ b/cowslipcourse/entry/silence_detector.py
@@ -17,6 +17,9 @@
 request is queued there."""
 MAX_QUEUED_FIRST_EVENT_WAIT_S = 3.0
 """Longest wait for a first event where requests are queued at the group."""
+MAX_UNLISTED_SILENCE_S = 2.0
+"""Longest silence of a target without an entry. Targets may serve without one while the
+store is away, so the missing entry alone does not show that the target has ended."""
 LOCAL_PAUSE_S = 0.12
 """Lateness of a check that is attributed to a pause of this process. Silence before it
 does not count against targets."""
@@ -28,17 +31,23 @@
     """A stream watched for silence.
 
     :param attempt: :class:`~cowslipcourse.entry.attempts.Attempt`
+    :param run: :class:`~cowslipcourse.entry.attempts.TargetRun`
     :param request_id: id of the request, for logs.
     """
 
-    def __init__(self, attempt, request_id):
+    def __init__(self, attempt, run, request_id):
         self.attempt = attempt
+        self.run = run
         self.request_id = request_id
         self.has_events = False
+        self.is_silent = False
 
 
 class SilenceDetector:
-    """Aborts streams of silent targets and marks the targets as suspected.
+    """Marks silent streams and suspects their targets.
+
+    A silent target may only be paused, so a stream is aborted only once its target, or
+    the group that it was sent to, is known to have ended.
 
     :param fleet: :class:`~cowslipcourse.entry.fleet_view.FleetView`
     :param on_suspect: called when a target is newly suspected.
@@ -72,19 +81,29 @@
             self.check(now)
 
     def check(self, now):
-        """Abort the streams of targets that are silent.
+        """Check the streams of all targets.
 
         :param now: loop time.
         """
-        for target, streams in list(self._streams.items()):
+        for streams in list(self._streams.values()):
             last_received_at = max(
                 stream.attempt.connection.last_received_at for stream in streams
             )
             last_received_at = max(last_received_at, self._observed_since)
             for stream in list(streams):
                 silent_s = now - max(last_received_at, stream.attempt.sent_at)
-                if silent_s > self._limit_s(stream):
-                    self._abort_stream(target, stream, silent_s, now)
+                self._check_stream(stream, silent_s, now)
+
+    def _check_stream(self, stream, silent_s, now):
+        was_silent = stream.is_silent
+        stream.is_silent = silent_s > self._limit_s(stream)
+        if stream.is_silent:
+            self._suspect(stream, silent_s, now)
+            self._abort_ended(stream, silent_s)
+        if stream.is_silent and not was_silent:
+            stream.run.mark_silent()
+        elif was_silent and not stream.is_silent:
+            stream.run.mark_heard()
 
     def _limit_s(self, stream):
         if stream.has_events:
@@ -93,15 +112,28 @@
         is_queued = self._fleet.load(entry.id) > entry.slots
         return MAX_QUEUED_FIRST_EVENT_WAIT_S if is_queued else MAX_FIRST_EVENT_WAIT_S
 
-    def _abort_stream(self, target, stream, silent_s, now):
-        if self._fleet.suspect(target, now):
-            log.warning(
-                "target-silent",
-                target=target,
-                request=stream.request_id,
-                seconds=round(silent_s, 3),
-                begun=stream.has_events,
-            )
-            self._on_suspect()
-        error = TargetSilent(f"{target} sent nothing for {silent_s:.2f} s")
-        stream.attempt.connection.abort(error)
+    def _suspect(self, stream, silent_s, now):
+        target = stream.attempt.entry.id
+        if not self._fleet.suspect(target, now):
+            return
+        log.warning(
+            "target-silent",
+            target=target,
+            request=stream.request_id,
+            seconds=round(silent_s, 3),
+            begun=stream.has_events,
+        )
+        self._on_suspect()
+
+    def _abort_ended(self, stream, silent_s):
+        """Abort a silent stream if its target or its group has ended."""
+        entry = stream.attempt.entry
+        if self._fleet.has_ended(entry):
+            reason = "has ended"
+        elif silent_s > MAX_UNLISTED_SILENCE_S and entry.id not in self._fleet.entries:
+            reason = "is not listed"
+        else:
+            return
+        stream.attempt.connection.abort(
+            TargetSilent(f"{entry.id} {reason} and sent nothing for {silent_s:.2f} s")
+        )
--- a/cowslipcourse/entry/stream_forwarder.py
+++ b/cowslipcourse/entry/stream_forwarder.py
@@ -35,6 +35,8 @@
         self.slot_wait_s = 0.0
         self.ends_with_connection = False
         self.observed = UnobservedRequest()
+        self.relaying = asyncio.Lock()
+        """Held while an attempt sends to the caller."""
         self._last_event_at = None
 
     @property
@@ -90,8 +92,7 @@
                     self._watching(call, run, attempt) as stream,
                     self._context.observing(call, run) as observed,
                 ):
-                    progress.observed = observed
-                    await self._relay(progress, run, attempt, stream)
+                    await self._relay(progress, run, attempt, stream, observed)
             except (TargetError, asyncio.CancelledError):
                 attempt.connection.abort()
                 raise
@@ -99,7 +100,7 @@
     @contextmanager
     def _watching(self, call, run, attempt):
         """Watch a stream for silence; that of a relay includes its retries."""
-        stream = WatchedStream(attempt, call.id)
+        stream = WatchedStream(attempt, run, call.id)
         if run.is_relayed:
             yield stream
             return
@@ -109,15 +110,14 @@
         finally:
             self._context.silence_detector.remove(stream)
 
-    async def _relay(self, progress, run, attempt, stream):
-        responder = progress.responder
+    async def _relay(self, progress, run, attempt, stream, observed):
         head = await attempt.read_head()
         run.answer_started = True
         progress.ends_with_connection = attempt.connection.is_close_delimited
         if is_not_executed(head):
             raise TargetRefused(f"answered {head.status}")
         if head.status != 200:
-            await self._relay_error(run, head, attempt, responder)
+            await self._relay_error(progress, run, head, attempt)
             return
         splitter = EventSplitter()
         while chunk := await attempt.connection.read():
@@ -126,21 +126,23 @@
                 continue
             stream.has_events = True
             now = asyncio.get_running_loop().time()
-            progress.observed.record_events(len(events), now)
-            await self._relay_events(progress, run, head, events)
+            observed.record_events(len(events), now)
+            progress.observed = observed
+            async with progress.relaying:
+                await self._relay_events(progress, run, head, events)
             self._context.quarantine.record_progress(progress.call, run)
         _check_end(run, attempt.connection, splitter)
-        run.succeeded = True
-        if not responder.started:
-            await responder.start(200, _stream_headers(head))
-        await responder.finish()
+        async with progress.relaying:
+            await _finish(progress, run, head)
 
     async def _relay_events(self, progress, run, head, events):
+        run.check_superseded()
         relayed_before = progress.position.relayed_events
         content, error = progress.position.filter_events(events)
         run.relayed_events += progress.position.relayed_events - relayed_before
         run.last_event_id = progress.position.last_event_id or 0
         if content:
+            run.supersede_rivals()
             progress.record_events(asyncio.get_running_loop().time())
             if not progress.responder.started:
                 await progress.responder.start(200, _stream_headers(head))
@@ -148,15 +150,25 @@
         if error is not None:
             raise error
 
-    async def _relay_error(self, run, head, attempt, responder):
+    async def _relay_error(self, progress, run, head, attempt):
+        responder = progress.responder
         body = await attempt.connection.read_all()
         is_proven = run.is_relayed or head.status not in NOT_EXECUTED_STATUSES
-        if responder.started or not is_proven:
+        if responder.started or run.has_rivals or not is_proven:
             raise IncompleteResponse(f"answered {head.status}")
         await responder.start(head.status, response_headers(head.headers))
         await responder.finish(body)
 
 
+async def _finish(progress, run, head):
+    """End the response to the caller with that of a target, which is whole."""
+    run.supersede_rivals()
+    run.succeeded = True
+    if not progress.responder.started:
+        await progress.responder.start(200, _stream_headers(head))
+    await progress.responder.finish()
+
+
 def _check_end(run, connection, splitter):
     """Check that a stream which has ended is whole.
 
--- a/cowslipcourse/entry/unary_forwarder.py
+++ b/cowslipcourse/entry/unary_forwarder.py
@@ -36,6 +36,7 @@
         async def attempt(run, is_last):
             nonlocal head, observed
             head, body, observed = await self._attempt(call, run, is_last)
+            run.supersede_rivals()
             await responder.start(head.status, response_headers(head.headers))
             await responder.finish(body)
 
@@ -72,7 +73,8 @@
                 attempt.connection.abort()
                 raise
         if not run.is_relayed:
-            _check_status(head, call.route.is_retryable and not is_last)
+            may_repeat = call.route.is_retryable and not is_last
+            _check_status(head, may_repeat or run.has_rivals)
         run.succeeded = head.status < MIN_FAILURE_STATUS
         return head, body, observed
 
@@ -94,7 +96,7 @@
 def _check_status(head, may_repeat):
     """Check that the response of a target may be forwarded to the caller.
 
-    :param may_repeat: whether the request may be sent to another target instead.
+    :param may_repeat: whether another target may answer the request instead.
     :raises IncompleteResponse: it may not.
     """
     if head.status >= 500 and may_repeat:
--- a/cowslipcourse/exceptions.py
+++ b/cowslipcourse/exceptions.py
@@ -279,6 +279,12 @@
     code = "answer-broken"
 
 
+class AttemptSuperseded(TargetError):
+    """Another attempt at the same request has delivered first."""
+
+    code = "attempt-superseded"
+
+
 class TargetSilent(TargetError):
     """A target sent nothing for longer than a healthy one would."""
 
--- a/features/forwarding/decisions.feature
+++ b/features/forwarding/decisions.feature
@@ -26,9 +26,26 @@
 
   Scenario: A silent target is detected by its streams, a busy one is not suspected
     Given a target with 13 slots and two streams, one of which has started
-    Then after 0.2 s of silence neither stream is aborted
-    And after 0.4 s of silence the started stream is aborted and the target suspected
+    Then after 0.2 s of silence neither stream is reported
+    And after 0.4 s of silence the started stream is reported and the target suspected
     And a stream that is queued behind others is given 3 s
+    And a stream whose target sends again is no longer reported
+
+  Scenario Outline: A silent stream is aborted only once its target or its group has ended
+    Given a stream at a target whose group is at epoch 3
+    When the list then shows <change>
+    Then after <silent> s of silence the stream is <outcome>
+
+    Examples:
+      | change                   | silent | outcome |
+      | the same group           | 3.0    | kept    |
+      | the target in epoch 2    | 3.0    | kept    |
+      | the group as broken      | 0.2    | kept    |
+      | the group as broken      | 0.4    | aborted |
+      | the target in epoch 4    | 0.4    | aborted |
+      | a restart of the target  | 0.4    | aborted |
+      | no entry of the target   | 1.5    | kept    |
+      | no entry of the target   | 2.1    | aborted |
 
   Scenario: A suspected target is chosen again once its group has a new epoch
     Given a suspected head of group g1 at epoch 3
--- /dev/null
+++ b/features/forwarding/silence.feature
@@ -0,0 +1,41 @@
+Feature: A stream is not ended by the silence of its target
+  Guards against streams that were cut 0.3 s after the last event of a sound target that was only paused.
+
+  Scenario Outline: A stream at a paused target ends only once it is known that nothing better comes
+    Given a <kind> stream that may be sent to <attempts> targets, with a retry budget: <budget>
+    And targets that are <targets>
+    When the stream is forwarded
+    Then the stream is <outcome> and was sent to <sent> targets
+
+    Examples: It cannot run elsewhere
+      | kind          | attempts | budget | targets                              | outcome          | sent |
+      | resumable     | 2        | yes    | paused                               | whole            | 1    |
+      | not resumable | 2        | yes    | paused, sound                        | whole            | 1    |
+      | resumable     | 1        | yes    | paused, sound                        | whole            | 1    |
+      | resumable     | 2        | no     | paused, sound                        | whole            | 1    |
+      | resumable     | 2        | yes    | paused, full                         | whole            | 2    |
+      | resumable     | 2        | yes    | paused, failing                      | whole            | 2    |
+      | not resumable | 2        | yes    | paused before its first event, sound | whole            | 1    |
+
+    Examples: It can run elsewhere
+      | kind          | attempts | budget | targets                              | outcome          | sent |
+      | resumable     | 2        | yes    | paused, sound                        | whole in 1.8 s   | 2    |
+      | resumable     | 2        | yes    | lost, sound                          | whole in 1.8 s   | 2    |
+      | resumable     | 2        | yes    | paused, paused later                 | whole            | 2    |
+      | resumable     | 2        | yes    | paused, paused too                   | whole            | 2    |
+      | resumable     | 2        | yes    | paused before its first event, sound | whole in 2.4 s   | 2    |
+      | resumable     | 3        | yes    | paused, paused too, sound            | whole            | 3    |
+      | resumable     | 2        | yes    | paused, slow to begin                | whole            | 2    |
+
+    Examples: Its target is known to be gone
+      | kind          | attempts | budget | targets                              | outcome          | sent |
+      | not resumable | 2        | yes    | lost, sound                          | failed in 1.5 s  | 1    |
+      | resumable     | 2        | yes    | lost, lost too                       | failed in 1.9 s  | 2    |
+
+  Scenario: A caller that reads slowly gets the events of two runs in order
+    When a stream at a paused and a sound target is read with 0.05 s for each piece
+    Then the caller has each event once, in order
+
+  Scenario: Targets that fall silent, end, refuse and fail at random
+    When streams of seeds 1 to 300 are sent to random targets
+    Then each event came once and in order, within the attempts, and no stream at a sound target was cut
--- a/features/steps/judging_steps.py
+++ b/features/steps/judging_steps.py
@@ -293,6 +293,7 @@
             fleet=None,
             conditions=SimpleNamespace(pause_left_s=lambda entry: 0.0),
             reachability=AlwaysReachable(),
+            count_hedge=None,
         )
         try:
             await quarantine.admit(call)
--- /dev/null
+++ b/features/steps/silence_steps.py
@@ -0,0 +1,90 @@
+"""Steps for streams at silent targets."""
+
+from behave import given, then, when
+
+from features.support.silent_targets import (
+    EVENT_COUNT,
+    TargetScript,
+    silence_violations,
+    stream_at_targets,
+)
+
+SCRIPTS = {
+    "sound": TargetScript(),
+    "paused": TargetScript(silences=((0.5, 1.2),)),
+    "paused later": TargetScript(silences=((1.2, 1.2),)),
+    "paused too": TargetScript(silences=((0.5, 1.5),)),
+    "paused before its first event": TargetScript(silences=((0.0, 1.6),)),
+    "slow to begin": TargetScript(first_event_s=1.5),
+    "full": TargetScript(status=503),
+    "failing": TargetScript(status=500),
+    "lost": TargetScript(ends_at_s=0.5),
+    "lost too": TargetScript(ends_at_s=1.0),
+}
+
+
+@given(
+    "a {kind} stream that may be sent to {attempts:d} targets, with a retry budget: "
+    "{budget}"
+)
+def step_stream(context, kind, attempts, budget):
+    context.options = {
+        "is_resumable": kind == "resumable",
+        "max_attempts": attempts,
+        "has_retry_budget": budget == "yes",
+    }
+
+
+@given("targets that are {targets}")
+def step_targets(context, targets):
+    context.scripts = [SCRIPTS[name] for name in targets.split(", ")]
+
+
+@when("the stream is forwarded")
+def step_forward(context):
+    context.run = stream_at_targets(context.scripts, **context.options)
+
+
+@then("the stream is {outcome} and was sent to {count:d} targets")
+def step_outcome(context, outcome, count):
+    run = context.run
+    result, _, time = outcome.partition(" in ")
+    assert run.is_complete == (result == "whole"), run
+    assert run.event_ids == list(range(1, len(run.event_ids) + 1)), run
+    if run.is_complete:
+        assert len(run.event_ids) == EVENT_COUNT, run
+    if time:
+        assert run.ended_after_s <= float(time.removesuffix(" s")), run
+    assert len(run.sent_to) == count, run
+    assert not run.left_open, run
+
+
+@when(
+    "a stream at a paused and a sound target is read with {send_s:f} s for each piece"
+)
+def step_slow_caller(context, send_s):
+    scripts = [SCRIPTS["paused"], SCRIPTS["sound"]]
+    context.run = stream_at_targets(scripts, caller_send_s=send_s)
+
+
+@then("the caller has each event once, in order")
+def step_in_order(context):
+    assert context.run.is_complete, context.run
+    assert context.run.event_ids == list(range(1, EVENT_COUNT + 1)), context.run
+
+
+@when("streams of seeds {first:d} to {last:d} are sent to random targets")
+def step_random(context, first, last):
+    context.violations = {
+        seed: violations
+        for seed in range(first, last + 1)
+        if (violations := silence_violations(seed))
+    }
+
+
+@then(
+    "each event came once and in order, within the attempts, and no stream at a sound "
+    "target was cut"
+)
+def step_no_violations(context):
+    assert not context.violations, context.violations
--- a/features/steps/withheld_steps.py
+++ b/features/steps/withheld_steps.py
@@ -209,6 +209,7 @@
         quarantine=_Quarantine(),
         retry_budget=None,
         count_withheld=count_withheld,
+        count_hedge=None,
         reachability=AlwaysReachable(),
     )
 
--- a/features/support/fuzz.py
+++ b/features/support/fuzz.py
@@ -13,6 +13,7 @@
 from features.support.membership_runs import random_run, settle
 from features.support.part_runs import part_violations
 from features.support.pause_runs import pause_violations
+from features.support.silent_targets import silence_violations
 
 
 def _membership(seed):
@@ -79,6 +80,7 @@
     "limits-64": _limits(4, 16),
     "limits-195": _limits(5, 39),
     "limits-405": _limits(15, 27),
+    "silences": silence_violations,
     "pauses": pause_violations,
     "pauses-64": lambda seed: pause_violations(seed, daemon_count=64),
     "membership": _membership,
--- /dev/null
+++ b/features/support/silent_targets.py
@@ -0,0 +1,404 @@
+"""Streams at targets that fall silent, in virtual time, with a check of each run."""
+
+import asyncio
+import itertools
+import random
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+from cowslipcourse.admission import SharedRetryBudget
+from cowslipcourse.emulator.clock import run_in_virtual_time
+from cowslipcourse.emulator.messages import MessageNetwork
+from cowslipcourse.emulator.site_file import SiteSettings
+from cowslipcourse.entry.attempts import Attempt
+from cowslipcourse.entry.calls import Call
+from cowslipcourse.entry.context import DaemonContext
+from cowslipcourse.entry.fleet_view import FleetView
+from cowslipcourse.entry.forwarder import Forwarder
+from cowslipcourse.entry.settings import EntrySettings
+from cowslipcourse.entry.silence_detector import SilenceDetector
+from cowslipcourse.entry.target_conditions import TargetConditions
+from cowslipcourse.exceptions import RequestError, TargetUnreachable
+from cowslipcourse.http_client import ResponseHead
+from cowslipcourse.platform.headers import CallerHeaders, not_executed_head
+from cowslipcourse.ports import TargetEntry
+from cowslipcourse.quarantine import VerdictStore, fingerprint
+from cowslipcourse.quarantine_runtime import Quarantine, TargetExitDetector
+from cowslipcourse.rate_limit_runtime import RateLimiter
+from cowslipcourse.routes import (
+    CallerLimits,
+    RequestKind,
+    Route,
+    RouteTable,
+    ServiceSpec,
+)
+from features.support.limiter_peers import RecordingPeers
+
+__all__ = [
+    "EVENT_COUNT",
+    "StreamRun",
+    "TargetScript",
+    "silence_violations",
+    "stream_at_targets",
+]
+
+SERVICE = "s"
+EVENT_COUNT = 20
+EVENT_INTERVAL_S = 0.06
+DEADLINE_S = 8.0
+UNLISTING_DELAY_S = 0.6
+"""Time after which the list shows that a target has started again."""
+UNUSED_ADDRESS = "127.0.0.1:1"
+SITE = SiteSettings(domains={"d": "x"}, engines_a_domain=1, models=(), kinds=())
+
+
+class TargetScript(NamedTuple):
+    """What a target does. Times are seconds after the stream was sent.
+
+    :param silences: ``(start, duration)`` of the times in which it is paused.
+    :param ends_at_s: time at which it ends without a word, or ``None``.
+    :param status: status with which it refuses or fails streams, or 200.
+    :param first_event_s: time from a request to its first event.
+    """
+
+    silences: tuple[tuple[float, float], ...] = ()
+    ends_at_s: float | None = None
+    status: int = 200
+    first_event_s: float = EVENT_INTERVAL_S
+
+
+class StreamRun(NamedTuple):
+    """What a stream's caller and targets have seen.
+
+    :param event_ids: ids of the events that the caller got, in order.
+    :param is_complete: whether the caller got the end of the stream.
+    :param error: class name of the error for the caller, or empty.
+    :param ended_after_s: seconds until the request ended.
+    :param sent_to: numbers of the targets that it was sent to, in order.
+    :param superseded: numbers of those where another target delivered first.
+    :param left_open: numbers of the targets that still ran it at its end.
+    :param hedge_counts: number of hedges by outcome.
+    """
+
+    event_ids: list
+    is_complete: bool
+    error: str
+    ended_after_s: float
+    sent_to: list
+    superseded: list
+    left_open: list
+    hedge_counts: dict
+
+
+class _Connection:
+    """A connection on which a scripted target answers."""
+
+    is_close_delimited = False
+    ended_by_target = False
+
+    def __init__(self, script, began_at, first_event_id):
+        self.last_received_at = 0.0
+        self.is_open = True
+        self.is_superseded = False
+        self._script = script
+        self._began_at = began_at
+        self._event_ids = iter(range(first_event_id, EVENT_COUNT + 1))
+        self._chunks = asyncio.Queue()
+        self._writing = asyncio.create_task(self._write())
+
+    def _now_s(self):
+        return asyncio.get_running_loop().time() - self._began_at
+
+    async def _write(self):
+        await asyncio.sleep(self._script.first_event_s - EVENT_INTERVAL_S)
+        for event_id in self._event_ids:
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            await self._pause()
+            self._send(b"id: %d\ndata: x\n\n" % event_id)
+        self._send(b"")
+
+    async def _pause(self):
+        for start_s, duration_s in self._script.silences:
+            if start_s <= self._now_s() < start_s + duration_s:
+                await asyncio.sleep(start_s + duration_s - self._now_s())
+        ends_at_s = self._script.ends_at_s
+        if ends_at_s is not None and self._now_s() >= ends_at_s:
+            await asyncio.Event().wait()
+
+    def _send(self, chunk):
+        self.last_received_at = asyncio.get_running_loop().time()
+        self._chunks.put_nowait(chunk)
+
+    async def head(self):
+        if self._script.status == 503:
+            return not_executed_head(503)
+        return ResponseHead(self._script.status, ())
+
+    async def read(self):
+        chunk = await self._chunks.get()
+        if isinstance(chunk, Exception):
+            raise chunk
+        return chunk
+
+    async def read_all(self):
+        return b""
+
+    def abort(self, error=None):
+        self.close()
+        if error is not None:
+            self.is_superseded = error.code == "attempt-superseded"
+            self._chunks.put_nowait(error)
+
+    def close(self):
+        self.is_open = False
+        self._writing.cancel()
+
+
+class _Sender:
+    """Sends streams to scripted targets."""
+
+    def __init__(self, scripts, fleet, conditions):
+        self.sent_to = []
+        self.connections = []
+        self._scripts = scripts
+        self._fleet = fleet
+        self._conditions = conditions
+        self._began_at = asyncio.get_running_loop().time()
+
+    @asynccontextmanager
+    async def open(self, call, run, last_event_id=None):
+        entry, now = run.entry, asyncio.get_running_loop().time()
+        number = int(entry.id.removeprefix("t"))
+        script = self._scripts[number]
+        self._fleet.request_started(entry.id)
+        connection = None
+        try:
+            if script.ends_at_s is not None and now - self._began_at > script.ends_at_s:
+                await asyncio.sleep(0.4)
+                raise TargetUnreachable("no host", sent=False)
+            connection = _Connection(script, self._began_at, (last_event_id or 0) + 1)
+            run.connection = connection
+            self.sent_to.append(number)
+            self.connections.append((number, connection))
+            yield Attempt(entry, connection, now, self._conditions)
+        finally:
+            self._fleet.request_ended(entry.id)
+            if connection is not None:
+                connection.close()
+
+
+class _Responder:
+    """Collects the events that the caller gets.
+
+    :param send_s: seconds for which the caller delays each piece.
+    """
+
+    def __init__(self, send_s):
+        self.started = False
+        self.content = b""
+        self.is_complete = False
+        self._send_s = send_s
+
+    async def start(self, status, headers):
+        self.started = True
+
+    async def send_chunk(self, content):
+        await asyncio.sleep(self._send_s)
+        self.content += content
+
+    async def finish(self, body=b""):
+        self.content += body
+        self.is_complete = True
+
+
+class _InOrder:
+    """Draws increasing numbers, so that targets are chosen in the order of the list."""
+
+    def __init__(self):
+        self._numbers = itertools.count()
+
+    def random(self):
+        return next(self._numbers)
+
+    def sample(self, population, count):
+        return population[:count]
+
+
+class StreamSite:
+    """A daemon that forwards one stream to scripted targets.
+
+    :param scripts: :class:`TargetScript` of each target, in order of their choice.
+    :param route: :class:`~cowslipcourse.routes.Route` of the stream.
+    :param has_retry_budget: whether the budget allows retries.
+    :param caller_send_s: seconds for which the caller delays each piece.
+    """
+
+    def __init__(self, scripts, route, has_retry_budget, caller_send_s):
+        self._scripts = scripts
+        self._route = route
+        self._fleet = FleetView()
+        self._fleet.apply([_entry(number) for number in range(len(scripts))], ())
+        limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
+        conditions = TargetConditions(limiter, self._fleet)
+        self._detector = SilenceDetector(self._fleet, lambda: None)
+        self._sender = _Sender(scripts, self._fleet, conditions)
+        network = MessageNetwork(SITE, random.Random(1))
+        settings = _settings()
+        budget = SharedRetryBudget(settings.retries)
+        if not has_retry_budget:
+            budget.try_take = lambda service, now: False
+        self._context = DaemonContext(
+            settings,
+            self._fleet,
+            self._sender,
+            budget,
+            self._detector,
+            conditions,
+            Quarantine(
+                network.peers_of("a"),
+                TargetExitDetector(self._fleet.is_expected),
+                VerdictStore(None, lambda: 0.0),
+            ),
+            _InOrder(),
+        )
+        services = (ServiceSpec(SERVICE),)
+        self._context.table = RouteTable(1, (route,), services, CallerLimits(), {})
+        self._responder = _Responder(caller_send_s)
+
+    async def run(self):
+        """Forward the stream and return its :class:`StreamRun`."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        watching = asyncio.create_task(self._detector.run())
+        for number, script in enumerate(self._scripts):
+            if script.ends_at_s is not None:
+                listed_at = began_at + script.ends_at_s + UNLISTING_DELAY_S
+                restarted = _entry(number)._replace(incarnation=2)
+                loop.call_at(listed_at, self._fleet.apply, [restarted], ())
+        error = ""
+        try:
+            await Forwarder(self._context).forward(
+                _call(self._route, began_at), self._responder
+            )
+        except RequestError as raised:
+            error = type(raised).__name__
+        watching.cancel()
+        lines = self._responder.content.decode().splitlines()
+        ids = [int(line[4:]) for line in lines if line.startswith("id: ")]
+        connections = self._sender.connections
+        return StreamRun(
+            ids,
+            self._responder.is_complete,
+            error,
+            loop.time() - began_at,
+            self._sender.sent_to,
+            [number for number, connection in connections if connection.is_superseded],
+            [number for number, connection in connections if connection.is_open],
+            getattr(self._context, "hedge_counts", {}),
+        )
+
+
+def _settings():
+    listen = dict.fromkeys(("front", "directory", "ready", "peer"), UNUSED_ADDRESS)
+    return EntrySettings(
+        name="a", data_centre="x", listen=listen, store={"address": UNUSED_ADDRESS}
+    )
+
+
+def _entry(number):
+    return TargetEntry(f"t{number}", SERVICE, UNUSED_ADDRESS, "x", 6, incarnation=1)
+
+
+def _route(is_resumable, max_attempts):
+    return Route(
+        "r",
+        "h",
+        "/",
+        RequestKind.STREAMING,
+        ((SERVICE, 1.0),),
+        DEADLINE_S,
+        1.0,
+        1,
+        max_attempts,
+        is_resumable=is_resumable,
+    )
+
+
+def _call(route, now):
+    return Call(
+        id="a1",
+        method="POST",
+        path=b"/",
+        headers=(),
+        body=b"",
+        fingerprint=fingerprint(None, b"/", b""),
+        caller_headers=CallerHeaders(b"a1"),
+        route=route,
+        workspace=None,
+        arrived_at=now,
+        deadline=now + DEADLINE_S,
+    )
+
+
+def stream_at_targets(
+    scripts,
+    is_resumable=True,
+    max_attempts=2,
+    has_retry_budget=True,
+    caller_send_s=0.0,
+):
+    """Forward a stream in virtual time and return its :class:`StreamRun`."""
+    route = _route(is_resumable, max_attempts)
+
+    async def run():
+        return await StreamSite(scripts, route, has_retry_budget, caller_send_s).run()
+
+    return run_in_virtual_time(run())
+
+
+def _random_script(rng):
+    silences, at_s = [], 0.0
+    for _ in range(rng.randint(0, 2)):
+        at_s += rng.uniform(0.0, 1.0)
+        duration_s = rng.uniform(0.2, 1.5)
+        silences.append((at_s, duration_s))
+        at_s += duration_s
+    is_lost = rng.random() < 0.25
+    return TargetScript(
+        tuple(silences),
+        ends_at_s=rng.uniform(0.0, 2.0) if is_lost else None,
+        status=rng.choice([200] * 8 + [503, 500]),
+        first_event_s=rng.choice([0.06, 0.06, 0.5, 1.2]),
+    )
+
+
+def silence_violations(seed):
+    """Forward a stream to random targets and return its violations as texts."""
+    rng = random.Random(f"silence-{seed}")
+    scripts = [_random_script(rng) for _ in range(rng.randint(1, 4))]
+    is_resumable, max_attempts = rng.random() < 0.7, rng.randint(1, 3)
+    result = stream_at_targets(
+        scripts,
+        is_resumable,
+        max_attempts,
+        has_retry_budget=rng.random() < 0.8,
+        caller_send_s=rng.choice([0.0, 0.0, 0.01, 0.05]),
+    )
+    violations = []
+    if result.event_ids != list(range(1, len(result.event_ids) + 1)):
+        violations.append(f"events out of order: {result.event_ids}")
+    if result.is_complete and len(result.event_ids) not in (0, EVENT_COUNT):
+        violations.append(f"complete after {len(result.event_ids)} events")
+    if result.left_open:
+        violations.append(f"still running at {result.left_open}")
+    runs = [number for number in result.sent_to if scripts[number].status != 503]
+    if len(runs) > (max_attempts if is_resumable else 1):
+        violations.append(f"ran at {runs}, {max_attempts} allowed")
+    has_sound_run = any(
+        scripts[number].status == 200 and scripts[number].ends_at_s is None
+        for number in runs
+        if number not in result.superseded
+    )
+    if has_sound_run and not result.is_complete:
+        violations.append(f"cut with {result.error} although a target was sound")
+    return violations
