A stopping daemon accepts what is certain to end, and ends the rest with an error

What a daemon still ran when it ended, plain requests too, got the HTTP library's bare 500, which does not say whether the request has run.

Cause: the longest of a route's last 100 durations, times 1.5, was taken for a bound on the next one. A history that is short, empty or of short answers only bounds nothing. At the end of the process nothing ended the remaining requests; their tasks were cancelled.

Evidence: in the case's log the accepted streams had 4.2 s left, the longest recent one took 1.7 s, and the new ones needed 4.0 s; the process ended 7.2 s after the signal. Ruled out: SIGKILL (it comes at 8 s), the deadline (8 s).

Fix: only the deadline, the lesser of the caller's budget and the route's time-out, bounds a request. It is accepted if its deadline passes before the stop ends. While callers may have addresses from before the stop (3 s), what may be repeated elsewhere is also accepted if recent durations fit, as a refused caller may meet the next stopping daemon. Requests that wait for a target, or come back to that after a refusal, are judged in the same way; those that have not been read or admitted at the end are refused. At the end everything in progress gets a typed error: 503 if it has not run, else 502 `stopped-while-running`. The last 0.8 s before the kill were not needed: 0.3 s remain, of which up to 0.15 s are for these errors.

Why it works: what is accepted later than 3 s has its deadline inside the stop, and the forwarder answers at the deadline at the latest.

Tests, seen failing on the code before: features/platform_path/stops.feature with real processes (bare 500 for the running request, `book/endless`); features/forwarding/stopping.feature in fake time.

--- a/cowslipcourse/entry/caller_app.py
+++ b/cowslipcourse/entry/caller_app.py
@@ -7,7 +7,6 @@
 from cowslipcourse.adapters.responses import problem_response
 from cowslipcourse.admission.failure_attribution import SERVED
 from cowslipcourse.entry.calls import Responder, read_call
-from cowslipcourse.entry.graceful_stop import RequestDurations, can_finish
 from cowslipcourse.exceptions import (
     CallerDisconnected,
     GatewayDraining,
@@ -25,9 +24,6 @@
 
 __all__ = ["FrontApp"]
 
-DRAINING_RETRY_AFTER_S = 0.0
-"""Retry-After of a draining daemon: the others are not known to be overloaded."""
-
 RELAY_REFUSALS = (
     RelayRefused,
     GatewayDraining,
@@ -62,21 +58,12 @@
         self._context = context
         self._forwarder = forwarder
         self._metrics = metrics
-        self._durations = RequestDurations()
-        self._closes_at = None
         self.in_flight = 0
 
     @property
     def is_draining(self):
-        """Whether the daemon is shutting down."""
-        return self._closes_at is not None
-
-    def drain(self, closes_at):
-        """Close connections after responses, so that callers move to other daemons.
-
-        :param closes_at: loop time at which the last connections will be closed.
-        """
-        self._closes_at = closes_at
+        """Whether connections are closed after responses, as the daemon stops."""
+        return self._context.stop.has_begun
 
     async def __call__(self, scope, receive, send):
         """See the ASGI specification."""
@@ -103,9 +90,11 @@
             self._metrics.count_cause(result.route, result.model, result.cause)
 
     async def _serve(self, scope, receive, responder, result):
-        call = await read_call(scope, receive, self._context.table)
+        stop = self._context.stop
+        async with stop.before_sending():
+            call = await read_call(scope, receive, self._context.table)
         result.route, result.model = call.route.name, call.caller_headers.model
-        self._check_time_left(call)
+        stop.check_arrival(call)
         forwarding = asyncio.create_task(self._forwarder.forward(call, responder))
         disconnect = asyncio.create_task(_wait_for_disconnect(receive))
         try:
@@ -122,25 +111,12 @@
                 )
                 raise CallerDisconnected("the caller closed the connection")
             forwarding.result()
-            self._durations.record(call.route, _now() - call.arrived_at)
+            stop.durations.record(call.route, _now() - call.arrived_at)
         finally:
             disconnect.cancel()
             forwarding.cancel()
             await asyncio.gather(forwarding, disconnect, return_exceptions=True)
 
-    def _check_time_left(self, call):
-        """Refuse a request that may not finish before this daemon stops.
-
-        :raises GatewayDraining: the request has not run; other daemons accept it now.
-        """
-        if self._closes_at is None:
-            return
-        left_s = self._closes_at - call.arrived_at
-        if not can_finish(left_s, self._durations.longest_s(call.route)):
-            raise GatewayDraining(
-                "this daemon is shutting down", DRAINING_RETRY_AFTER_S
-            )
-
     async def _send_error(self, error, scope, receive, send, responder, result):
         log.info(
             "request-failed",
--- a/cowslipcourse/entry/concurrent_attempts.py
+++ b/cowslipcourse/entry/concurrent_attempts.py
@@ -56,11 +56,19 @@
         self._request_id = request_id
         self._count_hedge = count_hedge
         self._runs = {}
-        self._silence = asyncio.get_running_loop().create_future()
+        self._wake_up = asyncio.get_running_loop().create_future()
 
     def __len__(self):
         return len(self._runs)
 
+    @property
+    def have_sent(self):
+        """Whether an attempt has sent the request."""
+        return any(
+            run is not None and run.connection is not None
+            for run in self._runs.values()
+        )
+
     @property
     def are_silent(self):
         """Whether there are attempts, all of them at silent targets."""
@@ -80,18 +88,18 @@
         self._runs[asyncio.current_task()] = run
 
     async def wait(self, timeout_s):
-        """Wait until attempts have ended or a target is silent.
+        """Wait until attempts have ended, a target is silent, or :meth:`wake`.
 
         :param timeout_s: maximum time to wait, in seconds, or ``None``.
         :returns: list of the tasks that have ended, in order of their start.
         """
         ended, _ = await asyncio.wait(
-            {*self._runs, self._silence},
+            {*self._runs, self._wake_up},
             timeout=timeout_s,
             return_when=asyncio.FIRST_COMPLETED,
         )
-        if self._silence in ended:
-            self._silence = asyncio.get_running_loop().create_future()
+        if self._wake_up in ended:
+            self._wake_up = asyncio.get_running_loop().create_future()
         ended_tasks = [task for task in self._runs if task in ended]
         for task in ended_tasks:
             del self._runs[task]
@@ -109,10 +117,14 @@
         """See :class:`Rivals`."""
         return any(other is not run for other in self._runs.values())
 
+    def wake(self):
+        """End the present :meth:`wait`, or the next one."""
+        if not self._wake_up.done():
+            self._wake_up.set_result(None)
+
     def report_silence(self):
         """See :class:`Rivals`."""
-        if not self._silence.done():
-            self._silence.set_result(None)
+        self.wake()
 
     def supersede(self, run):
         """See :class:`Rivals`."""
--- a/cowslipcourse/entry/context.py
+++ b/cowslipcourse/entry/context.py
@@ -2,6 +2,7 @@
 
 from contextlib import nullcontext
 
+from cowslipcourse.entry.graceful_stop import GracefulStop
 from cowslipcourse.entry.settings import BalancingSettings
 from cowslipcourse.entry.target_placing import TargetPlacing
 from cowslipcourse.entry.unloaded_components import AlwaysReachable, NoRelays
@@ -55,6 +56,7 @@
         """:class:`~cowslipcourse.entry.unloaded_components.Reachability`"""
         self.relays = NoRelays()
         """:class:`~cowslipcourse.entry.unloaded_components.RelayService`"""
+        self.stop = GracefulStop()
         self.table = None
         self.metrics = None
         self.withheld_counts = {}
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -61,8 +61,11 @@
 ADDRESS_TTL_FACTOR = 3
 """Some callers cache addresses for this multiple of the TTL."""
 STOP_CHECK_INTERVAL_S = 0.1
-STOP_MARGIN_S = 0.8
-"""Remainder of the grace period when the last connections are closed."""
+STOP_MARGIN_S = 0.3
+"""Remainder of the grace period when the last requests are ended."""
+LAST_ANSWERS_S = 0.15
+"""Longest time for the errors of these requests to be sent before the process ends."""
+LAST_ANSWERS_CHECK_INTERVAL_S = 0.01
 
 log = get_logger(__name__)
 
@@ -226,23 +229,32 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         addresses_cached_until = now + ADDRESS_TTL_FACTOR * self._settings.address_ttl_s
-        connections_close_at = now + self._settings.stop.grace_s - STOP_MARGIN_S
+        requests_end_at = now + self._settings.stop.grace_s - STOP_MARGIN_S
         log.info("stopping", in_flight=self._front.in_flight)
         self._is_ready = False
-        self._front.drain(connections_close_at)
+        self._context.stop.begin(requests_end_at, addresses_cached_until)
         self._peer_link.heartbeat_now()
-        while loop.time() < connections_close_at:
+        while loop.time() < requests_end_at:
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
             # Idle connections do not delay the stop: by now their callers have a newer
             # list of addresses.
             if not self._front.in_flight and loop.time() > addresses_cached_until:
                 break
+        await self._end_requests()
         log.info(
             "stopped",
             in_flight=self._front.in_flight,
             connections=servers[0].connections,
         )
 
+    async def _end_requests(self):
+        """End the requests that are still in progress, and send their errors."""
+        loop = asyncio.get_running_loop()
+        self._context.stop.end_requests()
+        process_ends_at = loop.time() + LAST_ANSWERS_S
+        while self._front.in_flight and loop.time() < process_ends_at:
+            await asyncio.sleep(LAST_ANSWERS_CHECK_INTERVAL_S)
+
     def _apply_settings(self, settings):
         """Apply changed settings."""
         self._settings = settings
--- a/cowslipcourse/entry/forwarder.py
+++ b/cowslipcourse/entry/forwarder.py
@@ -55,7 +55,8 @@
                 # Repeats of a request that crashes its targets arrive at any daemon.
                 # When each repeat was sent to two targets, two such requests ended 17
                 # and 23 targets.
-                await self._context.quarantine.admit(call)
+                async with self._context.stop.before_sending():
+                    await self._context.quarantine.admit(call)
                 await forwarder.forward(call, service, responder)
         except TimeoutError as error:
             waited_s = round(loop.time() - call.arrived_at, 3)
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -64,11 +64,16 @@
     :returns: :class:`Delivery`
     :raises RequestError: no attempt succeeded.
     """
-    return await _RequestAttempts(context, call, service, choose, attempt).run()
+    attempts = _RequestAttempts(context, call, service, choose, attempt)
+    with context.stop.tracking(attempts):
+        return await attempts.run()
 
 
 class _RequestAttempts:
-    """Attempts at one request. For the parameters see :func:`try_targets`."""
+    """Attempts at one request. For the parameters see :func:`try_targets`.
+
+    It implements :class:`~cowslipcourse.entry.graceful_stop.StoppableRequest`.
+    """
 
     def __init__(self, context, call, service, choose, attempt):
         self._context = context
@@ -83,6 +88,20 @@
         self._next_hedge_at = 0.0
         self._failure = None
 
+    @property
+    def call(self):
+        """See :class:`~cowslipcourse.entry.graceful_stop.StoppableRequest`."""
+        return self._call
+
+    @property
+    def may_have_run(self):
+        """See :class:`~cowslipcourse.entry.graceful_stop.StoppableRequest`."""
+        return self._possible_runs > 0 or self._running.have_sent
+
+    def wake(self):
+        """See :class:`~cowslipcourse.entry.graceful_stop.StoppableRequest`."""
+        self._running.wake()
+
     async def run(self):
         """Make attempts until one succeeds; see :func:`try_targets`."""
         self._running.start(self._send_to_next(is_hedge=False))
@@ -93,6 +112,9 @@
                 for outcome in outcomes:
                     if isinstance(outcome, Delivery):
                         return outcome
+                ending_error = self._context.stop.ending_error(self)
+                if ending_error is not None:
+                    raise ending_error
                 if not len(self._running):
                     self._retry(outcomes)
                     continue
@@ -190,9 +212,12 @@
             return Delivery(entry, len(self._tried_ids), self._withheld)
 
     async def _choose(self):
-        """Return the :class:`TargetChoice` unless the request is quarantined."""
+        """Return the :class:`TargetChoice` unless the request must not be sent."""
         if self._is_quarantined():
             return self._quarantine_refusal()
+        refusal = self._context.stop.ending_error(self)
+        if refusal is not None:
+            return TargetChoice(None, refusal=refusal)
         choice = await self._choose_reachable()
         # The request may have been quarantined while it waited for a free slot.
         if choice.entry is not None and self._is_quarantined():
--- a/cowslipcourse/exceptions.py
+++ b/cowslipcourse/exceptions.py
@@ -476,6 +476,14 @@
     status = 504
 
 
+class StoppedWhileRunning(RequestError):
+    """The daemon stopped while the request was running."""
+
+    code = "stopped-while-running"
+    status = 502
+    outcome = "unknown"
+
+
 class CallerDisconnected(RequestError):
     """The caller closed its connection before the response was complete."""
 
--- a/features/steps/judging_steps.py
+++ b/features/steps/judging_steps.py
@@ -15,6 +15,7 @@
 from cowslipcourse.emulator.site_file import SiteSettings
 from cowslipcourse.entry.attempts import TargetRun
 from cowslipcourse.entry.fleet_view import FleetView
+from cowslipcourse.entry.graceful_stop import GracefulStop
 from cowslipcourse.entry.retries import try_targets
 from cowslipcourse.entry.settings import RetrySettings
 from cowslipcourse.entry.unloaded_components import AlwaysReachable
@@ -228,6 +229,7 @@
         part_fingerprints=(),
         caller_headers=CallerHeaders(),
         route=ROUTE,
+        deadline=asyncio.get_running_loop().time() + ROUTE.timeout_s,
     )
 
 
@@ -294,6 +296,7 @@
             conditions=SimpleNamespace(pause_left_s=lambda entry: 0.0),
             reachability=AlwaysReachable(),
             count_hedge=None,
+            stop=GracefulStop(),
         )
         try:
             await quarantine.admit(call)
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -4,6 +4,7 @@
 
 from features.support.silent_targets import (
     EVENT_COUNT,
+    Stop,
     TargetScript,
     silence_violations,
     stream_at_targets,
@@ -18,6 +19,9 @@
     "slow to begin": TargetScript(first_event_s=1.5),
     "full": TargetScript(status=503),
     "failing": TargetScript(status=500),
+    "full for 2 s": TargetScript(is_full_for_s=2.0),
+    "slow": TargetScript(event_interval_s=0.3),
+    "paused and no other": TargetScript(silences=((0.5, 1.2),)),
     "lost": TargetScript(ends_at_s=0.5),
     "lost too": TargetScript(ends_at_s=1.0),
 }
@@ -40,6 +44,25 @@
     context.scripts = [SCRIPTS[name] for name in targets.split(", ")]
 
 
+@given(
+    "a stream at targets that are {targets}, and a stop at {at_s:f} s with "
+    "{grace_s:f} s"
+)
+def step_targets_and_stop(context, targets, at_s, grace_s):
+    step_targets(context, targets)
+    context.options = {"stop": Stop(at_s, grace_s)}
+
+
+@then("the caller gets {outcome} by {ends_at_s:f} s after {count:d} targets")
+def step_ends_as(context, outcome, ends_at_s, count):
+    run = context.run
+    assert (run.error or "whole") == outcome, run
+    assert run.is_complete == (outcome == "whole"), run
+    assert run.ended_after_s <= ends_at_s, run
+    assert len(run.sent_to) == count, run
+    assert not run.left_open, run
+
+
 @when("the stream is forwarded")
 def step_forward(context):
     context.run = stream_at_targets(context.scripts, **context.options)
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -6,6 +6,7 @@
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from cowslipcourse.entry.caller_app import FrontApp
+from cowslipcourse.entry.graceful_stop import GracefulStop
 from cowslipcourse.entry.prometheus_metrics import EntryMetrics
 from cowslipcourse.routes import CallerLimits, RequestKind, Route, RouteTable
 
@@ -22,7 +23,10 @@
 
 
 class _Context:
-    table = RouteTable(1, (ROUTE,), (), CallerLimits(), {})
+    def __init__(self, is_resumable):
+        route = ROUTE._replace(is_resumable=is_resumable)
+        self.table = RouteTable(1, (route,), (), CallerLimits(), {})
+        self.stop = GracefulStop()
 
 
 class _Forwarder:
@@ -37,7 +41,7 @@
         await responder.finish(b"done")
 
 
-async def _send_request(app):
+async def _send_request(app, budget_s=None, has_body=True):
     starts = []
     scope = {
         "type": "http",
@@ -47,7 +51,10 @@
         "query_string": b"",
         "headers": [(b"host", b"h"), (b"x-attempt-id", b"1")],
     }
-    messages = [{"type": "http.request", "body": b"", "more_body": False}]
+    if budget_s is not None:
+        budget_ms = str(int(budget_s * 1000)).encode()
+        scope["headers"].append((b"x-time-budget-ms", budget_ms))
+    messages = [{"type": "http.request", "body": b"", "more_body": not has_body}]
 
     async def receive():
         if messages:
@@ -64,28 +71,56 @@
 
 @given("a daemon whose streams took up to {longest_s} s")
 def step_daemon(context, longest_s):
+    context.cached_s = 0.0
+    context.is_resumable = False
     context.longest_s = None if longest_s == "unknown" else float(longest_s)
 
 
-def _run_daemon(context, remaining_s):
+def _run_daemon(context, remaining_s, budget_s=None, has_body=True):
     async def run():
-        forwarder = _Forwarder()
-        app = FrontApp(_Context(), forwarder, EntryMetrics())
+        forwarder, daemon_context = _Forwarder(), _Context(context.is_resumable)
+        app = FrontApp(daemon_context, forwarder, EntryMetrics())
         if context.longest_s is not None:
             for fraction in (0.3, 1.0, 0.5):
                 forwarder.answer_time_s = fraction * context.longest_s
                 await _send_request(app)
         forwarder.answer_time_s = 0.0
-        if remaining_s is not None:
-            app.drain(asyncio.get_running_loop().time() + remaining_s)
-        context.response = await _send_request(app)
+        loop = asyncio.get_running_loop()
+        sending = asyncio.create_task(_send_request(app, budget_s, has_body))
+        if has_body and remaining_s is not None:
+            now = loop.time()
+            daemon_context.stop.begin(now + remaining_s, now + context.cached_s)
+        elif remaining_s is not None:
+            ends_at = loop.time() + remaining_s
+            loop.call_later(0.5, daemon_context.stop.begin, ends_at, 0.0)
+        context.response = await sending
 
     run_in_virtual_time(run())
 
 
-@when("it stops, with {remaining_s:f} s left, and a stream comes")
-def step_stream_while_stopping(context, remaining_s):
-    _run_daemon(context, remaining_s)
+@when(
+    "it stops, with {remaining_s:f} s left, and a stream with a budget of {budget_s:f} "
+    "s comes"
+)
+def step_stream_while_stopping(context, remaining_s, budget_s):
+    _run_daemon(context, remaining_s, budget_s)
+
+
+@when(
+    "it stops, with {remaining_s:f} s left, while the body of a request is on its way"
+)
+def step_body_while_stopping(context, remaining_s):
+    _run_daemon(context, remaining_s, has_body=False)
+
+
+@given("callers that may have its address for {cached_s:f} s more")
+def step_cached(context, cached_s):
+    context.cached_s = cached_s
+
+
+@given("streams that {may} be resumed")
+def step_resumable(context, may):
+    context.is_resumable = may == "may"
 
 
 @when("a stream comes to the running daemon")
--- a/features/steps/withheld_steps.py
+++ b/features/steps/withheld_steps.py
@@ -11,6 +11,7 @@
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from cowslipcourse.entry.attempts import AttemptSender, TargetRun
 from cowslipcourse.entry.fleet_view import FleetView
+from cowslipcourse.entry.graceful_stop import GracefulStop
 from cowslipcourse.entry.retries import try_targets
 from cowslipcourse.entry.stream_target_selection import StreamTargetChooser
 from cowslipcourse.entry.target_conditions import TargetConditions
@@ -210,6 +211,7 @@
         retry_budget=None,
         count_withheld=count_withheld,
         count_hedge=None,
+        stop=GracefulStop(),
         reachability=AlwaysReachable(),
     )
 
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -42,8 +42,10 @@
 __all__ = [
     "CRASHING_PART",
     "CRASH_PREFIX",
+    "ENDLESS_PREFIX",
     "HOST",
     "KEY",
+    "USUAL_PREFIX",
     "Arrival",
     "PlainExecution",
     "PlatformSite",
@@ -55,6 +57,12 @@
 PLAIN_SERVICE = "roster"
 EVENT_INTERVAL_S = 0.02
 PLAIN_EXECUTION_S = 0.01
+USUAL_PREFIX = "usual-"
+"""Prefix of the last path segment of requests that take :data:`USUAL_EXECUTION_S`."""
+USUAL_EXECUTION_S = 1.5
+ENDLESS_PREFIX = "endless-"
+"""Prefix of the last path segment of requests that take :data:`ENDLESS_EXECUTION_S`."""
+ENDLESS_EXECUTION_S = 12.0
 EVENT_COUNT = 25
 FULL_STATUS = 503
 CRASH_PREFIX = "end-"
@@ -115,6 +123,15 @@
     ]
 
 
+def _execution_s(request_name):
+    """Return the seconds for which a target runs a request."""
+    if request_name.startswith(ENDLESS_PREFIX):
+        return ENDLESS_EXECUTION_S
+    if request_name.startswith(USUAL_PREFIX):
+        return USUAL_EXECUTION_S
+    return PLAIN_EXECUTION_S
+
+
 def _decoded(headers):
     return {name.decode(): value.decode() for name, value in headers}
 
@@ -148,6 +165,7 @@
         self.front_addresses = {}
         self.directory_addresses = {}
         self.executions = []
+        self.stream_attempt_ids = []
         self.keys = [KEY]
         self.configuration_version = 1
         self._builds = Builds()
@@ -347,7 +365,7 @@
             self.executions.append(
                 PlainExecution(attempt_id, request.url.path, name, now)
             )
-            await asyncio.sleep(PLAIN_EXECUTION_S)
+            await asyncio.sleep(_execution_s(request_name))
             headers = {"x-attempt-id": attempt_id, "x-response-seal": name}
             headers |= self._stated_headers(name, attempt_id)
             return Response(b"done", headers=headers)
@@ -456,6 +474,7 @@
         if not engine.is_open_head:
             return Response(status_code=421, headers=headers)
         self._record_arrival(engine_id, headers["x-attempt-id"])
+        self.stream_attempt_ids.append(headers["x-attempt-id"])
         refusal = self._refusal(engine_id, headers["x-attempt-id"])
         if refusal is not None:
             return refusal
@@ -470,8 +489,9 @@
             if name.startswith(CRASH_PREFIX) or CRASHING_PART in parts:
                 attempt_id = headers["x-attempt-id"]
                 await self._run_and_crash(name, attempt_id, engine_id)
+            interval_s = max(EVENT_INTERVAL_S, _execution_s(name) / EVENT_COUNT)
             for event in events:
-                await asyncio.sleep(EVENT_INTERVAL_S)
+                await asyncio.sleep(interval_s)
                 while engine.membership is None or not self._serves(engine):
                     if self.world.engines.get(engine_id) is not engine:
                         raise ConnectionResetError("the engine has restarted")
--- a/features/support/silent_targets.py
+++ b/features/support/silent_targets.py
@@ -36,6 +36,7 @@
 
 __all__ = [
     "EVENT_COUNT",
+    "Stop",
     "StreamRun",
     "TargetScript",
     "silence_violations",
@@ -46,6 +47,7 @@
 EVENT_COUNT = 20
 EVENT_INTERVAL_S = 0.06
 DEADLINE_S = 8.0
+PLACES = 6
 UNLISTING_DELAY_S = 0.6
 """Time after which the list shows that a target has started again."""
 UNUSED_ADDRESS = "127.0.0.1:1"
@@ -59,12 +61,27 @@
     :param ends_at_s: time at which it ends without a word, or ``None``.
     :param status: status with which it refuses or fails streams, or 200.
     :param first_event_s: time from a request to its first event.
+    :param event_interval_s: time between two events.
+    :param is_full_for_s: time for which other requests take all its places.
     """
 
     silences: tuple[tuple[float, float], ...] = ()
     ends_at_s: float | None = None
     status: int = 200
     first_event_s: float = EVENT_INTERVAL_S
+    event_interval_s: float = EVENT_INTERVAL_S
+    is_full_for_s: float = 0.0
+
+
+class Stop(NamedTuple):
+    """A graceful stop of the daemon. Times are in seconds.
+
+    :param at_s: time after the stream was sent.
+    :param grace_s: time until requests that are in progress are ended.
+    """
+
+    at_s: float
+    grace_s: float
 
 
 class StreamRun(NamedTuple):
@@ -110,9 +127,10 @@
         return asyncio.get_running_loop().time() - self._began_at
 
     async def _write(self):
-        await asyncio.sleep(self._script.first_event_s - EVENT_INTERVAL_S)
+        interval_s = self._script.event_interval_s
+        await asyncio.sleep(max(0.0, self._script.first_event_s - interval_s))
         for event_id in self._event_ids:
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(interval_s)
             await self._pause()
             self._send(b"id: %d\ndata: x\n\n" % event_id)
         self._send(b"")
@@ -231,11 +249,13 @@
     :param route: :class:`~cowslipcourse.routes.Route` of the stream.
     :param has_retry_budget: whether the budget allows retries.
     :param caller_send_s: seconds for which the caller delays each piece.
+    :param stop: :class:`Stop` or ``None``.
     """
 
-    def __init__(self, scripts, route, has_retry_budget, caller_send_s):
+    def __init__(self, scripts, route, has_retry_budget, caller_send_s, stop):
         self._scripts = scripts
         self._route = route
+        self._stop = stop
         self._fleet = FleetView()
         self._fleet.apply([_entry(number) for number in range(len(scripts))], ())
         limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
@@ -275,6 +295,12 @@
                 listed_at = began_at + script.ends_at_s + UNLISTING_DELAY_S
                 restarted = _entry(number)._replace(incarnation=2)
                 loop.call_at(listed_at, self._fleet.apply, [restarted], ())
+        self._set_full(scripts=self._scripts)
+        if self._stop is not None:
+            stop_at = began_at + self._stop.at_s
+            ends_at = stop_at + self._stop.grace_s
+            loop.call_at(stop_at, self._context.stop.begin, ends_at, stop_at)
+            loop.call_at(ends_at, self._context.stop.end_requests)
         error = ""
         try:
             await Forwarder(self._context).forward(
@@ -297,6 +323,18 @@
             getattr(self._context, "hedge_counts", {}),
         )
 
+    def _set_full(self, scripts):
+        """Let other daemons take the places of targets for some time."""
+        full = {
+            f"t{number}": PLACES * 2
+            for number, script in enumerate(scripts)
+            if script.is_full_for_s
+        }
+        self._fleet.set_peers_in_flight(full)
+        duration_s = max(script.is_full_for_s for script in scripts)
+        loop = asyncio.get_running_loop()
+        loop.call_later(duration_s, self._fleet.set_peers_in_flight, {})
+
 
 def _settings():
     listen = dict.fromkeys(("front", "directory", "ready", "peer"), UNUSED_ADDRESS)
@@ -306,7 +344,9 @@
 
 
 def _entry(number):
-    return TargetEntry(f"t{number}", SERVICE, UNUSED_ADDRESS, "x", 6, incarnation=1)
+    return TargetEntry(
+        f"t{number}", SERVICE, UNUSED_ADDRESS, "x", PLACES, incarnation=1
+    )
 
 
 def _route(is_resumable, max_attempts):
@@ -346,12 +386,14 @@
     max_attempts=2,
     has_retry_budget=True,
     caller_send_s=0.0,
+    stop=None,
 ):
     """Forward a stream in virtual time and return its :class:`StreamRun`."""
     route = _route(is_resumable, max_attempts)
 
     async def run():
-        return await StreamSite(scripts, route, has_retry_budget, caller_send_s).run()
+        site = StreamSite(scripts, route, has_retry_budget, caller_send_s, stop)
+        return await site.run()
 
     return run_in_virtual_time(run())
 
