Absent, empty and unreadable parts of a configuration are told apart

Cause: the table of routes got the keys as a mapping, and an empty one stood for a configuration that needs no keys, for one in which nobody has a key, and for one whose keys could not be decoded.

Evidence: `decode_configuration` with an empty `apiKeys`, with no workspace, with a text in the place of the keys: the same table each time, open to all. Ruled out: old configurations at some daemons (all had the new version in their logs), the store's answer.

Fix: `Access` is a type of its own. A configuration that declares no workspaces has open access; any other needs a key, knows whether all its workspaces could be read, and refuses with 401 what does not exist and with 503 what it cannot know. Related paths with the same cause: a route that could not be decoded gave its requests to a shorter prefix, and a service that could not be decoded lost its limits; both are refused with 503 now. Workspaces that are no list refused the whole configuration, so that older keys stayed in force; they close alone. An empty key opened a workspace for `Bearer` without a token. A time budget of `nan` gave a bare 500; it is a 400.

Why it works: no value that was not read stands for a permission any more; the only way to open access is that the part is not there.

--- a/cowslipcourse/emulator/site.py
+++ b/cowslipcourse/emulator/site.py
@@ -119,7 +119,7 @@
             for domain in site.domains:
                 self._start_engines(domain)
         spec = _service_spec(site, models)
-        table = RouteTable(1, (), (spec,), CallerLimits(), {})
+        table = RouteTable(1, (), (spec,), CallerLimits())
         self._heads = GroupHeads(self._world, spec)
         data_centres = sorted(set(site.domains.values()))
         message_rng = random.Random(f"messages-{seed}")
--- a/cowslipcourse/entry/caller_app.py
+++ b/cowslipcourse/entry/caller_app.py
@@ -9,6 +9,7 @@
 from cowslipcourse.entry.calls import Responder, read_call
 from cowslipcourse.exceptions import (
     CallerDisconnected,
+    ConfigurationUnreadable,
     GatewayDraining,
     NoConfiguration,
     NotAuthorised,
@@ -26,6 +27,7 @@
 
 RELAY_REFUSALS = (
     RelayRefused,
+    ConfigurationUnreadable,
     GatewayDraining,
     NoConfiguration,
     NotAuthorised,
--- a/cowslipcourse/entry/forwarder.py
+++ b/cowslipcourse/entry/forwarder.py
@@ -39,6 +39,7 @@
             call.route, call.caller_headers.time_budget_s
         )
         service = self._context.choose_service(call.route)
+        self._context.table.check_service(service)
         call = call._replace(
             waited_elsewhere_s=waited_elsewhere_s,
             part_fingerprints=part_fingerprints(
--- a/cowslipcourse/exceptions.py
+++ b/cowslipcourse/exceptions.py
@@ -394,6 +394,15 @@
     code = "no-configuration"
 
 
+class ConfigurationUnreadable(AdmissionError):
+    """A part of the configuration that decides about the request cannot be decoded.
+
+    It has not run. The next configuration may be readable.
+    """
+
+    code = "configuration-unreadable"
+
+
 class NoTargetAvailable(AdmissionError):
     """No target that may serve the request can take it now."""
 
--- a/cowslipcourse/platform/configuration.py
+++ b/cowslipcourse/platform/configuration.py
@@ -14,9 +14,11 @@
     decode_as,
 )
 from cowslipcourse.routes import (
+    OPEN_ACCESS,
     CallerLimits,
     EngineModel,
     EngineTimes,
+    KeyedAccess,
     RequestKind,
     Route,
     RouteTable,
@@ -31,6 +33,9 @@
 """Connection limit of a target, over all callers, if its service sets none."""
 
 
+_NOT_SENT = msgspec.Raw()
+
+
 class DecodedConfiguration(NamedTuple):
     """The valid parts of a configuration and the problems with the others.
 
@@ -49,7 +54,8 @@
     routes: tuple[msgspec.Raw, ...]
     services: tuple[msgspec.Raw, ...]
     limits: msgspec.Raw = msgspec.Raw(b"null")
-    tenants: tuple[msgspec.Raw, ...] | None = None
+    # Not sent by a configuration whose callers need no key.
+    tenants: msgspec.Raw = _NOT_SENT
 
 
 class _WireBackend(msgspec.Struct, frozen=True):
@@ -76,6 +82,13 @@
     backends: tuple[_WireBackend, ...] | None = None
 
 
+class _WirePlace(msgspec.Struct, frozen=True):
+    """The part of a route that says which requests it is for."""
+
+    host: Name
+    prefix: Name
+
+
 class _WireModel(msgspec.Struct, frozen=True):
     name: Name
     size: Positive
@@ -150,25 +163,23 @@
     services = _decode_parts(
         _WireService, decoded.services, "service", _to_service, problems
     )
-    tenants = decoded.tenants or ()
-    workspaces = _decode_parts(
-        _WireWorkspace, tenants, "tenant", _to_key_pairs, problems
-    )
     limits = _decode_parts(
         _WireLimits | None, (decoded.limits,), "limits", _to_caller_limits, problems
     )
     table = RouteTable(
         version=decoded.version,
-        routes=routes,
-        services=services,
-        limits=limits[0] if limits else CallerLimits(),
-        keys={key: workspace for keys in workspaces for key, workspace in keys},
+        routes=[route for route in routes if route is not None],
+        services=[service for service in services if service is not None],
+        limits=limits[0] or CallerLimits(),
+        access=_decode_access(decoded.tenants, problems),
+        unreadable_places=_unreadable_places(decoded.routes, routes),
+        has_unreadable_services=None in services,
     )
     return DecodedConfiguration(table, tuple(problems))
 
 
 def _decode_parts(type_, encoded_parts, part_name, convert, problems):
-    """Convert the valid parts; append a problem for each invalid one."""
+    """Convert the parts; return ``None`` for each invalid one and append a problem."""
     converted = []
     for number, encoded in enumerate(encoded_parts):
         location = f"{part_name} {number}"
@@ -176,13 +187,49 @@
             converted.append(convert(decode_as(type_, encoded, location)))
         except MalformedResponse as error:
             problems.append(Problem(location, str(error)))
+            converted.append(None)
     return converted
 
 
+def _decode_access(encoded, problems):
+    """Return the :class:`~cowslipcourse.routes.Access` of a configuration."""
+    if not bytes(encoded):
+        return OPEN_ACCESS
+    try:
+        tenants = decode_as(tuple[msgspec.Raw, ...], encoded, "tenants")
+    except MalformedResponse as error:
+        problems.append(Problem("tenants", str(error)))
+        return KeyedAccess({}, is_complete=False)
+    key_pairs = _decode_parts(
+        _WireWorkspace, tenants, "tenant", _to_key_pairs, problems
+    )
+    workspaces = {
+        key: workspace for pairs in key_pairs for key, workspace in pairs or ()
+    }
+    return KeyedAccess(workspaces, is_complete=None not in key_pairs)
+
+
+def _unreadable_places(encoded_routes, routes):
+    """Return ``(host, prefix)`` of the invalid routes for which they can be decoded."""
+    places = []
+    for number, (encoded, route) in enumerate(zip(encoded_routes, routes, strict=True)):
+        if route is not None:
+            continue
+        try:
+            place = decode_as(_WirePlace, encoded, f"route {number}")
+        except MalformedResponse:
+            # The route has been reported as a problem already.
+            continue
+        places.append((place.host, place.prefix))
+    return places
+
+
 def _to_route(fields):
     services = [(each.service, each.weight) for each in fields.backends or ()]
     if not services and fields.service is None:
         raise MalformedResponse("route without service")
+    if services and not any(weight for _, weight in services):
+        raise MalformedResponse("route whose services have no weight")
     return Route(
         name=fields.name,
         host=fields.host,
@@ -244,7 +291,7 @@
 def _to_key_pairs(fields):
     """Return ``(key, workspace)`` pairs."""
     workspace = Workspace(fields.name, fields.priority)
-    return [(key, workspace) for key in fields.apiKeys or ()]
+    return [(key, workspace) for key in fields.apiKeys or () if key]
 
 
 def _to_caller_limits(fields):
--- a/cowslipcourse/platform/headers.py
+++ b/cowslipcourse/platform/headers.py
@@ -1,5 +1,6 @@
 """Headers of callers' requests and of targets' responses."""
 
+import math
 import re
 from typing import NamedTuple
 
@@ -121,7 +122,7 @@
             attempt_id=values_by_name.get(_ATTEMPT_ID, b""),
             time_budget_s=None
             if time_budget_ms is None
-            else float(time_budget_ms) / MS_PER_S,
+            else _finite(time_budget_ms) / MS_PER_S,
             key=_bearer_token(values_by_name.get(_AUTHORIZATION)),
             model=values_by_name.get(_MODEL, b"").decode("latin-1"),
             last_event_id=int(last_event_id) if last_event_id else None,
@@ -133,6 +134,17 @@
         raise BadRequest(f"invalid header value: {error}") from error
 
 
+def _finite(value):
+    """Return a number that can be compared with others.
+
+    :raises ValueError: the value is no number, or it is not finite.
+    """
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{value[:40]!r} is not finite")
+    return number
+
+
 def _request_size(value):
     """Return the stated size; an invalid statement counts as none.
 
--- a/cowslipcourse/routes/__init__.py
+++ b/cowslipcourse/routes/__init__.py
@@ -1,18 +1,26 @@
 """The operators' configuration of routes, services and keys, as daemons use it."""
 
+from cowslipcourse.routes.access import (
+    OPEN_ACCESS,
+    Access,
+    KeyedAccess,
+    Workspace,
+)
 from cowslipcourse.routes.services import EngineModel, EngineTimes, ServiceSpec
 from cowslipcourse.routes.table import (
     CallerLimits,
     RequestKind,
     Route,
     RouteTable,
-    Workspace,
 )
 
 __all__ = [
+    "OPEN_ACCESS",
+    "Access",
     "CallerLimits",
     "EngineModel",
     "EngineTimes",
+    "KeyedAccess",
     "RequestKind",
     "Route",
     "RouteTable",
--- a/cowslipcourse/routes/table.py
+++ b/cowslipcourse/routes/table.py
@@ -3,9 +3,10 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from cowslipcourse.exceptions import NotAuthorised, UnknownRoute
+from cowslipcourse.exceptions import ConfigurationUnreadable, UnknownRoute
+from cowslipcourse.routes.access import OPEN_ACCESS
 
-__all__ = ["CallerLimits", "RequestKind", "Route", "RouteTable", "Workspace"]
+__all__ = ["CallerLimits", "RequestKind", "Route", "RouteTable"]
 
 
 class RequestKind(StrEnum):
@@ -69,17 +70,6 @@
     idle_s: float = 15.0
 
 
-class Workspace(NamedTuple):
-    """A customer.
-
-    :param name: workspace name.
-    :param priority: overrides the route's priority, if given.
-    """
-
-    name: str
-    priority: int | None = None
-
-
 class RouteTable:
     """One version of the configuration.
 
@@ -87,15 +77,29 @@
     :param routes: iterable of :class:`Route`.
     :param services: iterable of :class:`~cowslipcourse.routes.ServiceSpec`.
     :param limits: :class:`CallerLimits`
-    :param keys: :class:`Workspace` by key; empty if callers need no key.
+    :param access: :class:`~cowslipcourse.routes.Access`
+    :param unreadable_places: ``(host, prefix)`` of routes that cannot be decoded.
+    :param has_unreadable_services: whether services were left out because they cannot
+        be decoded.
     """
 
-    def __init__(self, version, routes, services, limits, keys):
+    def __init__(
+        self,
+        version,
+        routes,
+        services,
+        limits,
+        access=OPEN_ACCESS,
+        unreadable_places=(),
+        has_unreadable_services=False,
+    ):
         self.version = version
         self.services = {service.name: service for service in services}
         self.limits = limits
-        self._keys = dict(keys)
+        self._access = access
         self._routes = {(route.host, route.prefix): route for route in routes}
+        self._unreadable_places = frozenset(unreadable_places)
+        self._has_unreadable_services = has_unreadable_services
         self._priorities = self._priorities_by_service()
 
     def __len__(self):
@@ -105,15 +109,30 @@
         """Return the route with the longest prefix of a path.
 
         :raises UnknownRoute: no route of the host matches.
+        :raises ConfigurationUnreadable: the route that matches cannot be decoded.
         """
         end = path.rfind("/")
         while end >= 0:
-            route = self._routes.get((host, path[: end + 1]))
+            place = host, path[: end + 1]
+            if place in self._unreadable_places:
+                raise ConfigurationUnreadable("the route of this path cannot be read")
+            route = self._routes.get(place)
             if route is not None:
                 return route
             end = path.rfind("/", 0, end)
         raise UnknownRoute("no route for this host and path")
 
+    def check_service(self, name):
+        """Check that a service is not one of those that cannot be decoded.
+
+        Its limits are not known, so nothing may be sent to it.
+
+        :param name: name of the service.
+        :raises ConfigurationUnreadable: it may be one of those.
+        """
+        if self._has_unreadable_services and name not in self.services:
+            raise ConfigurationUnreadable(f"the service {name} cannot be read")
+
     def priorities(self, service):
         """Return the priorities that requests to a service may have.
 
@@ -122,10 +141,10 @@
         return self._priorities.get(service, frozenset())
 
     def _priorities_by_service(self):
-        overrides = {workspace.priority for workspace in self._keys.values()}
+        overrides = self._access.priorities
         priorities = {}
         for route in self._routes.values():
-            applied = overrides | {None} if route.is_public else overrides or {None}
+            applied = overrides | {None} if route.is_public else overrides
             for service, _ in route.services:
                 priorities.setdefault(service, set()).update(
                     route.priority if each is None else each for each in applied
@@ -133,15 +152,5 @@
         return {name: frozenset(each) for name, each in priorities.items()}
 
     def workspace(self, route, key):
-        """Return the workspace of a key, or ``None`` where none is needed.
-
-        :param route: route of the request.
-        :param key: key that the caller sent, or ``None``.
-        :raises NotAuthorised: a key is needed and this one is not known.
-        """
-        if not self._keys:
-            return None
-        workspace = self._keys.get(key)
-        if workspace is None and not route.is_public:
-            raise NotAuthorised("the key is not known")
-        return workspace
+        """See :class:`~cowslipcourse.routes.Access`."""
+        return self._access.workspace(route, key)
--- a/features/steps/accounting_steps.py
+++ b/features/steps/accounting_steps.py
@@ -136,7 +136,7 @@
 def step_fleet(context):
     context.fleet = FleetView()
     context.fleet.apply([_entry("a"), _entry("b")], ())
-    context.routes = RouteTable(1, (), (_spec(),), CallerLimits(), {})
+    context.routes = RouteTable(1, (), (_spec(),), CallerLimits())
 
 
 @when("both groups end, and one returns after {seconds:d} s")
--- a/features/steps/balance_steps.py
+++ b/features/steps/balance_steps.py
@@ -254,7 +254,7 @@
 @given("a coordinator of all domains")
 def step_coordinator(context):
     context.spec = ServiceSpec("llm", models=context.models, slots=13)
-    route_table = RouteTable(1, (), (context.spec,), CallerLimits(), {})
+    route_table = RouteTable(1, (), (context.spec,), CallerLimits())
     context.coordinator_context = SimpleNamespace(table=route_table, fleet=FleetView())
     context.added_entries = ()
 
--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -150,7 +150,7 @@
             _InOrder(),
         )
         services = (ServiceSpec(SERVICE),)
-        context.table = RouteTable(1, (ROUTE,), services, CallerLimits(), {})
+        context.table = RouteTable(1, (ROUTE,), services, CallerLimits())
         self._forwarder = Forwarder(context)
 
     async def forward(self):
--- a/features/steps/life_steps.py
+++ b/features/steps/life_steps.py
@@ -221,7 +221,7 @@
 @given("a coordinator with the services llm and desk, of which llm has models")
 def step_coordinator(context):
     services = ServiceSpec("llm", models=(LARGE, SMALL)), ServiceSpec("desk")
-    table = RouteTable(1, (), services, CallerLimits(), {})
+    table = RouteTable(1, (), services, CallerLimits())
     context.coordinator = Coordinator(
         _CoordinatorContext(table),
         None,
--- a/features/steps/practice_steps.py
+++ b/features/steps/practice_steps.py
@@ -137,7 +137,7 @@
 
 class _CoordinatorContext:
     table = RouteTable(
-        1, (), (ServiceSpec(SERVICE, models=(LARGE,), slots=13),), CallerLimits(), {}
+        1, (), (ServiceSpec(SERVICE, models=(LARGE,), slots=13),), CallerLimits()
     )
     fleet = FleetView()
     reachability = AlwaysReachable()
--- a/features/steps/route_steps.py
+++ b/features/steps/route_steps.py
@@ -6,7 +6,9 @@
 from cowslipcourse.platform.headers import parse_caller_headers, target_headers
 from cowslipcourse.ports import TargetEntry
 from cowslipcourse.routes import (
+    OPEN_ACCESS,
     CallerLimits,
+    KeyedAccess,
     RequestKind,
     Route,
     RouteTable,
@@ -21,15 +23,15 @@
     )  # fmt: skip
 
 
-def _table(routes, keys):
-    return RouteTable(1, routes, (), CallerLimits(), keys)
+def _table(routes, access=OPEN_ACCESS):
+    return RouteTable(1, routes, (), CallerLimits(), access)
 
 
 @given("routes for north /a/ and /a/b/ and for south /a/")
 def step_routes(context):
     hosts_and_prefixes = (("north", "/a/"), ("north", "/a/b/"), ("south", "/a/"))
     context.route_table = _table(
-        [_route(*host_and_prefix) for host_and_prefix in hosts_and_prefixes], {}
+        [_route(*host_and_prefix) for host_and_prefix in hosts_and_prefixes]
     )
 
 
@@ -52,7 +54,9 @@
 @given("a route that needs a key and a public one, and the key k1")
 def step_keys(context):
     context.routes = _route("h", "/a/"), _route("h", "/b/", is_public=True)
-    context.route_table = _table(context.routes, {"k1": Workspace("north")})
+    context.route_table = _table(
+        context.routes, KeyedAccess({"k1": Workspace("north")})
+    )
 
 
 @then("k1 opens the first, k2 does not, and the public one needs none")
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -25,7 +25,7 @@
 class _Context:
     def __init__(self, is_resumable):
         route = ROUTE._replace(is_resumable=is_resumable)
-        self.table = RouteTable(1, (route,), (), CallerLimits(), {})
+        self.table = RouteTable(1, (route,), (), CallerLimits())
         self.stop = GracefulStop()
 
 
--- a/features/steps/target_end_steps.py
+++ b/features/steps/target_end_steps.py
@@ -13,7 +13,14 @@
 from cowslipcourse.ports import TargetEntry
 from cowslipcourse.quarantine import fingerprint
 from cowslipcourse.quarantine_runtime import TargetExitDetector, refuses_connections
-from cowslipcourse.routes import CallerLimits, RequestKind, Route, RouteTable, Workspace
+from cowslipcourse.routes import (
+    CallerLimits,
+    KeyedAccess,
+    RequestKind,
+    Route,
+    RouteTable,
+    Workspace,
+)
 from features.support.scripted_target import RESPONSE_HEAD
 from harness.ports import free_ports
 
@@ -149,7 +156,7 @@
     """Return the fingerprint of a request as a daemon reads it."""
     route = Route("r", "h", "/a/", RequestKind.IDEMPOTENT, (("s", 1.0),), 5.0, 1.0)
     keys = {"k1": Workspace("w1"), "k2": Workspace("w2"), "k3": Workspace("w1")}
-    table = RouteTable(1, [route], (), CallerLimits(), keys)
+    table = RouteTable(1, [route], (), CallerLimits(), KeyedAccess(keys))
     headers = [
         (b"host", b"h"),
         (b"x-attempt-id", attempt),
--- a/features/steps/told_speed_steps.py
+++ b/features/steps/told_speed_steps.py
@@ -44,7 +44,7 @@
     fleet = FleetView()
     fleet.apply(ENTRIES[:count], ())
     placing = TargetPlacing(settings, fleet, TargetConditions(None, fleet), "x")
-    placing.table = RouteTable(1, (), (GROUPS,), None, {})
+    placing.table = RouteTable(1, (), (GROUPS,), None)
     return placing
 
 
--- a/features/steps/waiting_queue_steps.py
+++ b/features/steps/waiting_queue_steps.py
@@ -15,7 +15,13 @@
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from cowslipcourse.platform.headers import CallerHeaders
-from cowslipcourse.routes import CallerLimits, RouteTable, ServiceSpec, Workspace
+from cowslipcourse.routes import (
+    CallerLimits,
+    KeyedAccess,
+    RouteTable,
+    ServiceSpec,
+    Workspace,
+)
 
 SOON_S = 0.05
 WAITING_PRIORITIES = (1, 0, 2)
@@ -278,7 +284,9 @@
         for index, name in enumerate(names)
     }
     spec = ServiceSpec(SERVICE)
-    context.route_table = RouteTable(1, table_routes, [spec], CallerLimits(), keys)
+    context.route_table = RouteTable(
+        1, table_routes, [spec], CallerLimits(), KeyedAccess(keys)
+    )
 
 
 @then("the service has {turns}")
--- a/features/steps/waiting_switch_steps.py
+++ b/features/steps/waiting_switch_steps.py
@@ -56,9 +56,7 @@
         )
         for number, priority in enumerate(priorities.split())
     ]
-    context.daemon.table = RouteTable(
-        1, routes, [ServiceSpec("llm")], CallerLimits(), {}
-    )
+    context.daemon.table = RouteTable(1, routes, [ServiceSpec("llm")], CallerLimits())
 
 
 @then("requests wait by priority: {answer}")
--- a/features/support/engine_world.py
+++ b/features/support/engine_world.py
@@ -19,4 +19,4 @@
         open_s=OPEN_DELAY_S,
         loads_per_s=20.0,
     )
-    return RouteTable(1, (), (spec,), CallerLimits(), {})
+    return RouteTable(1, (), (spec,), CallerLimits())
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -46,6 +46,7 @@
     "HOST",
     "KEY",
     "USUAL_PREFIX",
+    "WITHOUT_TENANTS",
     "Arrival",
     "PlainExecution",
     "PlatformSite",
@@ -75,6 +76,8 @@
 """Time from the crash of a target until its next incarnation listens."""
 ENTRY_LAPSE_S = 1.0
 """Time for which the list still holds the entry of a crashed target."""
+WITHOUT_TENANTS = ()
+"""In place of the tenants of a configuration that has no such part."""
 FAST_MODELS = (
     LARGE._replace(load_s=1.0, warm_s=0.3),
     SMALL._replace(load_s=1.0, warm_s=0.3),
@@ -167,6 +170,9 @@
         self.executions = []
         self.stream_attempt_ids = []
         self.keys = [KEY]
+        self.tenants = None
+        """Tenants of the configuration in place of the usual one, or
+        :data:`WITHOUT_TENANTS`."""
         self.configuration_version = 1
         self._builds = Builds()
         self._daemon_count = daemon_count
@@ -254,8 +260,10 @@
                 _route_entry("look", "/look/", "idempotent", PLAIN_SERVICE),
             ],
             "services": [{"name": SERVICE, "engine": engine}, {"name": PLAIN_SERVICE}],
-            "tenants": [{"name": "crew", "apiKeys": self.keys}],
         }
+        if self.tenants is not WITHOUT_TENANTS:
+            usual = [{"name": "crew", "apiKeys": self.keys}]
+            content["tenants"] = usual if self.tenants is None else self.tenants
         self.store.put("op", "config", json.dumps(content).encode())
 
     # Targets
--- a/features/support/share_move_runs.py
+++ b/features/support/share_move_runs.py
@@ -42,7 +42,7 @@
         """The configuration, a :class:`~cowslipcourse.routes.RouteTable`."""
         table = route_table()
         spec = table.services[SERVICE]._replace(models=self.models)
-        return RouteTable(1, (), (spec,), CallerLimits(), {})
+        return RouteTable(1, (), (spec,), CallerLimits())
 
 
 class _CountingWorld(World):
--- a/features/support/share_runs.py
+++ b/features/support/share_runs.py
@@ -256,7 +256,7 @@
     def declare(self, spec):
         """Apply a configuration."""
         self.spec = spec
-        self.context.table = RouteTable(1, (), (spec,), CallerLimits(), {})
+        self.context.table = RouteTable(1, (), (spec,), CallerLimits())
 
     def start(self):
         """Run in a task of its own."""
--- a/features/support/silent_targets.py
+++ b/features/support/silent_targets.py
@@ -282,7 +282,7 @@
             _InOrder(),
         )
         services = (ServiceSpec(SERVICE),)
-        self._context.table = RouteTable(1, (route,), services, CallerLimits(), {})
+        self._context.table = RouteTable(1, (route,), services, CallerLimits())
         self._responder = _Responder(caller_send_s)
 
     async def run(self):
--- a/features/support/waiting_site.py
+++ b/features/support/waiting_site.py
@@ -56,7 +56,7 @@
     model = EngineModel(MODEL, 1, 1.0, 1.0, 1.0, 1.0)
     spec = ServiceSpec(SERVICE, models=(model,), slots=SLOTS)
     routes = [route_of(priority) for priority in priorities]
-    return RouteTable(1, routes, [spec], CallerLimits(), {})
+    return RouteTable(1, routes, [spec], CallerLimits())
 
 
 class Group:
