The soak pauses sound targets, slows them, and takes all keys away

From seed 8000 on: a sound target sends nothing for up to 1.5 s, all targets take 3 s for each request, and all keys are taken away and one is given back. None of these is a disturbance, so the checks of planned work apply beside them; a new check finds callers that are served while no key exists.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -22,6 +22,10 @@
     When the soak test runs seeds 5001 to 5001 with 6 s of faults each
     Then no guarantee was violated
 
+  Scenario: Sound targets that pause or take long, and callers without keys, violate no guarantee
+    When the soak test runs seeds 8003 to 8003 with 6 s of faults each
+    Then no guarantee was violated
+
   Scenario Outline: A violated guarantee is reported
     Given a soak test's history in which <what happened>
     Then the checks report "<finding>"
@@ -34,6 +38,7 @@
       | a booking succeeded without an execution               | success without an execution    |
       | a planned stop interrupted a stream                    | interrupted by planned maintenance |
       | a key is accepted 4 s after it was revoked             | accepted a revoked key          |
+      | a key is accepted 4 s after all were taken away        | served although no key exists   |
       | a new key is refused 4 s after it was added            | refused a valid key             |
       | a daemon accepts an old key after a newer one          | reverted to an older            |
       | a target gets a request 4 s after it began to drain    | sent to a target that has been draining |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -128,6 +128,12 @@
     _add_disturbance(context, "targets", 10.0, False)
 
 
+def _serve_without_keys(context):
+    _replace_key(context)
+    context.site.history.keyless_versions.add(2)
+    _add_records(context, _LOOKUP_CALL, executions=1)
+
+
 def _serve_old_key_without_store(context):
     _add_disturbance(context, "store", 8.0, False)
     _serve_old_key(context)
@@ -154,6 +160,7 @@
     "a planned stop interrupted a stream": lambda context: _cut_stream(context, True),
     "a killed daemon interrupted a stream": lambda context: _cut_stream(context, False),
     "a key is accepted 4 s after it was revoked": _serve_old_key,
+    "a key is accepted 4 s after all were taken away": _serve_without_keys,
     "a key is accepted 4 s after it was revoked, without the store": (
         _serve_old_key_without_store
     ),
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -126,15 +126,6 @@
     ]
 
 
-def _execution_s(request_name):
-    """Return the seconds for which a target runs a request."""
-    if request_name.startswith(ENDLESS_PREFIX):
-        return ENDLESS_EXECUTION_S
-    if request_name.startswith(USUAL_PREFIX):
-        return USUAL_EXECUTION_S
-    return PLAIN_EXECUTION_S
-
-
 def _decoded(headers):
     return {name.decode(): value.decode() for name, value in headers}
 
@@ -193,6 +184,10 @@
         """Pauses in seconds that targets ask for, by target; such targets refuse all
         requests."""
         self.pause_oracle = PauseOracle()
+        self.silent_until = {}
+        """Loop times until which sound targets send nothing, by target."""
+        self.min_execution_s = 0.0
+        """Time for which targets run each request at least."""
         self.leaving = set()
         """Targets that state that they leave."""
         self.leaving_oracle = PauseOracle()
@@ -310,6 +305,20 @@
         self.pause_oracle.record_arrival(target, attempt_id)
         self.leaving_oracle.record_arrival(target, attempt_id)
 
+    def _execution_s(self, request_name):
+        """Return the seconds for which a target runs a request."""
+        execution_s = PLAIN_EXECUTION_S
+        if request_name.startswith(ENDLESS_PREFIX):
+            execution_s = ENDLESS_EXECUTION_S
+        elif request_name.startswith(USUAL_PREFIX):
+            execution_s = USUAL_EXECUTION_S
+        return max(execution_s, self.min_execution_s)
+
+    async def _keep_silence(self, target):
+        """Wait for as long as a target is to send nothing."""
+        silent_until = self.silent_until.get(target, 0.0)
+        await asyncio.sleep(silent_until - asyncio.get_running_loop().time())
+
     def _refusal(self, target, attempt_id):
         """Return the response of a target that asks for a pause, or ``None``."""
         pause_s = self.pauses.get(target)
@@ -373,7 +382,8 @@
             self.executions.append(
                 PlainExecution(attempt_id, request.url.path, name, now)
             )
-            await asyncio.sleep(_execution_s(request_name))
+            await asyncio.sleep(self._execution_s(request_name))
+            await self._keep_silence(name)
             headers = {"x-attempt-id": attempt_id, "x-response-seal": name}
             headers |= self._stated_headers(name, attempt_id)
             return Response(b"done", headers=headers)
@@ -497,9 +507,11 @@
             if name.startswith(CRASH_PREFIX) or CRASHING_PART in parts:
                 attempt_id = headers["x-attempt-id"]
                 await self._run_and_crash(name, attempt_id, engine_id)
-            interval_s = max(EVENT_INTERVAL_S, _execution_s(name) / EVENT_COUNT)
+            execution_s = self._execution_s(name)
+            interval_s = max(EVENT_INTERVAL_S, execution_s / EVENT_COUNT)
             for event in events:
                 await asyncio.sleep(interval_s)
+                await self._keep_silence(engine_id)
                 while engine.membership is None or not self._serves(engine):
                     if self.world.engines.get(engine_id) is not engine:
                         raise ConnectionResetError("the engine has restarted")
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -45,6 +45,7 @@
         *_check_executions(site),
         *_check_planned_work(history),
         *_check_keys(history),
+        *_check_keyless(history),
         *_check_draining(site),
         *_check_crashing_requests(site),
         *_check_rate_limits(site),
@@ -140,12 +141,35 @@
         yield f"accepted a revoked key: {call}"
     if (
         not is_accepted
+        and due_version not in history.keyless_versions
         and call.key_version == due_version == latest_version
         and due_version > 0
     ):
         yield f"refused a valid key: {call}"
 
 
+def _check_keyless(history):
+    """Check that nobody is served while no key exists."""
+    for call in history.calls:
+        if call.status != 200:
+            continue
+        due_at = call.began_at - APPLY_LIMIT_S - LOOP_MARGIN_S
+        due_version = max(
+            (t for t, at in history.key_configured_at.items() if at <= due_at),
+            default=0,
+        )
+        latest_version = max(
+            (t for t, at in history.key_configured_at.items() if at <= call.ended_at),
+            default=0,
+        )
+        if due_version not in history.keyless_versions or due_version < latest_version:
+            continue
+        span = call.began_at, call.ended_at, SETTLE_TIME_S
+        subjects = (call.daemon, "store")
+        if all(history.is_undisturbed(subject, *span) for subject in subjects):
+            yield f"served although no key exists: {call}"
+
+
 def _check_draining(site):
     """Check that a draining target gets no new requests."""
     history = site.history
--- a/soak/history.py
+++ b/soak/history.py
@@ -66,6 +66,8 @@
         self.failed_tasks = []
         self.draining_since = {}
         self.key_configured_at = {}
+        self.keyless_versions = set()
+        """Versions of the rotating key at which no key at all exists."""
         self._incarnations = {}
         self._disturbances = []
         self._active = {}
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -42,6 +42,9 @@
     STORE_OLDER = "store-older"
     TARGET_LIMITED = "target-limited"
     TARGET_PAUSES = "target-pauses"
+    KEYS_TAKEN_AWAY = "keys-taken-away"
+    TARGET_SILENT = "target-silent"
+    TARGETS_SLOW = "targets-slow"
 
 
 _Kind = FaultKind
@@ -67,6 +70,10 @@
 TARGET_PAUSES_MIN_SEED = 5000
 """First seeds that draw ``TARGETS_ENDED``, ``STORE_OLDER``, ``TARGET_LIMITED`` and
 ``TARGET_PAUSES``, for the same reason."""
+SOUND_TARGET_KINDS = frozenset((_Kind.TARGET_SILENT, _Kind.TARGETS_SLOW))
+"""Kinds that are no disturbance: the targets are sound."""
+SOUND_TARGET_KINDS_MIN_SEED = 8000
+"""First seed that draws these and ``KEYS_TAKEN_AWAY``, for the same reason."""
 _WEIGHTS = dict.fromkeys(FaultKind, 2.0) | {
     _Kind.KILL_ALL: 0.3,
     _Kind.ENGINE_LOST: 5,
@@ -79,6 +86,9 @@
     _Kind.STORE_OLDER: 8,
     _Kind.TARGET_LIMITED: 8,
     _Kind.TARGET_PAUSES: 8,
+    _Kind.KEYS_TAKEN_AWAY: 4,
+    _Kind.TARGET_SILENT: 14,
+    _Kind.TARGETS_SLOW: 8,
 }
 
 
@@ -113,6 +123,8 @@
         excluded.add(_Kind.TARGET_LIMITED)
     if seed < TARGET_PAUSES_MIN_SEED:
         excluded.add(_Kind.TARGET_PAUSES)
+    if seed < SOUND_TARGET_KINDS_MIN_SEED:
+        excluded |= {*SOUND_TARGET_KINDS, _Kind.KEYS_TAKEN_AWAY}
     weight_by_kind = {
         kind: weight for kind, weight in _WEIGHTS.items() if kind not in excluded
     }
--- a/soak/site.py
+++ b/soak/site.py
@@ -9,7 +9,7 @@
 from harness.ports import free_ports
 from soak.history import SiteHistory
 from soak.proxy import LinkState, LoopbackProxy
-from soak.schedule import DAEMON_FAULTS, FaultKind
+from soak.schedule import DAEMON_FAULTS, SOUND_TARGET_KINDS, FaultKind
 
 __all__ = ["DAEMONS", "SoakSite"]
 
@@ -36,6 +36,9 @@
 """Requests per second that limited targets accept."""
 LIMITED_S = 8.0
 PAUSE_S = 2.5
+MAX_SILENCE_S = 1.5
+SLOW_EXECUTION_S = 3.0
+"""Time for which a slow target runs a request."""
 SIGNAL_MASK_FIELDS = ("SigIgn:", "SigCgt:")
 """Lines of ``/proc/PID/status`` that hold the ignored and the caught signals."""
 MAX_ENGINES_LOST = 4
@@ -178,7 +181,12 @@
             is_planned = fault.kind in (FaultKind.STOP, FaultKind.RELOAD)
             with self.history.disturbance(name, is_planned):
                 await apply_kind(name, fault)
-        elif fault.kind in (FaultKind.TARGET_LIMITED, FaultKind.TARGET_PAUSES):
+        elif fault.kind in (
+            FaultKind.TARGET_LIMITED,
+            FaultKind.TARGET_PAUSES,
+            FaultKind.KEYS_TAKEN_AWAY,
+            *SOUND_TARGET_KINDS,
+        ):
             await apply_kind(fault)
         elif fault.kind.value.startswith("store"):
             with self.history.disturbance("store"):
@@ -345,6 +353,18 @@
         await asyncio.sleep(fault.duration_s)
         self.pauses[target] = None
 
+    async def _do_target_silent(self, fault):
+        """Let a sound target send nothing for a while."""
+        target, loop = self._pick_target(fault), asyncio.get_running_loop()
+        self.silent_until[target] = loop.time() + min(fault.duration_s, MAX_SILENCE_S)
+        await asyncio.sleep(min(fault.duration_s, MAX_SILENCE_S))
+
+    async def _do_targets_slow(self, fault):
+        """Let all targets run new requests for longer."""
+        self.min_execution_s = SLOW_EXECUTION_S
+        await asyncio.sleep(fault.duration_s)
+        self.min_execution_s = 0.0
+
     def _pick_target(self, fault):
         """Return the head of a group or a plain target."""
         heads = [e.id for e in self.world.engines.values() if e.is_open_head]
@@ -397,8 +417,19 @@
             await asyncio.sleep(RESET_INTERVAL_S)
 
     async def _do_key_changes(self, fault):
+        self._configure_keys(KEY, f"turn-{self._key_version + 1}")
+
+    async def _do_keys_taken_away(self, fault):
+        """Take all keys away, and give one back unless a fault has done so."""
+        self.history.keyless_versions.add(self._key_version + 1)
+        self._configure_keys()
+        await asyncio.sleep(fault.duration_s)
+        if not self.keys:
+            self._configure_keys(KEY, f"turn-{self._key_version + 1}")
+
+    def _configure_keys(self, *keys):
         self._key_version += 1
-        self.keys = [KEY, f"turn-{self._key_version}"]
+        self.keys = list(keys)
         self.write_configuration()
         self.history.record_key_configured(self._key_version)
 
