A paused engine keeps its group

Cause: two status requests without an answer, of 0.15 s each, stood for the loss of the engine.

Evidence: `questions.feature` on the code before: an engine that answers after 1.5 s is silent after 0.3 s, whatever its host does.

Fix: while the second request is on its way, a connection to the engine is tried. A paused process's host accepts it; a lost or unreachable host does not, and one whose process has ended refuses. If it is accepted, the engine is asked for up to 2 s before it counts as silent.

Why it works: a group is taken apart at once only on evidence that the host is gone. That evidence costs no time: the check runs beside the second request.

--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -73,6 +73,7 @@
             self._check_isolation,
             self._on_group_opened,
             self._confirm_links,
+            self._accepts_connections,
         )
         self.settings = settings
         self._isolation_detector = IsolationDetector(self.domains, self._engine_client)
@@ -294,6 +295,9 @@
         self._isolation_detector.record_isolation(asyncio.get_running_loop().time())
         return False
 
+    async def _accepts_connections(self, address):
+        return await self._context.reachability.accepts_connections(address)
+
     def _check_isolation(self):
         self._isolation_detector.check(
             self._owned_domains, asyncio.get_running_loop().time()
--- a/cowslipcourse/entry/engine_calls.py
+++ b/cowslipcourse/entry/engine_calls.py
@@ -13,6 +13,10 @@
 SILENT_AFTER_TIMEOUTS = 2
 """Unanswered status requests after which an engine counts as silent. One is not
 enough: packets get lost, and the group of a silent engine is taken apart."""
+MAX_PAUSE_S = 2.0
+"""Longest silence of an engine that only counts as paused, as its host still accepts
+connections; a lost or unreachable host accepts none."""
+PAUSE_POLL_INTERVAL_S = 0.05
 MAX_REPORT_REQUESTS = 6
 """Limit on status requests to one engine in a row: requests that this process itself
 delayed prove nothing about the engine."""
@@ -32,6 +36,10 @@
     return True
 
 
+async def _assume_unreachable(address):
+    return False
+
+
 class EngineClient:
     """Calls engines, one call at a time per incarnation, and records the results.
 
@@ -45,6 +53,8 @@
     :param on_opened: called with an engine and its order, after it has begun to open.
     :param confirm_links: coroutine function that returns whether this daemon reaches
         targets; without that, the silence of an engine proves nothing.
+    :param accepts_connections: coroutine function that returns whether a connection to
+        an ``ip:port`` can be opened.
     """
 
     def __init__(
@@ -55,6 +65,7 @@
         on_silent,
         on_opened,
         confirm_links=_assume_links,
+        accepts_connections=_assume_unreachable,
     ):
         self._control = control
         self._settings = settings
@@ -62,6 +73,7 @@
         self._on_silent = on_silent
         self._on_opened = on_opened
         self._confirm_links = confirm_links
+        self._accepts_connections = accepts_connections
         self._busy_engines = set()
         self._tasks = set()
         self._last_report_at = float("-inf")
@@ -108,18 +120,15 @@
 
     async def _request_report(self, engine):
         loop = asyncio.get_running_loop()
-        first_requested_at, timeouts = None, 0
+        first_requested_at, timeouts, check = None, 0, None
         for _ in range(MAX_REPORT_REQUESTS):
             async with self._report_slots:
                 requested_at = loop.time()
                 first_requested_at = first_requested_at or requested_at
-                try:
-                    report = await self._control.report(engine.entry)
-                except (TargetError, MalformedResponse) as error:
-                    failure = error
-                else:
-                    self._handle_report(engine, report, requested_at)
-                    return
+                failure = await self._try_report(engine, requested_at)
+            if failure is None:
+                return
+            check = check or self._check_connection(engine)
             waited_s = loop.time() - requested_at
             timeouts += waited_s < self._settings.report_timeout_s + MAX_TIMER_DELAY_S
             if timeouts >= SILENT_AFTER_TIMEOUTS:
@@ -130,11 +139,50 @@
         if not await self._confirm_links():
             log.info("engine-not-heard", engine=engine.id, why="no target is reached")
             return
+        # A sound host has accepted the connection during the second request.
+        may_be_paused = check.done() and check.result()
+        if may_be_paused and await self._answers_late(engine, first_requested_at):
+            return
         if engine.silent_since is None:
             log.info("engine-silent", engine=engine.id, why=failure)
         engine.mark_silent(first_requested_at)
         self._on_silent()
 
+    def _check_connection(self, engine):
+        """Return a task whose result is whether the engine's host is reached."""
+        check = asyncio.create_task(self._accepts_connections(engine.entry.address))
+        self._tasks.add(check)
+        check.add_done_callback(self._tasks.discard)
+        return check
+
+    async def _try_report(self, engine, requested_at):
+        """Request a report once.
+
+        :returns: the error, or ``None`` after a report.
+        """
+        try:
+            report = await self._control.report(engine.entry)
+        except (TargetError, MalformedResponse) as error:
+            return error
+        self._handle_report(engine, report, requested_at)
+        return None
+
+    async def _answers_late(self, engine, silent_since):
+        """Wait for the report of an engine whose host accepts connections.
+
+        :param silent_since: loop time of the first request without an answer.
+        :returns: whether it has reported.
+        """
+        loop = asyncio.get_running_loop()
+        log.info("engine-paused", engine=engine.id)
+        while loop.time() - silent_since < MAX_PAUSE_S:
+            await asyncio.sleep(PAUSE_POLL_INTERVAL_S)
+            if await self._try_report(engine, loop.time()) is None:
+                return True
+            if not await self._accepts_connections(engine.entry.address):
+                return False
+        return False
+
     def _handle_report(self, engine, report, requested_at):
         self._last_report_at = asyncio.get_running_loop().time()
         if engine.silent_since is not None:
--- a/cowslipcourse/entry/reachability_monitor.py
+++ b/cowslipcourse/entry/reachability_monitor.py
@@ -75,6 +75,10 @@
             await self._join_round()
         return self._is_reachable
 
+    async def accepts_connections(self, address):
+        """See :class:`~cowslipcourse.entry.unloaded_components.Reachability`."""
+        return await self._probe(address)
+
     async def _join_round(self):
         """Wait for the present round of probes, or for a new one."""
         if self._round is None:
--- a/cowslipcourse/entry/unloaded_components.py
+++ b/cowslipcourse/entry/unloaded_components.py
@@ -27,6 +27,12 @@
         :returns: whether this daemon reaches targets.
         """
 
+    async def accepts_connections(self, address) -> bool:
+        """Whether the host of a target accepts a connection.
+
+        :param address: ``ip:port``
+        """
+
 
 class AlwaysReachable:
     """Implements :class:`Reachability` as long as nothing checks the links."""
@@ -40,6 +46,10 @@
         """Return that it reaches targets."""
         return True
 
+    async def accepts_connections(self, address):
+        """Return that it is not known."""
+        return False
+
 
 class RelayService(Protocol):
     """Other daemons, which serve requests while this one reaches no targets."""
--- a/features/group_plans/questions.feature
+++ b/features/group_plans/questions.feature
@@ -36,3 +36,15 @@
     Given an engine that never answers, and a process that pauses for 0.3 s in each request
     When a report is requested
     Then it is not silent after 6 report requests
+
+  Scenario Outline: An engine whose host accepts connections is given time to go on
+    Given an engine that answers after <paused> s, whose host <accepts> connections
+    When its report is requested
+    Then it is <outcome> after <seconds> s
+
+    Examples:
+      | paused | accepts | outcome    | seconds |
+      | 1.5    | accepts | not silent | 3.0     |
+      | 1.5    | refuses | silent     | 0.4     |
+      | 1.5    | ignores | silent     | 0.4     |
+      | 9.0    | accepts | silent     | 2.3     |
--- a/features/steps/question_steps.py
+++ b/features/steps/question_steps.py
@@ -127,6 +127,9 @@
     async def confirm(self):
         return False
 
+    async def accepts_connections(self, address):
+        return False
+
 
 def _coordinator(context):
     """Return a coordinator that reaches no targets."""
@@ -303,3 +306,61 @@
 @then("it is not silent after {number:d} report requests")
 def step_not_silent(context, number):
     assert not _silent_ids(context) and context.control.request_count == number
+
+
+class _PausedEngineControl:
+    """Engine control of an engine that answers nothing until some time."""
+
+    def __init__(self, until):
+        self._until = until
+
+    async def report(self, entry):
+        remaining_s = self._until - asyncio.get_running_loop().time()
+        if remaining_s > SETTINGS.report_timeout_s:
+            await asyncio.sleep(SETTINGS.report_timeout_s)
+            raise TargetUnreachable("no answer to the report request")
+        await asyncio.sleep(max(0.0, remaining_s))
+        return EngineReport(1, None, ())
+
+
+@given("an engine that answers after {paused_s:f} s, whose host {reaction} connections")
+def step_paused_engine(context, paused_s, reaction):
+    context.paused_s = paused_s
+    context.reaction = reaction
+
+
+@when("its report is requested")
+def step_request_paused(context):
+    async def accepts_connections(address):
+        await asyncio.sleep(1.0 if context.reaction == "ignores" else ROUND_TRIP_S)
+        return context.reaction == "accepts"
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        engine = _engine(1)
+        context.silent_after_s = None
+
+        def on_silent():
+            context.silent_after_s = loop.time() - began_at
+
+        engine_client = EngineClient(
+            _PausedEngineControl(began_at + context.paused_s),
+            SETTINGS,
+            lambda engine, report, requested_at: None,
+            on_silent,
+            None,
+            accepts_connections=accepts_connections,
+        )
+        engine_client.request_report(engine)
+        await asyncio.sleep(5.0)
+
+    run_in_virtual_time(run())
+
+
+@then("it is {outcome} after {limit_s:f} s")
+def step_paused_outcome(context, outcome, limit_s):
+    if outcome == "not silent":
+        assert context.silent_after_s is None, context.silent_after_s
+    else:
+        assert context.silent_after_s <= limit_s, context.silent_after_s
