Two modules fewer before a daemon serves its first callers

The access types stand in routes/table.py now, and the group counts, which only the housekeeping needs, are loaded late. features/starting: passes.

--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -19,7 +19,6 @@
 from cowslipcourse.entry.evacuations import Evacuations
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.forwarder import Forwarder
-from cowslipcourse.entry.group_counts import GroupCountMonitor
 from cowslipcourse.entry.internal_apps import metrics_app, peer_app
 from cowslipcourse.entry.late_imports import import_late_modules
 from cowslipcourse.entry.limit_prober import ListedTargetProber
@@ -178,7 +177,8 @@
         log.info("all-components-loaded")
         self._run_forever(reachability.run())
         self._run_forever(relays.run())
-        self._run_forever(self._run_housekeeping())
+        group_counter = late_components.GroupCountMonitor()
+        self._run_forever(self._run_housekeeping(group_counter))
         self._run_forever(self._coordinator.shares.run())
         await self._coordinator.run()
 
@@ -410,8 +410,7 @@
         self._update_daemon_count(now)
         self._peer_link.heartbeat_now()
 
-    async def _run_housekeeping(self):
-        group_counter = GroupCountMonitor()
+    async def _run_housekeeping(self, group_counter):
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             now = asyncio.get_running_loop().time()
--- a/cowslipcourse/routes/__init__.py
+++ b/cowslipcourse/routes/__init__.py
@@ -1,17 +1,15 @@
 """The operators' configuration of routes, services and keys, as daemons use it."""
 
-from cowslipcourse.routes.access import (
-    OPEN_ACCESS,
-    Access,
-    KeyedAccess,
-    Workspace,
-)
 from cowslipcourse.routes.services import EngineModel, EngineTimes, ServiceSpec
 from cowslipcourse.routes.table import (
+    OPEN_ACCESS,
+    Access,
     CallerLimits,
+    KeyedAccess,
     RequestKind,
     Route,
     RouteTable,
+    Workspace,
 )
 
 __all__ = [
