Targets that left just before an outage are dropped by resting daemons too

The second read, which drops them, is made by daemons that follow the store, shows no newer version, and was told to nobody.

Why it works: the first daemon to have read the list twice tells the others, whatever roles have changed meanwhile. A newer entry at a reader wins.

Tests: features/knowledge/knowledge.feature, three cases seen failing before; a returning entry stays.

--- a/cowslipcourse/entry/state_replica.py
+++ b/cowslipcourse/entry/state_replica.py
@@ -40,6 +40,11 @@
 REMOVAL_HOLD_S = 1.5
 """Time for which an entry removed soon after an outage is kept: it may have lapsed and
 return. A target must get no new request 2 s after the removal of its entry."""
+REMOVAL_RESEND_DELAY_S = 0.1
+"""Delay after which removals without a newer version are pushed once more: a datagram
+may be lost."""
+MAX_REMOVALS_PER_PUSH = 200
+"""Removals in one datagram, about 4 KB."""
 RESTORED_HOLD_S = 5.0
 """Time for which an evacuation that a restored store has lost goes on, so that its
 operator can ask for it again before requests return."""
@@ -79,6 +84,7 @@
         self._cached_states = {}
         self._refused_content = None
         self._recovered_at = 0.0
+        self._kept_missing = frozenset()
         self._evacuations_held_until = 0.0
         self._held_until = {}
         self._recovery_pending = asyncio.Event()
@@ -248,10 +254,33 @@
             self._recovery_pending.set()
             # Missing entries may return soon. A store restored to an older state may
             # also list entries that a target has since replaced and will write again.
+            self._kept_missing = known.keys() - listed.keys()
             listed = {**listed, **known} if is_older else {**known, **listed}
-        self._replace_targets(listed, snapshot.version)
+        else:
+            self._kept_missing = frozenset()
+        gone = self._replace_targets(listed, snapshot.version)
+        if gone:
+            self._push_removals(snapshot.version, gone)
+
+    def _push_removals(self, version, gone):
+        """Push removals that a snapshot has shown, and push them once more.
+
+        Entries that are kept after an outage are dropped without a newer version, so
+        that the versions of other daemons do not show who has missed the removal.
+        """
+        self._push_if_gone(version, gone)
+        loop = asyncio.get_running_loop()
+        loop.call_later(REMOVAL_RESEND_DELAY_S, self._push_if_gone, version, gone)
+
+    def _push_if_gone(self, version, targets):
+        listed = self._target_list.contents
+        gone = [target for target in targets if target not in listed]
+        for first in range(0, len(gone), MAX_REMOVALS_PER_PUSH):
+            part = tuple(gone[first : first + MAX_REMOVALS_PER_PUSH])
+            self._listener.push_changes(TargetChanges(version, version, {}, part))
 
     def _replace_targets(self, listed, version):
+        """Replace the list; return the ids of the targets that are gone."""
         self.targets_version = version
         previous = dict(self._target_list.contents)
         changes = self._target_list.replace(listed)
@@ -266,6 +295,7 @@
             gone=",".join(changes.gone),
         )
         self._listener.apply_targets(*changes)
+        return changes.gone
 
     def _on_target_changes(self, base_version, changes):
         loop = asyncio.get_running_loop()
@@ -330,7 +360,8 @@
                     and loop.time() >= self._recovered_at
                 ):
                     recovered_at = self._recovered_at
-                    self._target_follower.request_full_read()
+                    if self._follows_store or self._kept_missing:
+                        await self._target_follower.read_again()
             self._recovery_pending.clear()
 
     # From peers.
@@ -342,6 +373,9 @@
         back, or has held back until now.
         """
         if self._follows_store:
+            # A peer has read the list again before this daemon has.
+            gone = tuple(t for t in message.gone if t in self._kept_missing)
+            self._apply_late_removals(message._replace(gone=gone))
             return
         if message.version <= self.targets_version:
             self._apply_late_removals(message)
--- a/cowslipcourse/entry/table_follower.py
+++ b/cowslipcourse/entry/table_follower.py
@@ -21,6 +21,8 @@
 """Time after a failed read for which a daemon leaves reading to others. It could learn
 of a recovery only by reading again, and nobody coordinates meanwhile."""
 
+READ_AGAIN_POLL_S = 0.05
+
 log = get_logger(__name__)
 
 
@@ -93,6 +95,21 @@
         """Read the whole table next time instead of waiting for changes."""
         self._version = None
 
+    async def read_again(self):
+        """Read the whole table once more, also if it is no longer followed."""
+        self.request_full_read()
+        while self._active.is_set():
+            if self._version is not None:
+                return
+            await asyncio.sleep(READ_AGAIN_POLL_S)
+        try:
+            snapshot = await self._store.read_table(self._table)
+        except (StoreError, MalformedResponse) as error:
+            log.warning("not-read-again", table=self._table, error=error.code)
+            return
+        self._failed_since = None
+        self._on_snapshot(snapshot)
+
     async def run(self):
         """Follow the table until cancelled."""
         retry_s = INITIAL_RETRY_S
--- a/features/knowledge/knowledge.feature
+++ b/features/knowledge/knowledge.feature
@@ -121,6 +121,22 @@
     And a push from version 6 to 6 arrives that removes t1
     Then the daemon without the store knows t1 and t2
 
+  Scenario Outline: A target that left just before an outage is dropped by daemons that do not follow the store
+    Given a daemon that follows the store, and one that gets its changes
+    When the store is away for 3 s just after it has removed a target, and <pushes>
+    Then both have dropped the target 3.0 s after the return of the store
+
+    Examples:
+      | pushes                                             |
+      | every push arrives                                 |
+      | every first push of a removal is lost              |
+      | the first daemon stops following 1 s after its return |
+
+  Scenario: A target whose entry returns after an outage stays at all daemons
+    Given a daemon that follows the store, and one that gets its changes
+    When the store is away for 3 s, and the entry of a target returns 1.5 s later
+    Then both know the target 4.0 s after the return of the store
+
   Scenario: A daemon that received all pushes keeps no removed entry when it follows the store again
     Given a daemon that follows a store with the targets t1 and t2
     When the store is unavailable, it gets pushes for 4 s, and follows the store again without t2
--- a/features/steps/knowledge_steps.py
+++ b/features/steps/knowledge_steps.py
@@ -297,3 +297,102 @@
 def step_reads_spread(context):
     first_read = {_read_sources(context, 10.0)[0].name for _ in range(20)}
     assert len(first_read) > 3, first_read
+
+
+class _LossyLink:
+    """Carries the pushes of one replica to another.
+
+    :param reader: replica that gets the pushes.
+    :param loses_first: whether the first push of each removal is lost.
+    """
+
+    def __init__(self, reader, loses_first):
+        self._reader = reader
+        self._loses_first = loses_first
+        self._lost = set()
+
+    def push(self, changes):
+        if self._loses_first and changes.gone and changes.gone not in self._lost:
+            self._lost.add(changes.gone)
+            return
+        self._reader.apply_push(changes)
+
+
+def _read_peer(source, reader):
+    known = reader.configuration_version, reader.targets_version
+    reader._apply_peer_state(decode_state(source.encoded_state(*known)))
+
+
+@given("a daemon that follows the store, and one that gets its changes")
+def step_two_daemons(context):
+    context.store = FlakyStore()
+    context.store.targets = {"t1", "t2"}
+
+
+def _run_outage(
+    context, loses_first, during_outage, returned_after_s=None, stops_following=False
+):
+    """Run both daemons through an outage and record what they know afterwards."""
+
+    async def run():
+        source, _, source_listener = make_replica(context.store)
+        reader, _, reader_listener = make_replica(FlakyStore())
+        reader.set_following(False)
+        source_listener.push_changes = _LossyLink(reader, loses_first).push
+        reader._follows_store = False
+        tasks = [asyncio.create_task(c) for c in source.coroutines()]
+        await asyncio.sleep(3.0)
+        _read_peer(source, reader)
+        during_outage()
+        context.store.is_unavailable = True
+        await asyncio.sleep(3.0)
+        context.store.is_unavailable = False
+        await asyncio.sleep(1.0)
+        if stops_following:
+            source.set_following(False)
+        # The daemon learns of the newer version from heartbeats.
+        _read_peer(source, reader)
+        if returned_after_s is not None:
+            await asyncio.sleep(returned_after_s - 1.0)
+            context.store.targets = {"t1", "t2"}
+            context.store.version += 1
+        context.known_targets = {}
+        for seconds in (3.0, 4.0):
+            await asyncio.sleep(1.0 if context.known_targets else 2.0)
+            context.known_targets[seconds] = (
+                set(source_listener.targets),
+                set(reader_listener.targets),
+            )
+        for task in tasks:
+            task.cancel()
+
+    run_in_virtual_time(run())
+
+
+@when("the store is away for 3 s just after it has removed a target, and {pushes}")
+def step_removed_before_outage(context, pushes):
+    def remove():
+        context.store.targets = {"t1"}
+        context.store.version += 1
+
+    _run_outage(context, "lost" in pushes, remove, stops_following="stops" in pushes)
+
+
+@when("the store is away for 3 s, and the entry of a target returns 1.5 s later")
+def step_returns_after_outage(context):
+    def lapse():
+        context.store.targets = {"t1"}
+        context.store.version += 1
+
+    _run_outage(context, False, lapse, returned_after_s=1.5)
+
+
+@then("both have dropped the target {seconds:f} s after the return of the store")
+def step_both_dropped(context, seconds):
+    assert context.known_targets[seconds] == ({"t1"}, {"t1"}), context.known_targets
+
+
+@then("both know the target {seconds:f} s after the return of the store")
+def step_both_know(context, seconds):
+    known = {"t1", "t2"}
+    assert context.known_targets[seconds] == (known, known), context.known_targets
