The trial of a quarantined request is sent to one target only

No second target is sought during a trial.

Test: features/quarantine/judging.feature, seen failing without the check (two targets). Besides, only the time limit of the stop itself counts as its end while a request is read or admitted.

--- a/cowslipcourse/entry/graceful_stop.py
+++ b/cowslipcourse/entry/graceful_stop.py
@@ -167,12 +167,15 @@
 
         :raises GatewayDraining: the stop ends; the request has not run.
         """
+        limit = asyncio.timeout_at(self._closes_at)
         try:
-            async with asyncio.timeout_at(self._closes_at) as limit:
+            async with limit:
                 self._unsent_limits.add(limit)
                 try:
                     yield
                 finally:
                     self._unsent_limits.discard(limit)
         except TimeoutError as error:
+            if not limit.expired():
+                raise
             raise self.refusal() from error
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -189,6 +189,8 @@
         :raises TargetError: the attempt failed.
         """
         needs_retry = is_hedge
+        if is_hedge and self._context.quarantine.is_on_trial(self._call):
+            return TargetChoice(None)
         while True:
             choice = await self._choose()
             entry = choice.entry
--- a/cowslipcourse/quarantine_runtime/enforcement.py
+++ b/cowslipcourse/quarantine_runtime/enforcement.py
@@ -145,6 +145,13 @@
             for verdict in self._verdicts_on(call)
         )
 
+    def is_on_trial(self, call):
+        """Whether a request is the trial of its quarantine, which lasts for one run.
+
+        :param call: :class:`~cowslipcourse.entry.calls.Call`
+        """
+        return any(trial is call for trial in self._trial_calls.values())
+
     def _verdicts_on(self, call):
         verdicts = map(self._verdicts.get, (call.fingerprint, *call.part_fingerprints))
         return [verdict for verdict in verdicts if verdict is not None]
--- a/features/quarantine/judging.feature
+++ b/features/quarantine/judging.feature
@@ -44,6 +44,11 @@
     And if it crashes the target, all refuse it again for 4 h
     And if it is answered, none refuses it any more, not even after a restart
 
+  Scenario: A trial whose target is silent is sent to no second one
+    Given eight daemons with an expired verdict
+    When the request arrives at one of them, and its target is silent for 1 s
+    Then it was sent to one target
+
   Scenario: No trial starts while the store is unavailable
     Given eight daemons with an expired verdict
     When the request arrives while the store is unavailable
--- a/features/steps/judging_steps.py
+++ b/features/steps/judging_steps.py
@@ -379,6 +379,27 @@
         _run_with_daemons(8, scenario)
 
 
+@when("the request arrives at one of them, and its target is silent for 1 s")
+def step_silent_trial(context):
+    async def be_silent(run):
+        run.mark_silent()
+        await asyncio.sleep(1.0)
+
+    async def scenario(daemons):
+        await context.prepare(daemons)
+        daemons.crashes_targets = False
+        daemons.sent_target_ids.clear()
+        await daemons.request(daemons.quarantines[0], be_silent)
+        context.sent_target_ids = daemons.sent_target_ids
+
+    _run_with_daemons(8, scenario)
+
+
+@then("it was sent to one target")
+def step_sent_to_one(context):
+    assert len(context.sent_target_ids) == 1, context.sent_target_ids
+
+
 @then("one of them sends it to a target, and the others refuse it")
 def step_one_trial(context):
     for errors, sent_target_ids, _, _ in context.results.values():
