Tests of forwarding share the parts of a daemon

The random order and the settings stood in two places; features/support/daemon_parts.py has them now. features/exchange and features/forwarding: pass.

--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -1,7 +1,6 @@
 """Steps for streams that end with their connection."""
 
 import asyncio
-import itertools
 import random
 from unittest import mock
 
@@ -15,7 +14,6 @@
 from cowslipcourse.entry.context import DaemonContext
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.forwarder import Forwarder
-from cowslipcourse.entry.settings import EntrySettings
 from cowslipcourse.entry.silence_detector import SilenceDetector
 from cowslipcourse.entry.target_conditions import TargetConditions
 from cowslipcourse.platform.headers import CallerHeaders
@@ -31,6 +29,7 @@
     RouteTable,
     ServiceSpec,
 )
+from features.support.daemon_parts import InOrder, daemon_settings
 from features.support.limiter_peers import RecordingPeers
 from features.support.scripted_target import RESPONSE_HEAD, ScriptedTarget
 from harness.ports import free_ports
@@ -58,7 +57,6 @@
 )
 SITE = SiteSettings(domains={"d": "x"}, engines_a_domain=1, models=(), kinds=())
 SETTLING_S = 0.1
-UNUSED_ADDRESS = "127.0.0.1:1"
 PARTS = ("first", "second")
 """Shared parts of the prompt."""
 
@@ -82,24 +80,6 @@
         self.is_finished = True
 
 
-class _InOrder:
-    """Draws increasing numbers, so that targets are chosen in the order of the list."""
-
-    def __init__(self):
-        self._numbers = itertools.count()
-
-    def random(self):
-        """Return the next number."""
-        return next(self._numbers)
-
-
-def _settings():
-    listen = dict.fromkeys(("front", "directory", "ready", "peer"), UNUSED_ADDRESS)
-    return EntrySettings(
-        name="a", data_centre="x", listen=listen, store={"address": UNUSED_ADDRESS}
-    )
-
-
 def _entry(number, port):
     return TargetEntry(f"t{number}", SERVICE, f"127.0.0.1:{port}", "x", 6)
 
@@ -131,7 +111,7 @@
         fleet.apply([_entry(n, port) for n, port in enumerate(ports, start=1)], ())
         limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
         conditions = TargetConditions(limiter, fleet)
-        settings = _settings()
+        settings = daemon_settings()
         network = MessageNetwork(SITE, random.Random(1))
         self.quarantine = Quarantine(
             network.peers_of("a"),
@@ -147,7 +127,7 @@
             SilenceDetector(fleet, lambda: None),
             conditions,
             self.quarantine,
-            _InOrder(),
+            InOrder(),
         )
         services = (ServiceSpec(SERVICE),)
         context.table = RouteTable(1, (ROUTE,), services, CallerLimits())
--- a/features/support/silent_targets.py
+++ b/features/support/silent_targets.py
@@ -1,7 +1,6 @@
 """Streams at targets that fall silent, in virtual time, with a check of each run."""
 
 import asyncio
-import itertools
 import random
 from contextlib import asynccontextmanager
 from typing import NamedTuple
@@ -15,7 +14,6 @@
 from cowslipcourse.entry.context import DaemonContext
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.forwarder import Forwarder
-from cowslipcourse.entry.settings import EntrySettings
 from cowslipcourse.entry.silence_detector import SilenceDetector
 from cowslipcourse.entry.target_conditions import TargetConditions
 from cowslipcourse.exceptions import RequestError, TargetUnreachable
@@ -32,6 +30,7 @@
     RouteTable,
     ServiceSpec,
 )
+from features.support.daemon_parts import InOrder, daemon_settings
 from features.support.limiter_peers import RecordingPeers
 
 __all__ = [
@@ -229,19 +228,6 @@
         self.is_complete = True
 
 
-class _InOrder:
-    """Draws increasing numbers, so that targets are chosen in the order of the list."""
-
-    def __init__(self):
-        self._numbers = itertools.count()
-
-    def random(self):
-        return next(self._numbers)
-
-    def sample(self, population, count):
-        return population[:count]
-
-
 class StreamSite:
     """A daemon that forwards one stream to scripted targets.
 
@@ -263,7 +249,7 @@
         self._detector = SilenceDetector(self._fleet, lambda: None)
         self._sender = _Sender(scripts, self._fleet, conditions)
         network = MessageNetwork(SITE, random.Random(1))
-        settings = _settings()
+        settings = daemon_settings()
         budget = SharedRetryBudget(settings.retries)
         if not has_retry_budget:
             budget.try_take = lambda service, now: False
@@ -279,7 +265,7 @@
                 TargetExitDetector(self._fleet.is_expected),
                 VerdictStore(None, lambda: 0.0),
             ),
-            _InOrder(),
+            InOrder(),
         )
         services = (ServiceSpec(SERVICE),)
         self._context.table = RouteTable(1, (route,), services, CallerLimits())
@@ -336,13 +322,6 @@
         loop.call_later(duration_s, self._fleet.set_peers_in_flight, {})
 
 
-def _settings():
-    listen = dict.fromkeys(("front", "directory", "ready", "peer"), UNUSED_ADDRESS)
-    return EntrySettings(
-        name="a", data_centre="x", listen=listen, store={"address": UNUSED_ADDRESS}
-    )
-
-
 def _entry(number):
     return TargetEntry(
         f"t{number}", SERVICE, UNUSED_ADDRESS, "x", PLACES, incarnation=1
