--- a/cowslipcourse/entry/state_replica.py
+++ b/cowslipcourse/entry/state_replica.py
@@ -88,6 +88,7 @@
         self._evacuations_held_until = 0.0
         self._held_until = {}
         self._recovery_pending = asyncio.Event()
+        self._reread_due = asyncio.Event()
         self._http_client = HttpClient()
         self._follows_store = True
         self.configuration_version = 0
@@ -143,6 +144,7 @@
             self._target_follower.run(),
             self._poll_peers(),
             self._reread_after_recovery(),
+            self._read_again(),
         )
 
     def encoded_state(self, known_configuration, known_targets, known_evacuations=None):
@@ -361,9 +363,16 @@
                 ):
                     recovered_at = self._recovered_at
                     if self._follows_store or self._kept_missing:
-                        await self._target_follower.read_again()
+                        self._reread_due.set()
             self._recovery_pending.clear()
 
+    async def _read_again(self):
+        """Read all targets again whenever that is due; this may take a second."""
+        while True:
+            await self._reread_due.wait()
+            self._reread_due.clear()
+            await self._target_follower.read_again()
+
     # From peers.
 
     def apply_push(self, message):
