Logs tell why an attempt or a group was given up, and how late the process is

Only log lines and one gauge; no decision changes. The new scenarios fail on the code before, which has none of these fields.

--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -105,6 +105,8 @@
         """Loop time just before it was sent."""
         self.relayed_events = 0
         """Number of events that were relayed to the caller."""
+        self.configuration_version = 0
+        """Version of the configuration that was in force when it was sent."""
         self.first_event_at = None
         """Loop time at which the first of them was relayed."""
         self.is_proof = False
--- a/cowslipcourse/entry/concurrent_attempts.py
+++ b/cowslipcourse/entry/concurrent_attempts.py
@@ -108,11 +108,25 @@
     async def stop(self):
         """Cancel the attempts that are still in progress."""
         tasks = list(self._runs)
+        for run in self._runs.values():
+            if run is not None and not run.is_superseded:
+                self._log_cancelled(run)
         self._runs.clear()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _log_cancelled(self, run):
+        log.info(
+            "attempt-cancelled",
+            request=self._request_id,
+            target=run.entry.id,
+            sent=run.connection is not None,
+            silent=run.is_silent,
+            events=run.relayed_events,
+            configuration=run.configuration_version,
+        )
+
     def exist_beside(self, run):
         """See :class:`Rivals`."""
         return any(other is not run for other in self._runs.values())
--- a/cowslipcourse/entry/context.py
+++ b/cowslipcourse/entry/context.py
@@ -62,6 +62,11 @@
         self.withheld_counts = {}
         self.hedge_counts = {}
 
+    @property
+    def configuration_version(self):
+        """Version of the configuration in force; 0 without one."""
+        return 0 if self.table is None else self.table.version
+
     def choose_service(self, route):
         """Return the name of a service of a route, drawn at random by weight."""
         if len(route.services) == 1:
--- a/cowslipcourse/entry/coordinator.py
+++ b/cowslipcourse/entry/coordinator.py
@@ -260,6 +260,7 @@
         written = await self._plan_table.replace(plan, groups)
         if written is None:
             return
+        _log_lost_members(plan, groups, observed_domain, now)
         _log_revision(plan, groups, written.version)
         _log_moves(plan, groups)
         for update in _ended_group_updates(plan, groups):
@@ -386,6 +387,40 @@
         )
 
 
+def _log_lost_members(plan, groups, observed_domain, now):
+    """Log why groups that may be serving are given up or formed again."""
+    kept = set(groups)
+    for group in plan.groups:
+        if group.is_retired or group in kept:
+            continue
+        engines = [observed_domain.engines.get(member) for member in group.members]
+        log.info(
+            "group-given-up",
+            domain=plan.domain,
+            group=group.name,
+            epoch=group.epoch,
+            members=",".join(
+                f"{member}:{_member_state(group, engine, now)}"
+                for member, engine in zip(group.members, engines, strict=True)
+            ),
+        )
+
+
+def _member_state(group, engine, now):
+    """Return the state of a group's member as a word for logs."""
+    if engine is None:
+        return "unknown"
+    if not group.has_member(engine.id, engine.incarnation):
+        return "restarted"
+    if engine.is_replaced:
+        return "replaced"
+    if engine.silent_since is not None:
+        return f"silent-{now - engine.silent_since:.2f}s"
+    if not engine.is_listed:
+        return "not-listed"
+    return "leaving" if engine.entry.is_leaving else "live"
+
+
 def _log_revision(plan, groups, version):
     previous = set(plan.groups)
     for group in groups:
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -423,6 +423,9 @@
             self._metrics.set_state(
                 "reaches_targets", int(self._context.reachability.is_reachable)
             )
+            self._metrics.set_state(
+                "loop_late_s", self._context.silence_detector.own_late_s
+            )
             self._metrics.set_group_counts(
                 group_counter.count(self._context.table, self._fleet)
             )
--- a/cowslipcourse/entry/pauses.py
+++ b/cowslipcourse/entry/pauses.py
@@ -1,8 +1,9 @@
 """Detect pauses of this process."""
 
 import asyncio
+from collections import deque
 
-__all__ = ["ticks"]
+__all__ = ["RecentLateness", "ticks"]
 
 
 async def ticks(interval_s, is_idle=None, idle_interval_s=0.0):
@@ -26,3 +27,29 @@
         now = loop.time()
         yield now, now - previous - delay_s
         previous = now
+
+
+class RecentLateness:
+    """The largest lateness of recent ticks.
+
+    :param window_s: seconds for which a tick counts.
+    """
+
+    def __init__(self, window_s):
+        self._window_s = window_s
+        self._ticks = deque()
+
+    def record(self, now, late_s):
+        """Record a tick.
+
+        :param now: loop time.
+        :param late_s: seconds by which the tick is late.
+        """
+        self._ticks.append((now, late_s))
+        while self._ticks[0][0] < now - self._window_s:
+            self._ticks.popleft()
+
+    @property
+    def max_s(self):
+        """Largest lateness in seconds; 0 without ticks."""
+        return max((late_s for _, late_s in self._ticks), default=0.0)
--- a/cowslipcourse/entry/relaying.py
+++ b/cowslipcourse/entry/relaying.py
@@ -139,7 +139,9 @@
             silent_s = now - received_at
             if silent_s > MAX_SILENCE_S and attempt.entry.peer_address not in alive:
                 log.warning("relay-lost", relay=attempt.entry.name)
-                attempt.connection.abort(TargetSilent(f"{attempt.entry.id} is gone"))
+                attempt.connection.abort(
+                    TargetSilent(f"{attempt.entry.id} is gone", "relay-gone")
+                )
 
 
 def _relayed_request(call, left_s, last_event_id):
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -201,6 +201,7 @@
             needs_retry = False
             self._tried_ids.add(entry.id)
             run = TargetRun(entry, self._running, is_hedge)
+            run.configuration_version = self._context.configuration_version
             self._running.set_run(run)
             try:
                 await self._run_at_target(run)
@@ -289,6 +290,7 @@
             parts=",".join(call.caller_headers.prompt_parts),
             target=run.entry.id,
             error=error.code,
+            reason=error.reason,
             detail=error,
             may_have_run=may_have_run(error),
             is_hedge=run.is_hedge,
@@ -298,6 +300,9 @@
             ends_with_connection=run.ends_with_connection,
             pause_left_s=_pause_left_s(context, run),
             reaches_targets=context.reachability.is_reachable,
+            configuration=run.configuration_version,
+            configuration_now=context.configuration_version,
+            own_late_s=round(context.silence_detector.own_late_s, 3),
         )
         if not run.is_relayed:
             context.quarantine.record_failed(call, run)
--- a/cowslipcourse/entry/silence_detector.py
+++ b/cowslipcourse/entry/silence_detector.py
@@ -1,7 +1,7 @@
 """Detect targets that stop sending events."""
 
 from cowslipcourse.adapters.log import get_logger
-from cowslipcourse.entry.pauses import ticks
+from cowslipcourse.entry.pauses import RecentLateness, ticks
 from cowslipcourse.exceptions import TargetSilent
 
 __all__ = ["SilenceDetector", "WatchedStream"]
@@ -23,6 +23,8 @@
 LOCAL_PAUSE_S = 0.12
 """Lateness of a check that is attributed to a pause of this process. Silence before it
 does not count against targets."""
+LATENESS_WINDOW_S = 1.0
+"""Time for which the lateness of this process is stated in logs."""
 
 log = get_logger(__name__)
 
@@ -58,6 +60,12 @@
         self._on_suspect = on_suspect
         self._streams = {}
         self._observed_since = 0.0
+        self._lateness = RecentLateness(LATENESS_WINDOW_S)
+
+    @property
+    def own_late_s(self):
+        """Largest lateness of this process in the last second, in seconds."""
+        return self._lateness.max_s
 
     def add(self, stream):
         """Start watching a stream."""
@@ -75,6 +83,7 @@
         async for now, late_s in ticks(
             CHECK_INTERVAL_S, lambda: not self._streams, IDLE_INTERVAL_S
         ):
+            self._lateness.record(now, late_s)
             if late_s > LOCAL_PAUSE_S:
                 self._observed_since = now
                 log.info("own-pause", seconds=round(late_s, 3))
@@ -122,6 +131,7 @@
             request=stream.request_id,
             seconds=round(silent_s, 3),
             begun=stream.has_events,
+            own_late_s=round(self.own_late_s, 3),
         )
         self._on_suspect()
 
@@ -129,11 +139,11 @@
         """Abort a silent stream if its target or its group has ended."""
         entry = stream.attempt.entry
         if self._fleet.has_ended(entry):
-            reason = "has ended"
+            reason = "target-ended"
         elif silent_s > MAX_UNLISTED_SILENCE_S and entry.id not in self._fleet.entries:
-            reason = "is not listed"
+            reason = "not-listed"
         else:
             return
         stream.attempt.connection.abort(
-            TargetSilent(f"{entry.id} {reason} and sent nothing for {silent_s:.2f} s")
+            TargetSilent(f"{entry.id} sent nothing for {silent_s:.2f} s", reason)
         )
--- a/cowslipcourse/exceptions.py
+++ b/cowslipcourse/exceptions.py
@@ -225,6 +225,8 @@
     """A request to an engine or service failed."""
 
     code = "target-error"
+    reason = ""
+    """Why the attempt was ended from this side; empty if it was not."""
 
 
 class TargetUnreachable(TargetError):
@@ -283,13 +285,22 @@
     """Another attempt at the same request has delivered first."""
 
     code = "attempt-superseded"
+    reason = "superseded"
 
 
 class TargetSilent(TargetError):
-    """A target sent nothing for longer than a healthy one would."""
+    """A silent target, or a silent relay, is not waited for any longer.
+
+    :param detail: human-readable description.
+    :param reason: why, as a word for logs and metrics.
+    """
 
     code = "target-silent"
 
+    def __init__(self, detail="", reason=""):
+        super().__init__(detail)
+        self.reason = reason
+
 
 class RequestError(CowslipError):
     """A caller's request failed.
--- a/features/forwarding/silence.feature
+++ b/features/forwarding/silence.feature
@@ -32,6 +32,18 @@
       | not resumable | 2        | yes    | lost, sound                          | failed in 1.5 s  | 1    |
       | resumable     | 2        | yes    | lost, lost too                       | failed in 1.9 s  | 2    |
 
+  Scenario Outline: The log tells why an attempt was ended and which configuration was in force
+    Given a not resumable stream that may be sent to 2 targets, with a retry budget: yes
+    And targets that are <targets>
+    When the stream is forwarded, and a new configuration is in force 0.3 s later
+    Then a line "<event>" has <fields>
+
+    Examples:
+      | targets      | event             | fields                                              |
+      | lost, sound  | target-silent     | begun=True own_late_s=0.0                           |
+      | lost, sound  | attempt-failed    | reason=target-ended configuration=1 configuration_now=2 |
+      | endless      | attempt-cancelled | silent=True sent=True configuration=1               |
+
   Scenario: A caller that reads slowly gets the events of two runs in order
     When a stream at a paused and a sound target is read with 0.05 s for each piece
     Then the caller has each event once, in order
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 
+from features.support.log_records import recorded_logs
 from features.support.silent_targets import (
     EVENT_COUNT,
     Stop,
@@ -24,6 +25,7 @@
     "paused and no other": TargetScript(silences=((0.5, 1.2),)),
     "lost": TargetScript(ends_at_s=0.5),
     "lost too": TargetScript(ends_at_s=1.0),
+    "endless": TargetScript(silences=((0.5, 60.0),)),
 }
 
 
@@ -68,6 +70,28 @@
     context.run = stream_at_targets(context.scripts, **context.options)
 
 
+@when(
+    "the stream is forwarded, and a new configuration is in force {after_s:f} s later"
+)
+def step_forward_logged(context, after_s):
+    with recorded_logs("cowslipcourse.entry") as context.records:
+        context.run = stream_at_targets(
+            context.scripts, new_configuration_after_s=after_s, **context.options
+        )
+
+
+@then('a line "{event}" has {fields}')
+def step_logged(context, event, fields):
+    expected = dict(field.split("=") for field in fields.split())
+    lines = [r.fields for r in context.records if r.getMessage() == event]
+    found = [
+        {name: str(line.get(name)) for name in expected}
+        for line in lines
+        if expected.keys() <= line.keys()
+    ]
+    assert expected in found, lines
+
+
 @then("the stream is {outcome} and was sent to {count:d} targets")
 def step_outcome(context, outcome, count):
     run = context.run
--- a/features/support/silent_targets.py
+++ b/features/support/silent_targets.py
@@ -236,9 +236,19 @@
     :param has_retry_budget: whether the budget allows retries.
     :param caller_send_s: seconds for which the caller delays each piece.
     :param stop: :class:`Stop` or ``None``.
+    :param new_configuration_after_s: seconds until a configuration with the same
+        content is in force, or ``None``.
     """
 
-    def __init__(self, scripts, route, has_retry_budget, caller_send_s, stop):
+    def __init__(
+        self,
+        scripts,
+        route,
+        has_retry_budget,
+        caller_send_s,
+        stop,
+        new_configuration_after_s,
+    ):
         self._scripts = scripts
         self._route = route
         self._stop = stop
@@ -267,8 +277,8 @@
             ),
             InOrder(),
         )
-        services = (ServiceSpec(SERVICE),)
-        self._context.table = RouteTable(1, (route,), services, CallerLimits())
+        self._new_configuration_after_s = new_configuration_after_s
+        self._set_configuration(version=1)
         self._responder = _Responder(caller_send_s)
 
     async def run(self):
@@ -282,6 +292,8 @@
                 restarted = _entry(number)._replace(incarnation=2)
                 loop.call_at(listed_at, self._fleet.apply, [restarted], ())
         self._set_full(scripts=self._scripts)
+        if self._new_configuration_after_s is not None:
+            loop.call_later(self._new_configuration_after_s, self._set_configuration, 2)
         if self._stop is not None:
             stop_at = began_at + self._stop.at_s
             ends_at = stop_at + self._stop.grace_s
@@ -309,6 +321,11 @@
             getattr(self._context, "hedge_counts", {}),
         )
 
+    def _set_configuration(self, version):
+        self._context.table = RouteTable(
+            version, (self._route,), (ServiceSpec(SERVICE),), CallerLimits()
+        )
+
     def _set_full(self, scripts):
         """Let other daemons take the places of targets for some time."""
         full = {
@@ -366,12 +383,20 @@
     has_retry_budget=True,
     caller_send_s=0.0,
     stop=None,
+    new_configuration_after_s=None,
 ):
     """Forward a stream in virtual time and return its :class:`StreamRun`."""
     route = _route(is_resumable, max_attempts)
 
     async def run():
-        site = StreamSite(scripts, route, has_retry_budget, caller_send_s, stop)
+        site = StreamSite(
+            scripts,
+            route,
+            has_retry_budget,
+            caller_send_s,
+            stop,
+            new_configuration_after_s,
+        )
         return await site.run()
 
     return run_in_virtual_time(run())
