Known red: a group whose engine pauses for 2.2 s to 3.8 s is given up by order

In virtual time a coordinator, engines of the emulator and daemons that suspect a silent head: the head, a member or all members of a serving group do not answer for 2.2 s to 3.8 s while their hosts accept connections, in mixed and in divided domains, also with a coordinator that changes meanwhile. No order and no group update may end the group.

The other side stands beside it and passes: a group whose engine has ended is given up 0.75 s after its end if its host refuses or ignores connections, and after 4.75 s if the host accepts them.

--- /dev/null
+++ b/features/group_plans/paused_engines.feature
@@ -0,0 +1,50 @@
+Feature: Engines that pause keep their groups and the requests that run there
+  Runs of coordinators with emulated engines in virtual time. Daemons suspect the head of a group 0.3 s after its last
+  event. A group that stands still breaks after 4 s.
+
+  Scenario: No order ends a serving group whose engines pause
+    When engines of serving groups pause, and in some of the runs another coordinator takes over meanwhile
+      | kind    | model | engines      | paused_s | takeover_s |
+      | mixed   | large | the head     | 2.2      |            |
+      | mixed   | large | the head     | 2.8      |            |
+      | mixed   | large | the head     | 3.8      |            |
+      | mixed   | large | one member   | 2.8      |            |
+      | mixed   | large | one member   | 3.8      |            |
+      | mixed   | large | every engine | 3.8      |            |
+      | divided | large | the head     | 2.2      |            |
+      | divided | large | the head     | 2.8      |            |
+      | divided | large | the head     | 3.8      |            |
+      | divided | large | one member   | 2.8      |            |
+      | divided | large | one member   | 3.8      |            |
+      | divided | large | every engine | 2.8      |            |
+      | divided | large | every engine | 3.8      |            |
+      | divided | small | the head     | 3.8      |            |
+      | divided | small | one member   | 3.8      |            |
+      | divided | small | every engine | 3.8      |            |
+      | mixed   | large | the head     | 2.8      | 0.2        |
+      | mixed   | large | the head     | 3.8      | 1.0        |
+      | mixed   | large | one member   | 3.8      | 1.0        |
+      | divided | large | the head     | 3.8      | 1.0        |
+      | divided | large | every engine | 3.8      | 1.0        |
+      | divided | large | every engine | 3.8      | 3.0        |
+    Then no order or group update has ended any of these groups, and all of them serve
+
+  Scenario Outline: A group whose engine has ended is given up
+    Given a serving group of large on a <kind> site
+    When <engine> of that group ends, and its host <reaction> connections
+    Then the group is formed again or given up within <seconds> s
+
+    Examples:
+      | kind    | engine     | reaction | seconds |
+      | mixed   | the head   | refuses  | 0.75    |
+      | mixed   | the head   | ignores  | 0.75    |
+      | mixed   | one member | refuses  | 0.75    |
+      | mixed   | one member | ignores  | 0.75    |
+      | mixed   | the head   | accepts  | 4.75    |
+      | mixed   | one member | accepts  | 4.75    |
+      | divided | the head   | refuses  | 0.75    |
+      | divided | the head   | ignores  | 0.75    |
+      | divided | one member | refuses  | 0.75    |
+      | divided | one member | ignores  | 0.75    |
+      | divided | the head   | accepts  | 4.75    |
+      | divided | one member | accepts  | 4.75    |
