A group that was given up and is whole again finishes its requests

Cause: the head of a retired group was drained only if its engines were to serve another model. All others left at once, in the belief that a group is given up because a member is lost. It may also have been given up on the silence of engines that then answer, or by another coordinator.

Ruled out: that a longer wait alone is enough.

Now a head whose group is whole closes first, and leaves when it has finished or after DRAIN_TIMEOUT_S. Whole: all members answer, are listed, also as leaving, in their planned incarnation, and in the group at its epoch. A group that lacks a member cannot go on, and its head leaves at once as before. No member is free until reports show the head in no group, so no engine joins another group while its head closes; daemons have been told to use the head no more.

Seen failing before: 4 scenarios of paused_engines.feature.

--- a/cowslipcourse/group_plans/orders.py
+++ b/cowslipcourse/group_plans/orders.py
@@ -20,8 +20,8 @@
 HEAD_UNGROUPED_S = MAX_REPORT_LAG_S
 """Time for which a head's reports must show it ungrouped: they may be that old."""
 DRAIN_TIMEOUT_S = 2.5
-"""Drain time of a group that is reassigned to another model; most streams end within
-two seconds, and callers of the other model have no group meanwhile."""
+"""Drain time of a retired group that may still serve; most streams end within two
+seconds, and callers have none of its engines meanwhile."""
 STALL_MARGIN_S = 0.5
 """Margin on the stall limit before a head counts as broken: clocks and reports lag."""
 REJOIN_S = 0.2
@@ -183,11 +183,14 @@
 def _retire(group, engines, stall_s, now):
     """Make the head leave, which frees the members.
 
-    If the head does not answer, the other members leave, and it becomes broken.
+    A head first finishes its requests if its group is whole: a group that is given up
+    while its engines pause or are not reached may go on. If the head does not answer,
+    the other members leave, and it becomes broken.
     """
     head = engines.get(group.head)
     if head is not None and head.silent_since is None:
-        if group.successor and not _is_drained(group, head, now):
+        may_serve = group.successor or _is_whole(group, engines)
+        if may_serve and not _is_drained(group, head, now):
             return _drain(group, head, now)
         return _leave(group, head, HEAD_UNGROUPED_S, now) + _release(
             group, engines, now
@@ -214,6 +217,20 @@
     return [step for engine in live for step in _leave(group, engine, 0.0, now)]
 
 
+def _is_whole(group, engines):
+    """Whether all members still work, and are in the group as planned."""
+    return all(_works_in(group, engines.get(member)) for member in group.members)
+
+
+def _works_in(group, engine):
+    return (
+        engine is not None
+        and (engine.is_live or engine.is_leaving)
+        and group.has_member(engine.id, engine.incarnation)
+        and engine.state_in(group) is not None
+    )
+
+
 def _is_drained(group, head, now):
     """Whether a head has finished its requests, or its drain time is over."""
     close_sent_at = head.close_sent_at.get(group.epoch)
--- a/features/group_plans/paused_engines.feature
+++ b/features/group_plans/paused_engines.feature
@@ -48,3 +48,41 @@
       | divided | one member | ignores  | 0.75    |
       | divided | the head   | accepts  | 4.75    |
       | divided | one member | accepts  | 4.75    |
+
+  Scenario: The head of a retired group that is whole again finishes its requests before it leaves
+    Given a retired group of e1 and e2 that is open, and whose members all report
+    Then at 10.0 s e1 is ordered to close the group, and nothing else is ordered
+    When e1 reports at 11.0 s that it closes
+    Then at 11.1 s nothing is ordered
+    When e1 reports at 11.6 s that it is ready
+    Then at 11.7 s e1 is ordered to leave the group, and nothing else is ordered
+
+  Scenario: The head of a retired group that is whole again leaves once its drain time is over
+    Given a retired group of e1 and e2 that is open, and whose members all report
+    When e1 reports at 11.0 s that it closes
+    Then at 13.4 s nothing is ordered
+    And at 13.6 s e1 is ordered to leave the group, and nothing else is ordered
+
+  Scenario: A member that is about to leave still works for the requests of its group
+    Given a retired group of e1 and e2 that is open, and whose members all report
+    But e2 is leaving
+    Then at 10.0 s e1 is ordered to close the group, and nothing else is ordered
+
+  Scenario Outline: The head of a retired group that lacks a member leaves at once
+    Given a retired group of e1 and e2 that is open, and whose members all report
+    But e2 <change>
+    Then at 10.0 s e1 is ordered to leave the group, and nothing else is ordered
+
+    Examples:
+      | change              |
+      | is silent           |
+      | is not listed       |
+      | has restarted       |
+      | has left the group  |
+      | is in a later epoch |
+
+  Scenario: A coordinator lets a group that another one has retired finish its requests
+    Given a serving group of large on a divided site
+    When another coordinator has retired that group, though its engines answer
+    Then its head is ordered to close the group before it is ordered to leave
+    And no engine has joined another group while the head of its group served
--- a/features/steps/paused_engine_steps.py
+++ b/features/steps/paused_engine_steps.py
@@ -2,16 +2,37 @@
 
 import asyncio
 
-from behave import given, then, when
+from behave import given, step, then, when
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
-from cowslipcourse.ports import GroupState, OrderOperation
+from cowslipcourse.entry.plan_table import GROUPS_TABLE
+from cowslipcourse.group_plans import (
+    DomainPlan,
+    ObservedEngine,
+    PlannedGroup,
+    StepKind,
+    next_steps,
+)
+from cowslipcourse.group_plans.plan import decode_plan, encode_plan
+from cowslipcourse.ports import (
+    EngineReport,
+    GroupMembership,
+    GroupState,
+    OrderOperation,
+    RowWrite,
+    TargetEntry,
+)
+from features.support.engine_world import STALL_S
 from features.support.paused_engine_runs import PausedEngineSite
 
 AFTERMATH_S = 3.0
 """Time after a pause in which orders that it causes are sent."""
 ENDED_S = 8.0
 """Time for which an engine that has ended is observed."""
+UNCOORDINATED_S = 1.0
+"""Time without a coordinator before another one takes over."""
+RETIREMENT_S = 6.0
+"""Time in which a retired group ends."""
 ENDING_ORDERS = (OrderOperation.CLOSE, OrderOperation.LEAVE, OrderOperation.JOIN)
 
 
@@ -114,3 +135,130 @@
     seconds = run.ending_orders[0].at - run.began_at
     assert seconds <= limit_s, seconds
     assert run.ending_updates, run.updates
+
+
+@when("another coordinator has retired that group, though its engines answer")
+def step_retired_by_another(context):
+    async def run():
+        site = PausedEngineSite(context.kind)
+        await site.start()
+        head = site.open_head(context.model)
+        context.membership = head.membership
+        site.coordinating = None
+        await asyncio.sleep(UNCOORDINATED_S)
+        await _retire(site.world, head)
+        site.orders.clear()
+        site.coordinating = 0
+        await asyncio.sleep(RETIREMENT_S)
+        context.orders = [order for order in site.orders if order.engine == head.id]
+        context.violations = site.world.violations
+        await site.stop()
+
+    run_in_virtual_time(run())
+
+
+async def _retire(world, head):
+    """Write the plan of a head's domain with its group retired."""
+    name = head.membership.group
+    rows = await world.read_table(GROUPS_TABLE)
+    (row,) = [row for row in rows.rows if row.key == head.domain]
+    plan = decode_plan(head.domain, row.value, row.version)
+    groups = tuple(g._replace(is_retired=g.name == name) for g in plan.groups)
+    content = encode_plan(groups, plan.next_epoch)
+    await world.write(RowWrite(GROUPS_TABLE, head.domain, content, row.version))
+
+
+@then("its head is ordered to close the group before it is ordered to leave")
+def step_closed_first(context):
+    group = context.membership.group, context.membership.epoch
+    operations = [o.operation for o in context.orders if (o.group, o.epoch) == group]
+    expected = [OrderOperation.CLOSE, OrderOperation.LEAVE]
+    assert operations[:2] == expected, operations
+
+
+@then("no engine has joined another group while the head of its group served")
+def step_no_violations(context):
+    assert not context.violations, context.violations
+
+
+def _membership(rank, state, epoch=9):
+    return GroupMembership("g1", epoch, rank, state, "m")
+
+
+def _report(context, engine_id, membership, requested_at):
+    report = EngineReport(5, membership, ())
+    context.engines[engine_id].update_from_report(report, requested_at)
+
+
+@given("a retired group of e1 and e2 that is open, and whose members all report")
+def step_retired_group(context):
+    group = PlannedGroup("g1", "m", 9, ("e1", "e2"), True, (1, 1))
+    context.plan = DomainPlan("d", 10, (group,))
+    context.engines = {}
+    for engine in group.members:
+        entry = TargetEntry(engine, "llm", "a:1", "dc", 13, domain="d", incarnation=1)
+        context.engines[engine] = ObservedEngine(entry)
+    _report(context, "e1", _membership(0, GroupState.OPEN), 9.9)
+    _report(context, "e2", _membership(1, GroupState.READY), 9.9)
+
+
+@step("{engine} is silent")
+def step_is_silent(context, engine):
+    context.engines[engine].mark_silent(9.95)
+
+
+@step("{engine} is not listed")
+def step_is_unlisted(context, engine):
+    context.engines[engine].is_listed = False
+
+
+@step("{engine} is leaving")
+def step_is_leaving(context, engine):
+    known = context.engines[engine]
+    entry = known.entry._replace(is_leaving=True, membership=known.membership)
+    known.update_from_entry(entry)
+
+
+@step("{engine} has restarted")
+def step_has_restarted(context, engine):
+    context.engines[engine] = context.engines[engine].next_incarnation(2)
+
+
+@step("{engine} has left the group")
+def step_has_left(context, engine):
+    _report(context, engine, None, 9.95)
+
+
+@step("{engine} is in a later epoch")
+def step_in_later_epoch(context, engine):
+    _report(context, engine, _membership(1, GroupState.READY, 12), 9.95)
+
+
+@when("{engine} reports at {at:f} s that it closes")
+def step_reports_closing(context, engine, at):
+    _report(context, engine, _membership(0, GroupState.CLOSING), at)
+
+
+@when("{engine} reports at {at:f} s that it is ready")
+def step_reports_ready(context, engine, at):
+    _report(context, engine, _membership(0, GroupState.READY), at)
+
+
+def _orders(context, now):
+    steps = next_steps(context.plan, context.engines, {}, STALL_S, now)
+    orders = [step for step in steps if step.kind is StepKind.ORDER]
+    return [(o.engine, o.order.operation, o.order.group, o.order.epoch) for o in orders]
+
+
+@then(
+    "at {now:f} s {engine} is ordered to {operation} the group, and nothing else is "
+    "ordered"
+)
+def step_only_order(context, now, engine, operation):
+    expected = [(engine, OrderOperation(operation), "g1", 9)]
+    assert _orders(context, now) == expected, _orders(context, now)
+
+
+@then("at {now:f} s nothing is ordered")
+def step_no_order(context, now):
+    assert _orders(context, now) == [], _orders(context, now)
