Random pauses of engines are fuzzed, beside coordinators that change

scripts/fuzz paused-engines and divided-paused-engines: engines of serving groups pause for up to 3.8 s at random, their hosts accept connections, daemons suspect the heads, orders sent meanwhile take effect late, and two coordinators take turns. No order and no group update may end a serving group. long-paused-engines and divided-long-paused-engines: pauses of up to 9 s, after which groups are given up; no group may run incomplete and no engine may serve two groups.

--- a/features/group_plans/paused_engines.feature
+++ b/features/group_plans/paused_engines.feature
@@ -86,3 +86,25 @@
     When another coordinator has retired that group, though its engines answer
     Then its head is ordered to close the group before it is ordered to leave
     And no engine has joined another group while the head of its group served
+
+  Scenario Outline: Random pauses that a stalled group survives end no group
+    When runs with random pauses of up to 3.8 s are made with the seeds <seeds> on a <kind> site
+    Then no run has a violation
+
+    Examples:
+      | kind    | seeds       |
+      | mixed   | 1 2 3 4 5 6 |
+      | divided | 1 2         |
+
+  Scenario: Without patience random pauses end groups
+    When runs with random pauses of up to 3.8 s are made with the seeds 1 2 3 on a mixed site, without patience
+    Then each run has a violation
+
+  Scenario Outline: After longer pauses no group runs incomplete, and no engine serves two groups
+    When runs with random pauses of up to 9.0 s are made with the seeds <seeds> on a <kind> site
+    Then no run has a violation
+
+    Examples:
+      | kind    | seeds       |
+      | mixed   | 1 2 3 4 5 6 |
+      | divided | 1 2         |
--- a/features/steps/paused_engine_steps.py
+++ b/features/steps/paused_engine_steps.py
@@ -1,10 +1,12 @@
 """Steps for engines that pause while their groups serve."""
 
 import asyncio
+from unittest import mock
 
 from behave import given, step, then, when
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
+from cowslipcourse.entry.engine_calls import EngineClient
 from cowslipcourse.entry.plan_table import GROUPS_TABLE
 from cowslipcourse.group_plans import (
     DomainPlan,
@@ -23,7 +25,11 @@
     TargetEntry,
 )
 from features.support.engine_world import STALL_S
-from features.support.paused_engine_runs import PausedEngineSite
+from features.support.paused_engine_runs import (
+    ENDING_ORDERS,
+    PausedEngineSite,
+    pausing_run,
+)
 
 AFTERMATH_S = 3.0
 """Time after a pause in which orders that it causes are sent."""
@@ -33,7 +39,6 @@
 """Time without a coordinator before another one takes over."""
 RETIREMENT_S = 6.0
 """Time in which a retired group ends."""
-ENDING_ORDERS = (OrderOperation.CLOSE, OrderOperation.LEAVE, OrderOperation.JOIN)
 
 
 @given("a serving group of {model} on a {kind} site")
@@ -59,7 +64,7 @@
 
     async def run(self, seconds, reaction="accepts", takeover_after_s=None):
         site = PausedEngineSite(self._kind, 1 if takeover_after_s is None else 2)
-        await site.start()
+        await site.settle()
         site.host_reaction = reaction
         head = site.open_head(self._model)
         self.membership, self.members = head.membership, head.members
@@ -141,7 +146,7 @@
 def step_retired_by_another(context):
     async def run():
         site = PausedEngineSite(context.kind)
-        await site.start()
+        await site.settle()
         head = site.open_head(context.model)
         context.membership = head.membership
         site.coordinating = None
@@ -262,3 +267,37 @@
 @then("at {now:f} s nothing is ordered")
 def step_no_order(context, now):
     assert _orders(context, now) == [], _orders(context, now)
+
+
+@when(
+    "runs with random pauses of up to {pause_s:f} s are made with the seeds {seeds} on "
+    "a {kind} site"
+)
+def step_random_pauses(context, pause_s, seeds, kind):
+    context.violations_by_seed = {
+        seed: run_in_virtual_time(pausing_run(int(seed), kind, pause_s))
+        for seed in seeds.split()
+    }
+
+
+@when(
+    "runs with random pauses of up to {pause_s:f} s are made with the seeds {seeds} on "
+    "a {kind} site, without patience"
+)
+def step_random_pauses_without_patience(context, pause_s, seeds, kind):
+    async def answers_late(self, engine, silent_since):
+        return False
+
+    with mock.patch.object(EngineClient, "_answers_late", answers_late):
+        step_random_pauses(context, pause_s, seeds, kind)
+
+
+@then("no run has a violation")
+def step_no_run_fails(context):
+    found = {s: v[0] for s, v in context.violations_by_seed.items() if v}
+    assert not found, found
+
+
+@then("each run has a violation")
+def step_each_run_fails(context):
+    assert all(context.violations_by_seed.values()), context.violations_by_seed
--- a/features/support/fuzz.py
+++ b/features/support/fuzz.py
@@ -13,6 +13,7 @@
 from features.support.membership_runs import random_run, settle
 from features.support.part_runs import part_violations
 from features.support.pause_runs import pause_violations
+from features.support.paused_engine_runs import pausing_run
 from features.support.silent_targets import silence_violations
 
 
@@ -55,6 +56,13 @@
     return run
 
 
+def _pausing_duels(kind, max_pause_s):
+    def run(seed):
+        return run_in_virtual_time(pausing_run(seed, kind, max_pause_s))
+
+    return run
+
+
 def _limits(data_centres, daemons_per_data_centre):
     def run(seed):
         return limit_violations(seed, data_centres, daemons_per_data_centre)
@@ -74,6 +82,10 @@
     "share-duels": _duels("mixed with changing shares"),
     "divided-share-duels": _duels("divided with changing shares"),
     "restored-share-duels": _duels("divided restored with changing shares"),
+    "paused-engines": _pausing_duels("mixed", 3.8),
+    "divided-paused-engines": _pausing_duels("divided", 3.8),
+    "long-paused-engines": _pausing_duels("mixed", 9.0),
+    "divided-long-paused-engines": _pausing_duels("divided", 9.0),
     "crashes": crash_violations,
     "part-crashes": part_violations,
     "limits": _limits(2, 4),
--- a/features/support/paused_engine_runs.py
+++ b/features/support/paused_engine_runs.py
@@ -12,18 +12,28 @@
 from features.support.coordinator_runs import CoordinatorContext, update_target_list
 from features.support.engine_world import MODELS, STALL_S
 
-__all__ = ["ObservedOrder", "PausedEngineSite"]
+__all__ = ["ENDING_ORDERS", "ObservedOrder", "PausedEngineSite", "pausing_run"]
 
 DOMAINS = {"mixed": ("d1",), "divided": ("d1", "d2", "d3", "d4", "d5", "d6")}
 """Domains of a site whose domains serve all models, or one model each."""
 ENGINES_PER_DOMAIN = 8
-SETTLE_S = 7.0
+SETTLE_S = 10.0
 """Time in which the groups of a new site are formed and opened."""
 SUSPICION_DELAY_S = 0.3
 """Silence of a group's streams after which daemons suspect its head."""
 SUSPICION_INTERVAL_S = 0.25
 CONNECTION_S = 0.003
 CONNECTION_TIMEOUT_S = 0.4
+RUN_DURATION_S = 40.0
+MAX_PAUSE_INTERVAL_S = 2.5
+"""Longest time between the starts of two pauses in a domain."""
+MIN_PAUSE_S = 0.4
+MIN_ACTIVITY_S = 0.4
+"""Shortest time between two pauses of a group, in which its engines report."""
+MAX_LEADERSHIP_S = 6.0
+"""Longest time without a change of the coordinator."""
+ENDING_ORDERS = (OrderOperation.CLOSE, OrderOperation.LEAVE, OrderOperation.JOIN)
+"""Orders that end the requests of a group, sent to any of its members."""
 ORDERLY = Faults(0.0, 0.0, 0.0, 0.0, 0.0)
 SETTINGS = ControlSettings(stall_s=STALL_S)
 
@@ -48,31 +58,36 @@
 class _ObservedControl:
     """Implements ``EngineControl`` for engines some of which do not answer.
 
-    :param world: :class:`~cowslipcourse.emulator.World`
-    :param silent_ids: ids of the engines that do not answer.
-    :param orders: list to which all orders are added.
+    A paused engine executes the orders that its host has received when it goes on.
+
+    :param site: :class:`PausedEngineSite`
     """
 
-    def __init__(self, world, silent_ids, orders):
-        self._world = world
-        self._silent_ids = silent_ids
-        self._orders = orders
+    def __init__(self, site):
+        self._site = site
 
     async def report(self, entry):
-        if entry.id in self._silent_ids:
+        if entry.id in self._site.silent_until:
             await asyncio.sleep(SETTINGS.report_timeout_s)
             raise TargetUnreachable("no answer to the report request", sent=True)
-        return await self._world.report(entry)
+        return await self._site.world.report(entry)
 
     async def order(self, entry, order):
         now = asyncio.get_running_loop().time()
-        self._orders.append(
+        self._site.orders.append(
             ObservedOrder(now, entry.id, order.operation, order.group, order.epoch)
         )
-        if entry.id in self._silent_ids:
-            await asyncio.sleep(SETTINGS.order_timeout_s)
-            raise TargetUnreachable("no answer to the order", sent=True)
-        return await self._world.order(entry, order)
+        silent_until = self._site.silent_until.get(entry.id)
+        if silent_until is None:
+            return await self._site.world.order(entry, order)
+        if self._site.host_reaction == "accepts":
+            self._site.start(self._order_at(silent_until, entry, order))
+        await asyncio.sleep(SETTINGS.order_timeout_s)
+        raise TargetUnreachable("no answer to the order", sent=True)
+
+    async def _order_at(self, at, entry, order):
+        await asyncio.sleep(at - asyncio.get_running_loop().time())
+        await self._site.world.order(entry, order)
 
 
 class _HostReachability:
@@ -104,10 +119,11 @@
 
     :param kind: key of :data:`DOMAINS`
     :param coordinator_count: number of coordinators; the first one coordinates.
+    :param seed: seed of the random choices of the emulated engines.
     """
 
-    def __init__(self, kind, coordinator_count=1):
-        self.world = World(random.Random(1), ORDERLY, MODELS, remembers_models=True)
+    def __init__(self, kind, coordinator_count=1, seed=1):
+        self.world = World(random.Random(seed), ORDERLY, MODELS, remembers_models=True)
         for domain in DOMAINS[kind]:
             for _ in range(ENGINES_PER_DOMAIN):
                 self.world.add_engine(domain, tuple(model.name for model in MODELS))
@@ -115,8 +131,8 @@
         self.orders = []
         self.updates = []
         self.coordinating = 0
-        self._silent_ids = set()
-        self._tasks = []
+        self.silent_until = {}
+        self._tasks = set()
         self._coordinators = [
             self._coordinator(number) for number in range(coordinator_count)
         ]
@@ -125,7 +141,7 @@
     def silent_addresses(self):
         """Addresses of the engines that do not answer."""
         engines = self.world.engines
-        return {engines[i].address for i in self._silent_ids if i in engines}
+        return {engines[i].address for i in self.silent_until if i in engines}
 
     def _coordinator(self, number):
         context = CoordinatorContext()
@@ -133,19 +149,22 @@
         coordinator = Coordinator(
             context,
             self.world,
-            _ObservedControl(self.world, self._silent_ids, self.orders),
+            _ObservedControl(self),
             SETTINGS,
             SingleCoordinatorScope(lambda: self.coordinating == number),
             self.updates.append,
         )
-        self._tasks.append(asyncio.create_task(coordinator.run()))
-        list_updates = update_target_list(self.world, coordinator, context)
-        self._tasks.append(asyncio.create_task(list_updates))
+        self.start(coordinator.run())
+        self.start(update_target_list(self.world, coordinator, context))
         return coordinator
 
-    async def start(self):
+    def start(self, coroutine):
+        """Run a coroutine until the site stops."""
+        self._tasks.add(asyncio.create_task(coroutine))
+
+    async def settle(self):
         """Wait until the groups serve."""
-        self._tasks.append(asyncio.create_task(self.world.run()))
+        self.start(self.world.run())
         await asyncio.sleep(SETTLE_S)
 
     async def stop(self):
@@ -153,9 +172,15 @@
         for task in self._tasks:
             task.cancel()
         for result in await asyncio.gather(*self._tasks, return_exceptions=True):
-            if not isinstance(result, asyncio.CancelledError):
+            is_cancelled = isinstance(result, asyncio.CancelledError)
+            if isinstance(result, BaseException) and not is_cancelled:
                 raise result
 
+    def serving_ids(self):
+        """Return the ids of the engines whose groups are open."""
+        heads = [e for e in self.world.engines.values() if e.is_open_head]
+        return {member for head in heads for member in head.members}
+
     def open_head(self, model):
         """Return the engine that is the head of an open group of a model."""
         heads = [e for e in self.world.engines.values() if e.is_open_head]
@@ -171,10 +196,80 @@
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + seconds
         epoch = self.world.engines[head].membership.epoch
-        self._silent_ids.update(engine_ids)
+        self.silent_until.update(dict.fromkeys(engine_ids, ends_at))
         await asyncio.sleep(SUSPICION_DELAY_S)
         while loop.time() < ends_at:
             for coordinator in self._coordinators:
                 coordinator.investigate(head, epoch)
             await asyncio.sleep(min(SUSPICION_INTERVAL_S, ends_at - loop.time()))
-        self._silent_ids.clear()
+        for engine_id in engine_ids:
+            del self.silent_until[engine_id]
+
+
+async def _pause_engines(site, domain, rng, max_pause_s):
+    """Pause some engines of random open groups of a domain, forever."""
+    resting = set()
+    while True:
+        await asyncio.sleep(rng.uniform(0.1, MAX_PAUSE_INTERVAL_S))
+        heads = [
+            engine
+            for engine in site.world.engines.values()
+            if engine.domain == domain
+            and engine.is_open_head
+            and resting.isdisjoint(engine.members)
+        ]
+        if not heads:
+            continue
+        head = rng.choice(heads)
+        count = rng.choice((1, 1, 2, len(head.members)))
+        paused_ids = rng.sample(head.members, count)
+        pause_s = rng.uniform(MIN_PAUSE_S, max_pause_s)
+        site.start(_pause_group(site, paused_ids, head, pause_s, resting))
+
+
+async def _pause_group(site, paused_ids, head, pause_s, resting):
+    """Pause engines of a group, which rests afterwards."""
+    members = set(head.members)
+    resting |= members
+    await site.silence(paused_ids, head.id, pause_s)
+    await asyncio.sleep(MIN_ACTIVITY_S)
+    resting -= members
+
+
+async def _change_coordinators(site, rng, coordinator_count):
+    """Let a random coordinator, or none, coordinate, forever."""
+    while True:
+        await asyncio.sleep(rng.uniform(1.0, MAX_LEADERSHIP_S))
+        site.coordinating = rng.choice((None, *range(coordinator_count)))
+
+
+async def pausing_run(seed, kind, max_pause_s):
+    """Make a run in which engines pause at random while coordinators change.
+
+    :param seed: seed of all random choices.
+    :param kind: key of :data:`DOMAINS`
+    :param max_pause_s: longest pause. If a stalled group would survive it, orders that
+        end the requests of a group are violations.
+    :returns: list of violations.
+    """
+    rng = random.Random(f"pauses {seed}")
+    coordinator_count = 2
+    site = PausedEngineSite(kind, coordinator_count, seed)
+    await site.settle()
+    serving_ids = site.serving_ids()
+    site.orders.clear()
+    site.updates.clear()
+    for domain in DOMAINS[kind]:
+        site.start(_pause_engines(site, domain, rng, max_pause_s))
+    site.start(_change_coordinators(site, rng, coordinator_count))
+    await asyncio.sleep(RUN_DURATION_S)
+    await site.stop()
+    violations = list(site.world.violations)
+    if max_pause_s < STALL_S:
+        violations += [
+            order
+            for order in site.orders
+            if order.engine in serving_ids and order.operation in ENDING_ORDERS
+        ]
+        violations += [update for update in site.updates if update.opened is None]
+    return violations
