The fake daemon of the judging tests has what failed attempts are logged with

Seen: 7 of 24 scenarios of quarantine/judging.feature fail on with an AttributeError (configuration_version). Ruled out: a fault of the product, whose context has both.

--- a/features/steps/judging_steps.py
+++ b/features/steps/judging_steps.py
@@ -295,6 +295,8 @@
             fleet=None,
             conditions=SimpleNamespace(pause_left_s=lambda entry: 0.0),
             reachability=AlwaysReachable(),
+            configuration_version=1,
+            silence_detector=SimpleNamespace(own_late_s=0.0),
             count_hedge=None,
             stop=GracefulStop(),
         )
