A list with an earlier incarnation does not end streams

Seen: by reading; no caller has reported it. A silent stream at a sound target was aborted after 0.3 s as soon as the list held any other incarnation of the target: also an earlier one, as a restored store or a late peer may list it, or an entry that states none.

Cause: FleetView.has_ended compared incarnations for inequality.

What shows an end now is an incarnation that is known to have begun later, in the list or, if the target has no entry, as the last one at its address. Without a known order nothing is concluded.

Ruled out, each by its row: earlier and missing groups in the list, and leaving, never ended a stream. The list of a daemon (TargetList) refuses earlier incarnations that it remembers (outside.feature), so that callers depend on the comparison only for targets beyond those and for entries that state none.

--- a/cowslipcourse/entry/fleet_view.py
+++ b/cowslipcourse/entry/fleet_view.py
@@ -6,6 +6,7 @@
 from cowslipcourse.entry.group_heads import GroupHeads
 from cowslipcourse.entry.target_list import AddressHistory
 from cowslipcourse.load_balancing import Candidate
+from cowslipcourse.ports import began_later
 
 __all__ = ["FleetView"]
 
@@ -86,12 +87,15 @@
     def has_ended(self, entry):
         """Whether the incarnation or the group of an entry is known to have ended.
 
+        A list may be older than the one that the entry was chosen from, so only what
+        has begun later shows an end.
+
         :param entry: :class:`~cowslipcourse.ports.TargetEntry` as it was chosen.
         """
         listed = self._entries.get(entry.id)
         if listed is None:
             return self._addresses.is_taken_over(entry)
-        if listed.incarnation != entry.incarnation:
+        if began_later(listed.incarnation, entry.incarnation):
             return True
         if entry.membership is None:
             return False
--- a/cowslipcourse/entry/target_list.py
+++ b/cowslipcourse/entry/target_list.py
@@ -11,7 +11,7 @@
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.exceptions import MalformedResponse
 from cowslipcourse.platform import decode_entry
-from cowslipcourse.ports import UNKNOWN_INCARNATION
+from cowslipcourse.ports import UNKNOWN_INCARNATION, began_later
 
 __all__ = ["AddressHistory", "EntryChanges", "TargetList"]
 
@@ -140,25 +140,20 @@
         self._seen[key] = None
         _limit(self._seen)
         latest = self._latest.pop(entry.address, occupant)
-        is_earlier = _has_begun_earlier(occupant, latest)
+        is_earlier = began_later(latest.incarnation, occupant.incarnation)
         self._latest[entry.address] = latest if is_earlier else occupant
         _limit(self._latest)
 
     def is_taken_over(self, entry):
-        """Whether another target has begun at the address of an entry after it.
+        """Whether a target has begun at the address of an entry after it.
 
         :param entry: :class:`~cowslipcourse.ports.TargetEntry` that was listed.
         """
         latest = self._latest.get(entry.address)
-        return latest is not None and latest.target != entry.id
-
-
-def _has_begun_earlier(occupant, latest):
-    """Whether incarnations show that an occupant has begun before another one."""
-    incarnations = occupant.incarnation, latest.incarnation
-    return UNKNOWN_INCARNATION not in incarnations and (
-        occupant.incarnation < latest.incarnation
-    )
+        if latest is None:
+            return False
+        is_other = latest.target != entry.id
+        return is_other or began_later(latest.incarnation, entry.incarnation)
 
 
 def _limit(mapping):
--- a/cowslipcourse/ports/__init__.py
+++ b/cowslipcourse/ports/__init__.py
@@ -11,6 +11,7 @@
     OrderOperation,
     OrderResult,
     TargetEntry,
+    began_later,
 )
 from cowslipcourse.ports.rows import RowChanges, RowStore, RowWrite, StoredRow
 from cowslipcourse.ports.store_versions import era_of, pack_version, unpack_version
@@ -41,6 +42,7 @@
     "TargetEntry",
     "Transaction",
     "VmList",
+    "began_later",
     "era_of",
     "pack_version",
     "unpack_version",
--- a/cowslipcourse/ports/engines.py
+++ b/cowslipcourse/ports/engines.py
@@ -13,6 +13,7 @@
     "OrderOperation",
     "OrderResult",
     "TargetEntry",
+    "began_later",
 ]
 
 
@@ -20,6 +21,11 @@
 """Incarnation of a target that does not state one."""
 
 
+def began_later(incarnation, other):
+    """Whether an incarnation is known to have begun after another one."""
+    return other != UNKNOWN_INCARNATION and incarnation > other
+
+
 class GroupState(StrEnum):
     """State of an engine in its group."""
 
--- a/features/support/silent_targets.py
+++ b/features/support/silent_targets.py
@@ -61,6 +61,23 @@
 PLACES = 6
 UNLISTING_DELAY_S = 0.6
 """Time after which the list shows that a target has started again."""
+HARMLESS_CHANGES = (
+    "its entry",
+    "no entry",
+    "no incarnation",
+    "no group",
+    "it as leaving",
+)
+"""Changes of the list that a target may outlive."""
+END_CHANGES = (
+    "no entry",
+    "an earlier incarnation",
+    "a later incarnation",
+    "another target at its address",
+    "its group as broken",
+    "a later group",
+)
+"""Changes of the list after a target has ended. The first two need its host as well."""
 INCARNATION = 3
 EPOCH = 5
 SITE = SiteSettings(domains={"d": "x"}, engines_a_domain=1, models=(), kinds=())
@@ -98,7 +115,7 @@
 
 
 class HostScript(NamedTuple):
-    """How the host of the first target takes new connections while it is silent.
+    """How the host of the first target takes new connections.
 
     :param error: error of a connection, or ``None`` if it is accepted.
     :param failures: number of connections that fail; ``None`` for all.
@@ -110,10 +127,6 @@
     has_own_links: bool = True
 
 
-PAUSED_HOST = HostScript()
-"""The host of a paused process accepts connections for it."""
-
-
 class Stop(NamedTuple):
     """A graceful stop of the daemon. Times are in seconds.
 
@@ -249,27 +262,47 @@
 class _Hosts:
     """The hosts of all targets, as new connections find them.
 
-    :param script: :class:`HostScript` of the first target.
+    :param scripts: :class:`TargetScript` of each target.
+    :param first: :class:`HostScript` of the first target, or ``None``.
     """
 
-    def __init__(self, script):
-        self._script = script
+    def __init__(self, scripts, first):
+        self._first = first
         self._failures = 0
+        began_at = asyncio.get_running_loop().time()
+        self._end_by_address = {
+            _entry(number).address: began_at + script.ends_at_s
+            for number, script in enumerate(scripts)
+            if script.ends_at_s is not None
+        }
 
     async def accepts_connections(self, address):
-        """Whether the host of another target accepts a connection."""
-        return self._script.has_own_links
+        """Whether the host of a target accepts a connection."""
+        if self._first is not None and not self._first.has_own_links:
+            return False
+        return not self._has_ended(address)
 
     async def connect(self, address, timeout_s):
-        """Open a connection to the host of the first target."""
-        error, failures = self._script.error, self._script.failures
-        if error is None or (failures is not None and self._failures >= failures):
+        """Open a connection to the host of a target."""
+        error = self._error(address)
+        if error is None:
             return SimpleNamespace(abort=lambda: None)
-        self._failures += 1
         if isinstance(error, TimeoutError):
             await asyncio.sleep(timeout_s)
         raise TargetUnreachable(repr(error), sent=False) from error
 
+    def _error(self, address):
+        if self._first is None or address != _entry(0).address:
+            return TimeoutError() if self._has_ended(address) else None
+        self._failures += 1
+        failures = self._first.failures
+        is_over = failures is not None and self._failures > failures
+        return None if is_over else self._first.error
+
+    def _has_ended(self, address):
+        now = asyncio.get_running_loop().time()
+        return now >= self._end_by_address.get(address, float("inf"))
+
 
 class _Responder:
     """Collects the events that the caller gets.
@@ -305,7 +338,8 @@
     :param stop: :class:`Stop` or ``None``.
     :param new_configuration_after_s: seconds until a configuration with the same
         content is in force, or ``None``.
-    :param host: :class:`HostScript`
+    :param host: :class:`HostScript`, or ``None`` if hosts accept connections until
+        their targets end.
     """
 
     def __init__(
@@ -325,7 +359,7 @@
         self._fleet.apply([_entry(number) for number in range(len(scripts))], ())
         limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
         conditions = TargetConditions(limiter, self._fleet)
-        hosts = _Hosts(host)
+        hosts = _Hosts(scripts, host)
         reachability = ReachabilityMonitor(
             self._fleet,
             random.Random(1),
@@ -500,7 +534,7 @@
     caller_send_s=0.0,
     stop=None,
     new_configuration_after_s=None,
-    host=PAUSED_HOST,
+    host=None,
 ):
     """Forward a stream in virtual time and return its :class:`StreamRun`."""
     route = _route(is_resumable, max_attempts)
@@ -536,10 +570,30 @@
     )
 
 
+def _is_always_there(script):
+    """Whether a target is always listed, and its host always accepts connections."""
+    changes = [change for _, change in script.list_changes]
+    return script.ends_at_s is None and "no entry" not in changes
+
+
+def _with_random_list(script, rng):
+    """Return a script whose target is listed as it may be at any time."""
+    if rng.random() < 0.5:
+        return script
+    if script.ends_at_s is not None:
+        shown_at = script.ends_at_s + UNLISTING_DELAY_S
+        return script._replace(listed=((shown_at, rng.choice(END_CHANGES)),))
+    times = sorted(rng.uniform(0.0, 2.5) for _ in range(rng.randint(1, 3)))
+    return script._replace(
+        listed=tuple((at_s, rng.choice(HARMLESS_CHANGES)) for at_s in times)
+    )
+
+
 def silence_violations(seed):
     """Forward a stream to random targets and return its violations as texts."""
-    rng = random.Random(f"silence-{seed}")
+    rng, list_rng = random.Random(f"silence-{seed}"), random.Random(f"list-{seed}")
     scripts = [_random_script(rng) for _ in range(rng.randint(1, 4))]
+    scripts = [_with_random_list(script, list_rng) for script in scripts]
     is_resumable, max_attempts = rng.random() < 0.7, rng.randint(1, 3)
     result = stream_at_targets(
         scripts,
@@ -553,6 +607,8 @@
         violations.append(f"events out of order: {result.event_ids}")
     if result.is_complete and len(result.event_ids) not in (0, EVENT_COUNT):
         violations.append(f"complete after {len(result.event_ids)} events")
+    if result.error == "DeadlineWhileRunning" and any(map(_is_always_there, scripts)):
+        violations.append("waited for lost targets until its deadline")
     if result.left_open:
         violations.append(f"still running at {result.left_open}")
     runs = [number for number in result.sent_to if scripts[number].status != 503]
