A configuration that drops a service does not end the streams at it

Seen: by reading; no caller has reported it.

Cause: the service was looked up in the configuration in force, not in the one that the request had been accepted under.

The context of a daemon keeps the services that configurations drop, 100 at most, for the requests that are still in progress.

Ruled out, each by its row, sound before and after: a dropped route, a route to another service, a shorter and a longer time limit (the deadline is that of the arrival), fewer attempts, no key, no target.

--- a/cowslipcourse/entry/context.py
+++ b/cowslipcourse/entry/context.py
@@ -10,6 +10,9 @@
 
 __all__ = ["DaemonContext"]
 
+MAX_DROPPED_SERVICES = 100
+"""Services that are remembered after a configuration has dropped them."""
+
 
 class DaemonContext:
     """The views, helpers and configuration that components of a daemon share.
@@ -57,11 +60,31 @@
         self.relays = NoRelays()
         """:class:`~cowslipcourse.entry.unloaded_components.RelayService`"""
         self.stop = GracefulStop()
-        self.table = None
+        self._table = None
+        self._dropped_services = {}
         self.metrics = None
         self.withheld_counts = {}
         self.hedge_counts = {}
 
+    @property
+    def table(self):
+        """:class:`~cowslipcourse.routes.RouteTable` in force; ``None`` without one."""
+        return self._table
+
+    @table.setter
+    def table(self, table):
+        if self._table is not None and table is not None:
+            self._remember_dropped_services(table.services)
+        self._table = table
+
+    def _remember_dropped_services(self, services):
+        """Keep the services that are no longer configured, for accepted requests."""
+        for name, spec in self._table.services.items():
+            if name not in services:
+                self._dropped_services[name] = spec
+        while len(self._dropped_services) > MAX_DROPPED_SERVICES:
+            del self._dropped_services[next(iter(self._dropped_services))]
+
     @property
     def configuration_version(self):
         """Version of the configuration in force; 0 without one."""
@@ -107,5 +130,9 @@
         return len(self.table.priorities(service)) > 1
 
     def service_spec(self, name):
-        """Return the :class:`~cowslipcourse.routes.ServiceSpec` of a service."""
-        return self.table.services[name]
+        """Return the :class:`~cowslipcourse.routes.ServiceSpec` of a service.
+
+        A request may still be sent to a service after a configuration has dropped it.
+        """
+        spec = self.table.services.get(name)
+        return self._dropped_services[name] if spec is None else spec
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -104,6 +104,19 @@
         )
 
 
+@when(
+    "the stream is forwarded, and a configuration {change} is in force {after_s:f} s "
+    "later"
+)
+def step_forward_changed(context, change, after_s):
+    context.run = stream_at_targets(
+        context.scripts,
+        new_configuration_after_s=after_s,
+        new_configuration=change,
+        **context.options,
+    )
+
+
 @then('a line "{event}" has {fields}')
 def step_logged(context, event, fields):
     expected = dict(field.split("=") for field in fields.split())
--- a/features/support/silent_targets.py
+++ b/features/support/silent_targets.py
@@ -35,7 +35,9 @@
 from cowslipcourse.quarantine_runtime import Quarantine, TargetExitDetector
 from cowslipcourse.rate_limit_runtime import RateLimiter
 from cowslipcourse.routes import (
+    OPEN_ACCESS,
     CallerLimits,
+    KeyedAccess,
     RequestKind,
     Route,
     RouteTable,
@@ -336,8 +338,9 @@
     :param has_retry_budget: whether the budget allows retries.
     :param caller_send_s: seconds for which the caller delays each piece.
     :param stop: :class:`Stop` or ``None``.
-    :param new_configuration_after_s: seconds until a configuration with the same
-        content is in force, or ``None``.
+    :param new_configuration_after_s: seconds until another configuration is in force,
+        or ``None``.
+    :param new_configuration: name of its change, as in :func:`_new_table`.
     :param host: :class:`HostScript`, or ``None`` if hosts accept connections until
         their targets end.
     """
@@ -350,6 +353,7 @@
         caller_send_s,
         stop,
         new_configuration_after_s,
+        new_configuration,
         host,
     ):
         self._scripts = scripts
@@ -392,7 +396,8 @@
             InOrder(),
         )
         self._new_configuration_after_s = new_configuration_after_s
-        self._set_configuration(version=1)
+        self._new_configuration = new_configuration
+        self._context.table = _table(1, (self._route,))
         self._responder = _Responder(caller_send_s)
 
     async def run(self):
@@ -406,7 +411,7 @@
                 loop.call_at(began_at + at_s, self._fleet.apply, *changes)
         self._set_full(scripts=self._scripts)
         if self._new_configuration_after_s is not None:
-            loop.call_later(self._new_configuration_after_s, self._set_configuration, 2)
+            loop.call_later(self._new_configuration_after_s, self._change_configuration)
         if self._stop is not None:
             stop_at = began_at + self._stop.at_s
             ends_at = stop_at + self._stop.grace_s
@@ -434,10 +439,10 @@
             getattr(self._context, "hedge_counts", {}),
         )
 
-    def _set_configuration(self, version):
-        self._context.table = RouteTable(
-            version, (self._route,), (ServiceSpec(SERVICE),), CallerLimits()
-        )
+    def _change_configuration(self):
+        if self._new_configuration == "without any target":
+            self._fleet.apply((), list(self._fleet.entries))
+        self._context.table = _new_table(self._route, self._new_configuration)
 
     def _set_full(self, scripts):
         """Let other daemons take the places of targets for some time."""
@@ -495,6 +500,30 @@
     return (changed_entry,), ()
 
 
+def _table(version, routes, services=(SERVICE,), access=OPEN_ACCESS):
+    specs = [ServiceSpec(name) for name in services]
+    return RouteTable(version, routes, specs, CallerLimits(), access)
+
+
+def _new_table(route, change):
+    """Return the table of a configuration with a named change."""
+    if change.startswith("with a time limit of "):
+        timeout_s = float(change.split()[-2])
+        return _table(2, (route._replace(timeout_s=timeout_s),))
+    moved = route._replace(services=(("other", 1.0),))
+    return {
+        "with the same content": lambda: _table(2, (route,)),
+        "without any target": lambda: _table(2, (route,)),
+        "without its route": lambda: _table(2, ()),
+        "with its route to another service": lambda: _table(
+            2, (moved,), (SERVICE, "other")
+        ),
+        "without its service": lambda: _table(2, (moved,), ("other",)),
+        "with one attempt": lambda: _table(2, (route._replace(max_attempts=1),)),
+        "without any key": lambda: _table(2, (route,), access=KeyedAccess({})),
+    }[change]()
+
+
 def _route(is_resumable, max_attempts):
     return Route(
         "r",
@@ -534,6 +563,7 @@
     caller_send_s=0.0,
     stop=None,
     new_configuration_after_s=None,
+    new_configuration="with the same content",
     host=None,
 ):
     """Forward a stream in virtual time and return its :class:`StreamRun`."""
@@ -547,6 +577,7 @@
             caller_send_s,
             stop,
             new_configuration_after_s,
+            new_configuration,
             host,
         )
         return await site.run()
