--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -45,11 +45,13 @@
     "ENDLESS_PREFIX",
     "HOST",
     "KEY",
+    "PLAIN_SERVICE",
     "USUAL_PREFIX",
     "WITHOUT_TENANTS",
     "Arrival",
     "PlainExecution",
     "PlatformSite",
+    "route_entry",
     "stream_events",
 ]
 
@@ -130,7 +132,8 @@
     return {name.decode(): value.decode() for name, value in headers}
 
 
-def _route_entry(name, prefix, kind, service, **extra):
+def route_entry(name, prefix, kind, service, **extra):
+    """Return a route as the operator writes it; ``extra`` replaces or adds fields."""
     route = {
         "name": name,
         "host": HOST,
@@ -164,6 +167,10 @@
         self.tenants = None
         """Tenants of the configuration in place of the usual one, or
         :data:`WITHOUT_TENANTS`."""
+        self.extra_routes = []
+        """Routes of the configuration beside the usual ones."""
+        self.changed_route_fields = {}
+        """Changed fields of routes by the route's name."""
         self.configuration_version = 1
         self._builds = Builds()
         self._daemon_count = daemon_count
@@ -248,14 +255,19 @@
         content = {
             "version": self.configuration_version,
             "routes": [
-                _route_entry("draft", "/draft/", "streaming", SERVICE, resumable=True),
-                _route_entry(
+                route_entry("draft", "/draft/", "streaming", SERVICE, resumable=True),
+                route_entry(
                     "book", "/book/", "non_idempotent", PLAIN_SERVICE, maxAttempts=1
                 ),
-                _route_entry("look", "/look/", "idempotent", PLAIN_SERVICE),
+                route_entry("look", "/look/", "idempotent", PLAIN_SERVICE),
+                *self.extra_routes,
             ],
             "services": [{"name": SERVICE, "engine": engine}, {"name": PLAIN_SERVICE}],
         }
+        content["routes"] = [
+            route | self.changed_route_fields.get(route["name"], {})
+            for route in content["routes"]
+        ]
         if self.tenants is not WITHOUT_TENANTS:
             usual = [{"name": "crew", "apiKeys": self.keys}]
             content["tenants"] = usual if self.tenants is None else self.tenants
@@ -283,7 +295,7 @@
         routes = [
             Route("/report", report),
             Route("/order", order, methods=["POST"]),
-            Route("/draft/{name}", stream, methods=["POST"]),
+            Route("/{kind}/{name}", stream, methods=["POST"]),
         ]
         server = await self._serve(Starlette(routes=routes), address)
         self._target_servers[engine.id] = server
@@ -492,10 +504,10 @@
         if not engine.is_open_head:
             return Response(status_code=421, headers=headers)
         self._record_arrival(engine_id, headers["x-attempt-id"])
-        self.stream_attempt_ids.append(headers["x-attempt-id"])
         refusal = self._refusal(engine_id, headers["x-attempt-id"])
         if refusal is not None:
             return refusal
+        self.stream_attempt_ids.append(headers["x-attempt-id"])
         headers |= self._stated_headers(engine_id, headers["x-attempt-id"])
         after = int(request.headers.get("last-event-id", 0))
         name = request.path_params["name"]
