The soak lets targets fall silent together beside configurations

Cause: the soak paused single targets and changed a key, independently of each other, and a key change counted as a disturbance of the targets.

Callers also send streams that may not be resumed, and keep open connections to their daemon.

Checks: a key change excuses no cut any more; streams that may not be resumed run at most once and are truthfully told not to have run; a kept connection may be closed within 0.2 s (the users' lossSlackMs) on a request that reached no target, which only calls that ignore the directory can meet.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -26,6 +26,11 @@
     When the soak test runs seeds 8003 to 8003 with 6 s of faults each
     Then no guarantee was violated
 
+  Scenario: Targets that fall silent together beside configurations, reloads and stops violate no guarantee
+    When the soak test runs seeds 9002 to 9002 with 6 s of faults each
+    Then no guarantee was violated
+    And at least 5 streams were checked for a cut in a silence
+
   Scenario Outline: A violated guarantee is reported
     Given a soak test's history in which <what happened>
     Then the checks report "<finding>"
@@ -37,6 +42,14 @@
       | a booking that was reported as not run had run         | reported as not run, but it ran |
       | a booking succeeded without an execution               | success without an execution    |
       | a planned stop interrupted a stream                    | interrupted by planned maintenance |
+      | a stream is cut while its targets are silent beside a configuration | or a silence       |
+      | a stream is cut while its targets are silent beside a key change    | or a silence       |
+      | a stream is cut while its targets are silent during a reload        | or a silence       |
+      | a stream that may not be resumed ran twice             | ran 2 times                     |
+      | a stream that may not be resumed was reported as not run, but had run | reported as not run, but it ran |
+      | a stream on a kept connection is cut after it reached a target | interrupted by planned maintenance |
+      | a stream on a kept connection is held for 0.5 s and not passed on | interrupted by planned maintenance |
+      | a stream on a new connection is closed and not passed on       | interrupted by planned maintenance |
       | a key is accepted 4 s after it was revoked             | accepted a revoked key          |
       | a key is accepted 4 s after all were taken away        | served although no key exists   |
       | a new key is refused 4 s after it was added            | refused a valid key             |
@@ -54,6 +67,8 @@
     Examples:
       | what happened                                          |
       | a killed daemon interrupted a stream                   |
+      | a stream is cut while its targets are silent and the store is away |
+      | a stream on a kept connection crosses the close of a stop |
       | a key is accepted 4 s after it was revoked, without the store |
       | a target gets a request 1 s after it began to drain    |
       | a request reaches 3 targets 4 s after it crashed three |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,6 +1,7 @@
 """Steps for the soak test and for its checks."""
 
 import asyncio
+import contextlib
 import shutil
 from types import SimpleNamespace
 
@@ -9,9 +10,10 @@
 from cowslipcourse.emulator.limit_oracle import LimitOracle
 from cowslipcourse.emulator.pause_oracle import PauseOracle
 from features.support.platform_site import Arrival, PlainExecution, stream_events
-from soak.checks import check
+from soak.checks import check, streams_checked_in_silences
 from soak.history import CallKind, CallRecord, SiteHistory
 from soak.run import run_soak
+from soak.schedule import FaultKind
 
 _BOOKING_CALL = CallRecord(
     CallKind.BOOKING, "n1", "c1", "a1", 1, None, 10.0, 10.5, 200, b"done", True
@@ -19,6 +21,8 @@
 _STREAM_CALL = _BOOKING_CALL._replace(
     kind=CallKind.STREAM, body=b"".join(stream_events("n1")), status=200
 )
+_STREAM_ONCE_CALL = _STREAM_CALL._replace(kind=CallKind.STREAM_ONCE)
+_CLOSED_CALL = _STREAM_ONCE_CALL._replace(status=None, body=None)
 _LOOKUP_CALL = _BOOKING_CALL._replace(kind=CallKind.LOOKUP)
 _EXECUTION = PlainExecution("c1", "/book/n1", "p1", 10.2)
 
@@ -28,12 +32,19 @@
 )
 def step_soak(context, first, last, fault_s):
     context.violations = []
+    context.streams_checked = 0
     for seed in range(first, last + 1):
         violations, site = asyncio.run(run_soak(seed, float(fault_s)))
         context.violations += [f"seed {seed}: {violation}" for violation in violations]
+        context.streams_checked += streams_checked_in_silences(site.history)
         shutil.rmtree(site.folder)
 
 
+@then("at least {count:d} streams were checked for a cut in a silence")
+def step_streams_checked(context, count):
+    assert context.streams_checked >= count, context.streams_checked
+
+
 @then("no guarantee was violated")
 def step_no_violations(context):
     assert not context.violations, context.violations[:5]
@@ -61,6 +72,34 @@
     context.site.history.calls.append(_STREAM_CALL._replace(body=None))
 
 
+def _cut_in_silence(context, *kinds):
+    """Cut a stream in a silence, while faults of some kinds last too."""
+    history, clock = context.site.history, context.clock
+    with contextlib.ExitStack() as faults:
+        for kind in (FaultKind.SERVICE_SILENT, *kinds):
+            clock.now = 10.1
+            faults.enter_context(history.fault(kind, "a1"))
+        clock.now = 11.0
+    history.silences.append((10.1, 11.0))
+    history.calls.append(_STREAM_ONCE_CALL._replace(body=None))
+    context.site.stream_attempt_ids.append(_STREAM_ONCE_CALL.attempt_id)
+
+
+def _close_kept_connection(context, took_s=0.1, is_kept=True, was_executed=False):
+    _add_disturbance(context, "a1", 9.9, True)
+    ended_at = _CLOSED_CALL.began_at + took_s
+    call = _CLOSED_CALL._replace(ended_at=ended_at, is_kept=is_kept)
+    context.site.history.calls.append(call)
+    if was_executed:
+        context.site.stream_attempt_ids.append(call.attempt_id)
+
+
+def _run_stream_once(context, count, status=200):
+    call = _STREAM_ONCE_CALL._replace(status=status)
+    context.site.history.calls.append(call)
+    context.site.stream_attempt_ids += [call.attempt_id] * count
+
+
 def _send_to_limited_target(context, count):
     site, clock = context.site, context.clock
     clock.now = 1.0
@@ -159,6 +198,36 @@
     ),
     "a planned stop interrupted a stream": lambda context: _cut_stream(context, True),
     "a killed daemon interrupted a stream": lambda context: _cut_stream(context, False),
+    "a stream is cut while its targets are silent beside a configuration": (
+        _cut_in_silence
+    ),
+    "a stream is cut while its targets are silent beside a key change": (
+        lambda context: _cut_in_silence(context, FaultKind.KEY_CHANGES)
+    ),
+    "a stream is cut while its targets are silent during a reload": (
+        lambda context: _cut_in_silence(context, FaultKind.RELOAD)
+    ),
+    "a stream is cut while its targets are silent and the store is away": (
+        lambda context: _cut_in_silence(context, FaultKind.STORE_AWAY)
+    ),
+    "a stream that may not be resumed ran twice": lambda context: _run_stream_once(
+        context, 2
+    ),
+    "a stream that may not be resumed was reported as not run, but had run": (
+        lambda context: _run_stream_once(context, 1, status=503)
+    ),
+    "a stream on a kept connection crosses the close of a stop": (
+        _close_kept_connection
+    ),
+    "a stream on a kept connection is cut after it reached a target": (
+        lambda context: _close_kept_connection(context, was_executed=True)
+    ),
+    "a stream on a kept connection is held for 0.5 s and not passed on": (
+        lambda context: _close_kept_connection(context, took_s=0.5)
+    ),
+    "a stream on a new connection is closed and not passed on": (
+        lambda context: _close_kept_connection(context, is_kept=False)
+    ),
     "a key is accepted 4 s after it was revoked": _serve_old_key,
     "a key is accepted 4 s after all were taken away": _serve_without_keys,
     "a key is accepted 4 s after it was revoked, without the store": (
@@ -202,6 +271,7 @@
     context.site = SimpleNamespace(
         history=SiteHistory(context.clock.time),
         executions=[],
+        stream_attempt_ids=[],
         crashes=[],
         arrivals=[],
         world=SimpleNamespace(violations=[]),
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,7 +8,7 @@
 from features.support.platform_site import HOST, KEY
 from soak.history import CallKind, CallRecord
 
-__all__ = ["Callers"]
+__all__ = ["CALL_KIND_MIX", "MIX_WITH_BOTH_STREAMS", "Callers"]
 
 CALLER_COUNT = 10
 THINK_TIME_RANGE_S = (0.02, 0.2)
@@ -18,6 +18,11 @@
     (CallKind.STREAM,) * 3 + (CallKind.BOOKING,) * 2 + (CallKind.LOOKUP,) * 2
 )
 """Mix of calls; streams last longest, so most calls in flight are streams."""
+MIX_WITH_BOTH_STREAMS = (
+    *CALL_KIND_MIX,
+    CallKind.STREAM,
+    *(CallKind.STREAM_ONCE,) * 4,
+)
 ROTATING_KEY_PROBABILITY = 0.3
 """Probability that a lookup uses the rotating key."""
 
@@ -27,13 +32,23 @@
 
     :param site: :class:`~soak.site.SoakSite`
     :param rng: :class:`random.Random`
+    :param kind_mix: kinds of calls, each as often as it is to be drawn.
+    :param keep_probability: probability that a caller whose call succeeded sends the
+        next one to the same daemon, on the open connection.
     """
 
-    def __init__(self, site, rng):
+    def __init__(self, site, rng, kind_mix=CALL_KIND_MIX, keep_probability=0.0):
         self._site = site
         self._rng = rng
+        self._kind_mix = kind_mix
+        self._keep_probability = keep_probability
         self._call_numbers = itertools.count(1)
 
+    @property
+    def kinds(self):
+        """All kinds of calls that these callers send."""
+        return tuple(dict.fromkeys(self._kind_mix))
+
     async def run(self):
         """Run all callers until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -41,12 +56,22 @@
                 group.create_task(self._run_caller())
 
     async def _run_caller(self):
+        kept_daemon = None
         async with aiohttp.ClientSession() as session:
             while True:
                 await asyncio.sleep(self._rng.uniform(*THINK_TIME_RANGE_S))
-                daemon = await self._resolve_daemon(session)
-                if daemon is not None:
-                    await self.call(session, daemon, self._rng.choice(CALL_KIND_MIX))
+                is_kept = kept_daemon is not None
+                daemon = kept_daemon or await self._resolve_daemon(session)
+                if daemon is None:
+                    continue
+                kind = self._rng.choice(self._kind_mix)
+                record = await self.call(session, daemon, kind, is_kept=is_kept)
+                kept_daemon = daemon if self._keeps_daemon(record) else None
+
+    def _keeps_daemon(self, record):
+        if not self._keep_probability or record.status != 200 or record.body is None:
+            return False
+        return self._rng.random() < self._keep_probability
 
     async def _resolve_daemon(self, session):
         """Return the name of a daemon that a directory lists, or ``None``."""
@@ -80,7 +105,7 @@
             ]
             await asyncio.gather(*calls)
 
-    async def call(self, session, daemon, kind, request_name=None):
+    async def call(self, session, daemon, kind, request_name=None, is_kept=False):
         """Send a call, record it and return its :class:`~soak.history.CallRecord`."""
         site, loop = self._site, asyncio.get_running_loop()
         number = next(self._call_numbers)
@@ -113,6 +138,7 @@
             status,
             body,
             was_sent,
+            is_kept,
         )
         site.history.calls.append(record)
         return record
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,12 +1,18 @@
 """Checks of the system's guarantees against the records of callers and targets."""
 
+from collections import Counter
+
 from features.support.platform_site import stream_events
-from soak.history import CallKind
+from soak.history import STREAM_KINDS, CallKind
 
-__all__ = ["check"]
+__all__ = ["check", "streams_checked_in_silences"]
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that a request has not run and never will."""
+RUN_AT_MOST_ONCE_KINDS = (CallKind.BOOKING, CallKind.STREAM_ONCE)
+LOSS_SLACK_S = 0.2
+"""Time within which a daemon may close a connection on a request that it has not read,
+as on the users' platform."""
 SETTLE_TIME_S = 3.0
 """Undisturbed time after which bounds hold, as on the users' platform."""
 APPLY_LIMIT_S = 2.0
@@ -43,7 +49,7 @@
         ),
         *_check_bodies(history),
         *_check_executions(site),
-        *_check_planned_work(history),
+        *_check_planned_work(site),
         *_check_keys(history),
         *_check_keyless(history),
         *_check_draining(site),
@@ -59,40 +65,71 @@
         if call.status != 200 or call.body is None:
             continue
         expected = b"done"
-        if call.kind == CallKind.STREAM:
+        if call.kind in STREAM_KINDS:
             expected = b"".join(stream_events(call.request_name))
         if call.body != expected:
             yield f"wrong response body: {call}"
 
 
+def _executed_ids(site):
+    """Return the attempt id of each execution, which targets of any kind began."""
+    plain_ids = [execution.attempt_id for execution in site.executions]
+    return plain_ids + site.stream_attempt_ids
+
+
 def _check_executions(site):
-    """Check that bookings run at most once, and that reports of "not run" are true."""
-    executions = [execution.attempt_id for execution in site.executions]
+    """Check what runs at most once, and that reports of "not run" are true."""
+    execution_counts = Counter(_executed_ids(site))
     for call in site.history.calls:
-        execution_count = executions.count(call.attempt_id)
-        if call.kind == CallKind.BOOKING and execution_count > 1:
+        execution_count = execution_counts[call.attempt_id]
+        runs_once = call.kind in RUN_AT_MOST_ONCE_KINDS
+        if runs_once and execution_count > 1:
             yield f"ran {execution_count} times: {call}"
-        if (
-            call.kind == CallKind.BOOKING
-            and call.status in NOT_EXECUTED_STATUSES
-            and execution_count
-        ):
+        if runs_once and call.status in NOT_EXECUTED_STATUSES and execution_count:
             yield f"reported as not run, but it ran: {call}"
-        if call.kind != CallKind.STREAM and call.status == 200 and not execution_count:
+        is_stream = call.kind in STREAM_KINDS
+        if not is_stream and call.status == 200 and not execution_count:
             yield f"success without an execution: {call}"
 
 
-def _check_planned_work(history):
-    """Check that planned maintenance alone interrupts no request."""
-    for call in history.calls:
+def _check_planned_work(site):
+    """Check that neither planned maintenance nor silent targets interrupt a request."""
+    executed_ids = set(_executed_ids(site))
+    for call in site.history.calls:
         if call.status is not None and call.body is not None and call.status < 500:
             continue
         if not call.was_sent or call.status in NOT_EXECUTED_STATUSES:
             continue
-        span = call.began_at, call.ended_at, SETTLE_TIME_S
-        subjects = (call.daemon, "store", "targets")
-        if all(history.is_undisturbed(subject, *span, False) for subject in subjects):
-            yield f"interrupted by planned maintenance: {call}"
+        if _crossed_close(call) and call.attempt_id not in executed_ids:
+            continue
+        if _is_undisturbed(site.history, call):
+            yield f"interrupted by planned maintenance or a silence: {call}"
+
+
+def _crossed_close(call):
+    """Whether a call may have crossed the close of the connection that it used."""
+    took_s = call.ended_at - call.began_at
+    return call.is_kept and call.status is None and took_s <= LOSS_SLACK_S
+
+
+def _is_undisturbed(history, call):
+    """Whether only planned maintenance disturbed what a call depends on."""
+    span = call.began_at, call.ended_at, SETTLE_TIME_S
+    subjects = (call.daemon, "store", "targets")
+    return all(history.is_undisturbed(subject, *span, False) for subject in subjects)
+
+
+def streams_checked_in_silences(history):
+    """Return how many undisturbed streams were under way as a target fell silent.
+
+    :param history: :class:`~soak.history.SiteHistory`
+    """
+    return sum(
+        call.kind in STREAM_KINDS
+        and any(call.began_at < at < call.ended_at for at, _ in history.silences)
+        and _is_undisturbed(history, call)
+        for call in history.calls
+    )
 
 
 def _check_keys(history):
--- a/soak/history.py
+++ b/soak/history.py
@@ -3,7 +3,9 @@
 import contextlib
 from typing import NamedTuple
 
-__all__ = ["CallKind", "CallRecord", "SiteHistory"]
+from soak.schedule import PLANNED_KINDS, disturbed_subject
+
+__all__ = ["STREAM_KINDS", "CallKind", "CallRecord", "SiteHistory"]
 
 
 class CallKind:
@@ -12,6 +14,11 @@
     STREAM = "draft"
     BOOKING = "book"
     LOOKUP = "look"
+    STREAM_ONCE = "tell"
+    """A stream that may not be resumed, nor run twice."""
+
+
+STREAM_KINDS = (CallKind.STREAM, CallKind.STREAM_ONCE)
 
 
 class CallRecord(NamedTuple):
@@ -30,6 +37,8 @@
     :param status: HTTP status; ``None`` if there was no response.
     :param body: body of a complete response; ``None`` if it was incomplete.
     :param was_sent: whether the daemon may have read it.
+    :param is_kept: whether the caller kept its daemon and connection from an earlier
+        call, without asking whether the daemon is still listed.
     """
 
     kind: str
@@ -43,6 +52,7 @@
     status: int | None
     body: bytes | None
     was_sent: bool
+    is_kept: bool = False
 
 
 class _Disturbance(NamedTuple):
@@ -68,6 +78,8 @@
         self.key_configured_at = {}
         self.keyless_versions = set()
         """Versions of the rotating key at which no key at all exists."""
+        self.silences = []
+        """Loop times from and until which a target or more were silent."""
         self._incarnations = {}
         self._disturbances = []
         self._active = {}
@@ -89,6 +101,17 @@
             finished = _Disturbance(subject, began_at, self._now(), is_planned)
             self._disturbances.append(finished)
 
+    def fault(self, kind, daemon):
+        """Return a context that records what a fault disturbs while it lasts.
+
+        :param kind: :class:`~soak.schedule.FaultKind`
+        :param daemon: name of the daemon that the fault would affect.
+        """
+        subject = disturbed_subject(kind, daemon)
+        if subject is None:
+            return contextlib.nullcontext()
+        return self.disturbance(subject, kind in PLANNED_KINDS)
+
     def record_start(self, daemon, ended_at):
         """Record that a daemon's process was started.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,10 +11,11 @@
 
 import aiohttp
 
-from soak.callers import Callers
-from soak.checks import check
-from soak.history import CallKind
-from soak.schedule import make_schedule
+from features.support.engine_world import SERVICE
+from features.support.platform_site import route_entry
+from soak.callers import MIX_WITH_BOTH_STREAMS, Callers
+from soak.checks import check, streams_checked_in_silences
+from soak.schedule import SERVICE_SILENT_MIN_SEED, make_schedule
 from soak.site import SoakSite
 
 __all__ = ["main", "run_soak"]
@@ -24,6 +25,8 @@
 POLL_INTERVAL_S = 0.2
 CRASH_REPEATS = 2
 REPEAT_PAUSE_S = 2.0
+KEEP_PROBABILITY = 0.8
+STREAM_ONCE_ROUTE = route_entry("tell", "/tell/", "streaming", SERVICE)
 GOOD_ROUNDS_REQUIRED = 3
 """Consecutive rounds in which every daemon must serve every kind of call."""
 
@@ -37,7 +40,7 @@
             calls = [
                 callers.call(session, daemon, kind)
                 for daemon in site.front_addresses
-                for kind in (CallKind.STREAM, CallKind.BOOKING, CallKind.LOOKUP)
+                for kind in callers.kinds
             ]
             records = await asyncio.gather(*calls)
             answered = [
@@ -70,7 +73,12 @@
     """
     rng = random.Random(seed)
     site = SoakSite(rng)
-    callers = Callers(site, rng)
+    callers, schedule_rng = Callers(site, rng), rng
+    if seed >= SERVICE_SILENT_MIN_SEED:
+        site.extra_routes.append(STREAM_ONCE_ROUTE)
+        callers = Callers(site, rng, MIX_WITH_BOTH_STREAMS, KEEP_PROBABILITY)
+        # The callers draw from the other generator, in an order that varies.
+        schedule_rng = random.Random(seed)
     site.send_crashing_request = callers.send_crashing_request
     caller_task = None
     try:
@@ -79,7 +87,7 @@
             return ["the site did not serve every kind of call before the faults"], site
         caller_task = asyncio.create_task(callers.run())
         began_at = asyncio.get_running_loop().time()
-        for fault in make_schedule(rng, duration_s, seed):
+        for fault in make_schedule(schedule_rng, duration_s, seed):
             now = asyncio.get_running_loop().time()
             await asyncio.sleep(max(0.0, began_at + fault.at_s - now))
             site.apply(fault)
@@ -117,7 +125,11 @@
     failed = 0
     for seed in range(arguments.first, arguments.last + 1):
         violations, site = asyncio.run(run_soak(seed, arguments.seconds))
-        print(f"seed {seed}: {len(site.history.calls)} calls", flush=True)
+        print(
+            f"seed {seed}: {len(site.history.calls)} calls, "
+            f"{streams_checked_in_silences(site.history)} streams checked in silences",
+            flush=True,
+        )
         for violation in violations[:5]:
             print(f"seed {seed}: {violation}", flush=True)
         failed += bool(violations)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -3,7 +3,15 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["DAEMON_FAULTS", "Fault", "FaultKind", "make_schedule"]
+__all__ = [
+    "DAEMON_FAULTS",
+    "PLANNED_KINDS",
+    "SERVICE_SILENT_MIN_SEED",
+    "Fault",
+    "FaultKind",
+    "disturbed_subject",
+    "make_schedule",
+]
 
 MIN_GAP_S = 0.1
 MAX_GAP_S = 1.2
@@ -45,6 +53,7 @@
     KEYS_TAKEN_AWAY = "keys-taken-away"
     TARGET_SILENT = "target-silent"
     TARGETS_SLOW = "targets-slow"
+    SERVICE_SILENT = "service-silent"
 
 
 _Kind = FaultKind
@@ -71,9 +80,32 @@
 """First seeds that draw ``TARGETS_ENDED``, ``STORE_OLDER``, ``TARGET_LIMITED`` and
 ``TARGET_PAUSES``, for the same reason."""
 SOUND_TARGET_KINDS = frozenset((_Kind.TARGET_SILENT, _Kind.TARGETS_SLOW))
-"""Kinds that are no disturbance: the targets are sound."""
 SOUND_TARGET_KINDS_MIN_SEED = 8000
 """First seed that draws these and ``KEYS_TAKEN_AWAY``, for the same reason."""
+SERVICE_SILENT_MIN_SEED = 9000
+"""First seed that draws ``SERVICE_SILENT``, for the same reason."""
+PLANNED_KINDS = frozenset((_Kind.STOP, _Kind.RELOAD))
+"""Kinds that are planned maintenance, which must interrupt no request."""
+UNDISTURBING_KINDS = frozenset(
+    (
+        _Kind.TARGET_LIMITED,
+        _Kind.TARGET_PAUSES,
+        _Kind.KEY_CHANGES,
+        _Kind.KEYS_TAKEN_AWAY,
+        _Kind.SERVICE_SILENT,
+        *SOUND_TARGET_KINDS,
+    )
+)
+"""Kinds that excuse no interrupted request: targets are sound, configurations valid."""
+CALM_FRACTION = 0.75
+"""Part of a run, from its start, that draws only ``_CALM_WEIGHTS`` from
+``SERVICE_SILENT_MIN_SEED`` on. Among other kinds hardly a request is undisturbed."""
+_CALM_WEIGHTS = {
+    _Kind.SERVICE_SILENT: 6,
+    _Kind.RELOAD: 2,
+    _Kind.STOP: 1,
+    _Kind.KEY_CHANGES: 1,
+}
 _WEIGHTS = dict.fromkeys(FaultKind, 2.0) | {
     _Kind.KILL_ALL: 0.3,
     _Kind.ENGINE_LOST: 5,
@@ -89,6 +121,7 @@
     _Kind.KEYS_TAKEN_AWAY: 4,
     _Kind.TARGET_SILENT: 14,
     _Kind.TARGETS_SLOW: 8,
+    _Kind.SERVICE_SILENT: 14,
 }
 
 
@@ -107,13 +140,21 @@
     duration_s: float
 
 
-def make_schedule(rng, duration_s, seed):
-    """Return the :class:`Fault` list of a run, sorted by time.
+def disturbed_subject(kind, daemon):
+    """Return what a fault disturbs, or ``None`` if it excuses no interrupted request.
 
-    :param rng: :class:`random.Random`
-    :param duration_s: seconds within which all faults begin and end.
-    :param seed: seed of the run; determines which kinds can be drawn.
+    :param kind: :class:`FaultKind`
+    :param daemon: name of the daemon that the fault would affect.
+    :returns: the daemon's name, ``"store"``, ``"targets"`` or ``None``.
     """
+    if kind in DAEMON_FAULTS:
+        return daemon
+    if kind in UNDISTURBING_KINDS:
+        return None
+    return "store" if kind.value.startswith("store") else "targets"
+
+
+def _excluded_kinds(seed):
     excluded = set(RESTART_KINDS) if seed < RESTART_KINDS_MIN_SEED else set()
     if seed < TARGETS_ENDED_MIN_SEED:
         excluded.add(_Kind.TARGETS_ENDED)
@@ -125,17 +166,31 @@
         excluded.add(_Kind.TARGET_PAUSES)
     if seed < SOUND_TARGET_KINDS_MIN_SEED:
         excluded |= {*SOUND_TARGET_KINDS, _Kind.KEYS_TAKEN_AWAY}
+    if seed < SERVICE_SILENT_MIN_SEED:
+        excluded.add(_Kind.SERVICE_SILENT)
+    return excluded
+
+
+def make_schedule(rng, duration_s, seed):
+    """Return the :class:`Fault` list of a run, sorted by time.
+
+    :param rng: :class:`random.Random`
+    :param duration_s: seconds within which all faults begin and end.
+    :param seed: seed of the run; determines which kinds can be drawn.
+    """
+    excluded = _excluded_kinds(seed)
     weight_by_kind = {
         kind: weight for kind, weight in _WEIGHTS.items() if kind not in excluded
     }
-    kinds, weights = zip(*weight_by_kind.items(), strict=True)
+    calm_until_s = CALM_FRACTION * duration_s if seed >= SERVICE_SILENT_MIN_SEED else 0
     faults, at_s, kind = [], 0.0, None
     while True:
         at_s += rng.uniform(MIN_GAP_S, MAX_GAP_S)
         if at_s >= duration_s:
             return faults
         if kind is None or rng.random() > REPEAT_KIND_PROBABILITY:
-            kind = rng.choices(kinds, weights)[0]
+            weights = _CALM_WEIGHTS if at_s < calm_until_s else weight_by_kind
+            kind = rng.choices(tuple(weights), tuple(weights.values()))[0]
         fault_duration_s = min(rng.uniform(0.3, 5.0), duration_s - at_s)
         faults.append(
             Fault(round(at_s, 2), kind, rng.random(), round(fault_duration_s, 2))
--- a/soak/site.py
+++ b/soak/site.py
@@ -5,11 +5,18 @@
 from collections import deque
 from pathlib import Path
 
-from features.support.platform_site import CRASH_PREFIX, KEY, PlatformSite
+from features.support.engine_world import SERVICE
+from features.support.platform_site import (
+    CRASH_PREFIX,
+    KEY,
+    PLAIN_SERVICE,
+    PlatformSite,
+)
 from harness.ports import free_ports
 from soak.history import SiteHistory
 from soak.proxy import LinkState, LoopbackProxy
-from soak.schedule import DAEMON_FAULTS, SOUND_TARGET_KINDS, FaultKind
+from soak.schedule import DAEMON_FAULTS
+from soak.silences import ServiceSilences
 
 __all__ = ["DAEMONS", "SoakSite"]
 
@@ -64,6 +71,8 @@
         self._restarting = set()
         self._engines_lost = 0
         self._key_version = 0
+        self._paused_until = {}
+        self._silences = ServiceSilences(self)
         self._active_tasks = set()
         self._copies = deque(maxlen=MAX_COPIES)
         self.send_crashing_request = None
@@ -177,23 +186,9 @@
         name = names[int(fault.victim_fraction * len(names))]
         # Each kind is handled by the method of the same name.
         apply_kind = getattr(self, "_do_" + fault.kind.value.replace("-", "_"))
-        if fault.kind in DAEMON_FAULTS:
-            is_planned = fault.kind in (FaultKind.STOP, FaultKind.RELOAD)
-            with self.history.disturbance(name, is_planned):
-                await apply_kind(name, fault)
-        elif fault.kind in (
-            FaultKind.TARGET_LIMITED,
-            FaultKind.TARGET_PAUSES,
-            FaultKind.KEYS_TAKEN_AWAY,
-            *SOUND_TARGET_KINDS,
-        ):
-            await apply_kind(fault)
-        elif fault.kind.value.startswith("store"):
-            with self.history.disturbance("store"):
-                await apply_kind(fault)
-        else:
-            with self.history.disturbance("targets"):
-                await apply_kind(fault)
+        arguments = (name, fault) if fault.kind in DAEMON_FAULTS else (fault,)
+        with self.history.fault(fault.kind, name):
+            await apply_kind(*arguments)
 
     def _send_signal(self, name, signal_number, expects_exit=False):
         process = self.processes[name]
@@ -355,9 +350,34 @@
 
     async def _do_target_silent(self, fault):
         """Let a sound target send nothing for a while."""
-        target, loop = self._pick_target(fault), asyncio.get_running_loop()
-        self.silent_until[target] = loop.time() + min(fault.duration_s, MAX_SILENCE_S)
-        await asyncio.sleep(min(fault.duration_s, MAX_SILENCE_S))
+        target, now = self._pick_target(fault), asyncio.get_running_loop().time()
+        silence_s = min(fault.duration_s, MAX_SILENCE_S)
+        self.silent_until[target] = now + silence_s
+        self.history.silences.append((now, now + silence_s))
+        await asyncio.sleep(silence_s)
+
+    async def _do_service_silent(self, fault):
+        """Let targets of a service pause together, shortly after a configuration."""
+        await self._silences.run(fault)
+
+    def pause_targets(self, targets, until):
+        """Let targets send nothing at all, reports included, until a loop time."""
+        for target in targets:
+            self._paused_until[target] = until
+            self.silent_until[target] = max(until, self.silent_until.get(target, 0.0))
+
+    async def _wait_for_engine(self, engine_id):
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(self._paused_until.get(engine_id, now) - now)
+        return await super()._wait_for_engine(engine_id)
+
+    @property
+    def targets_by_service(self):
+        """Names of all targets by service."""
+        return {
+            SERVICE: sorted(self.world.engines),
+            PLAIN_SERVICE: sorted(self._plain_addresses),
+        }
 
     async def _do_targets_slow(self, fault):
         """Let all targets run new requests for longer."""
