A stream that waits for too long is sent elsewhere, although its target serves others

A stream that may run elsewhere is overdue after half of the gap that callers stand, max(2 s, 4 objectives, 8 pause limits). It then counts as silent: the first attempt stays open, the retry budget is charged, the first to deliver wins. Its target is not suspected. A queue at the target explains a late first event; the time in which a slow caller accepts events does not count.

Seen failing before: four of the new scenarios (mute, mute in the middle, two mute targets, preempted for 2.5 s).

A lower one would act on queues, a higher one leaves too little time for a first event elsewhere.

Ruled out: suspecting the target, which serves others; a hedge for queued streams, which only lengthens queues.

--- a/cowslipcourse/entry/silence_detector.py
+++ b/cowslipcourse/entry/silence_detector.py
@@ -1,4 +1,8 @@
-"""Detect targets that stop sending events."""
+"""Detect targets that stop sending events, and streams that wait for too long."""
+
+import asyncio
+import math
+from contextlib import contextmanager
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.entry.pauses import RecentLateness, ticks
@@ -35,21 +39,44 @@
     :param attempt: :class:`~cowslipcourse.entry.attempts.Attempt`
     :param run: :class:`~cowslipcourse.entry.attempts.TargetRun`
     :param request_id: id of the request, for logs.
+    :param overdue_after_s: seconds without an event after which it may be sent to
+        another target although this one serves others.
     """
 
-    def __init__(self, attempt, run, request_id):
+    def __init__(self, attempt, run, request_id, overdue_after_s=math.inf):
         self.attempt = attempt
         self.run = run
         self.request_id = request_id
+        self.overdue_after_s = overdue_after_s
         self.has_events = False
         self.is_silent = False
+        self._awaited_since = attempt.sent_at
+
+    @contextmanager
+    def relaying(self):
+        """Do not count the time in which the caller accepts events."""
+        self._awaited_since = math.inf
+        try:
+            yield
+        finally:
+            self._awaited_since = asyncio.get_running_loop().time()
+
+    def waited_s(self, now, observed_since):
+        """Return the seconds for which it has waited for its target.
+
+        :param now: loop time.
+        :param observed_since: loop time since which this process has not been paused.
+        """
+        received_at = self.attempt.connection.last_received_at
+        return now - max(received_at, self._awaited_since, observed_since)
 
 
 class SilenceDetector:
     """Marks silent streams and suspects their targets.
 
     A silent target may only be paused, so a stream is aborted only once its target, or
-    the group that it was sent to, is known to have ended.
+    the group that it was sent to, is known to have ended. A stream that is overdue
+    while its target serves others counts as silent, but its target is not suspected.
 
     :param fleet: :class:`~cowslipcourse.entry.fleet_view.FleetView`
     :param is_host_lost: callable like
@@ -108,10 +135,11 @@
 
     def _check_stream(self, stream, silent_s, now):
         was_silent = stream.is_silent
-        stream.is_silent = silent_s > self._limit_s(stream)
-        if stream.is_silent:
+        is_target_silent = silent_s > self._limit_s(stream)
+        if is_target_silent:
             self._suspect(stream, silent_s, now)
             self._abort_ended(stream, silent_s, now)
+        stream.is_silent = is_target_silent or self._is_overdue(stream, now)
         if stream.is_silent and not was_silent:
             stream.run.mark_silent()
         elif was_silent and not stream.is_silent:
@@ -120,10 +148,30 @@
     def _limit_s(self, stream):
         if stream.has_events:
             return MAX_EVENT_GAP_S
-        entry = stream.attempt.entry
-        is_queued = self._fleet.load(entry.id) > entry.slots
+        is_queued = self._has_queue(stream.attempt.entry)
         return MAX_QUEUED_FIRST_EVENT_WAIT_S if is_queued else MAX_FIRST_EVENT_WAIT_S
 
+    def _has_queue(self, entry):
+        return self._fleet.load(entry.id) > entry.slots
+
+    def _is_overdue(self, stream, now):
+        """Whether a stream waits for too long; a queue explains a late first event."""
+        waited_s = stream.waited_s(now, self._observed_since)
+        if waited_s <= stream.overdue_after_s:
+            return False
+        if not stream.has_events and self._has_queue(stream.attempt.entry):
+            return False
+        if not stream.is_silent:
+            log.info(
+                "stream-overdue",
+                target=stream.attempt.entry.id,
+                request=stream.request_id,
+                seconds=round(waited_s, 3),
+                begun=stream.has_events,
+                own_late_s=round(self.own_late_s, 3),
+            )
+        return True
+
     def _suspect(self, stream, silent_s, now):
         target = stream.attempt.entry.id
         if not self._fleet.suspect(target, now):
--- a/cowslipcourse/entry/stream_forwarder.py
+++ b/cowslipcourse/entry/stream_forwarder.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 
 from cowslipcourse.adapters.log import get_logger
+from cowslipcourse.admission.caller_patience import overdue_after_s
 from cowslipcourse.admission.failure_attribution import StreamTimes, late_cause
 from cowslipcourse.entry.attempt_outcomes import NOT_EXECUTED_STATUSES
 from cowslipcourse.entry.retries import try_targets
@@ -100,7 +101,7 @@
     @contextmanager
     def _watching(self, call, run, attempt):
         """Watch a stream for silence; that of a relay includes its retries."""
-        stream = WatchedStream(attempt, run, call.id)
+        stream = WatchedStream(attempt, run, call.id, overdue_after_s(call.route))
         if run.is_relayed:
             yield stream
             return
@@ -128,8 +129,9 @@
             now = asyncio.get_running_loop().time()
             observed.record_events(len(events), now)
             progress.observed = observed
-            async with progress.relaying:
-                await self._relay_events(progress, run, head, events)
+            with stream.relaying():
+                async with progress.relaying:
+                    await self._relay_events(progress, run, head, events)
             self._context.quarantine.record_progress(progress.call, run)
         _check_end(run, attempt.connection, splitter)
         async with progress.relaying:
--- a/features/forwarding/silence.feature
+++ b/features/forwarding/silence.feature
@@ -32,6 +32,44 @@
       | not resumable | 2        | yes    | lost, sound                          | failed in 1.5 s  | 1    |
       | resumable     | 2        | yes    | lost, lost too                       | failed in 1.9 s  | 2    |
 
+  Scenario Outline: A stream that waits much longer than others at its target is sent to another one as well
+    Given a <kind> stream that may be sent to <attempts> targets, with a retry budget: <budget>
+    And targets that are <targets>
+    When the stream is forwarded
+    Then the stream is <outcome> and was sent to <sent> targets
+    And no target was suspected
+
+    Examples: It is not served
+      | kind          | attempts | budget | targets                         | outcome        | sent |
+      | resumable     | 2        | yes    | mute to it, sound               | whole in 3.4 s | 2    |
+      | resumable     | 2        | yes    | mute after some events, sound   | whole in 3.6 s | 2    |
+      | resumable     | 3        | yes    | mute to it, mute to it, sound   | whole in 5.5 s | 3    |
+      | resumable     | 2        | yes    | preempting it for 2.5 s, sound  | whole in 3.5 s | 2    |
+      | resumable     | 2        | no     | mute to it, sound               | failed         | 1    |
+      | resumable     | 1        | yes    | mute to it, sound               | failed         | 1    |
+      | not resumable | 2        | yes    | mute to it, sound               | failed         | 1    |
+
+    Examples: It is only slower than others
+      | kind          | attempts | budget | targets                         | outcome        | sent |
+      | resumable     | 2        | yes    | preempting it for 1.5 s, sound  | whole          | 1    |
+      | resumable     | 2        | yes    | queueing it for 2.5 s, sound    | whole          | 1    |
+
+  Scenario Outline: A stream is overdue after half of the gap that its callers stand
+    Given a <kind> route with <attempts> attempts, an objective of <objective> s and a pause limit of <pause> s
+    Then its streams are overdue after <overdue> s
+
+    Examples:
+      | kind          | attempts | objective | pause | overdue |
+      | resumable     | 2        | 0.3       | 0.2   | 1.0     |
+      | resumable     | 2        | 1.0       | 0.2   | 2.0     |
+      | resumable     | 3        | 0.5       | 0.3   | 1.2     |
+      | resumable     | 1        | 0.3       | 0.2   | inf     |
+      | not resumable | 2        | 0.3       | 0.2   | inf     |
+
+  Scenario: A caller that reads slowly does not make a target look mute
+    When a stream at targets that are serving others too, sound is read with 2.5 s for each piece
+    Then the stream was sent to 1 target
+
   Scenario Outline: The log tells why an attempt was ended and which configuration was in force
     Given a not resumable stream that may be sent to 2 targets, with a retry budget: yes
     And targets that are <targets>
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -1,7 +1,10 @@
 """Steps for streams at silent targets."""
 
+import math
+
 from behave import given, then, when
 
+from cowslipcourse.admission.caller_patience import overdue_after_s
 from features.support.log_records import recorded_logs
 from features.support.silent_targets import (
     EVENT_COUNT,
@@ -10,6 +13,7 @@
     TargetScript,
     silence_violations,
     stream_at_targets,
+    stream_route,
 )
 
 SCRIPTS = {
@@ -28,6 +32,14 @@
     "lost": TargetScript(ends_at_s=0.5),
     "lost too": TargetScript(ends_at_s=1.0),
     "endless": TargetScript(silences=((0.5, 60.0),)),
+    "mute to it": TargetScript(silences=((0.0, 60.0),), serves_others=True),
+    "mute after some events": TargetScript(silences=((0.5, 60.0),), serves_others=True),
+    "preempting it for 1.5 s": TargetScript(silences=((0.5, 1.5),), serves_others=True),
+    "preempting it for 2.5 s": TargetScript(silences=((0.5, 2.5),), serves_others=True),
+    "queueing it for 2.5 s": TargetScript(
+        first_event_s=2.5, serves_others=True, queue_from_s=0.1
+    ),
+    "serving others too": TargetScript(serves_others=True),
 }
 
 HOSTS = {
@@ -151,6 +163,37 @@
     context.run = stream_at_targets(scripts, caller_send_s=send_s)
 
 
+@when("a stream at targets that are {targets} is read with {send_s:f} s for each piece")
+def step_slow_caller_of(context, targets, send_s):
+    step_targets(context, targets)
+    context.run = stream_at_targets(context.scripts, caller_send_s=send_s)
+
+
+@given(
+    "a {kind} route with {attempts:d} attempts, an objective of {objective_s:f} s and "
+    "a pause limit of {pause_s:f} s"
+)
+def step_route(context, kind, attempts, objective_s, pause_s):
+    context.route = stream_route(kind == "resumable", attempts)._replace(
+        objective_s=objective_s, pause_limit_s=pause_s
+    )
+
+
+@then("its streams are overdue after {seconds} s")
+def step_overdue_after(context, seconds):
+    assert math.isclose(overdue_after_s(context.route), float(seconds))
+
+
+@then("no target was suspected")
+def step_not_suspected(context):
+    assert not context.run.suspected, context.run
+
+
+@then("the stream was sent to {count:d} target")
+def step_sent_to(context, count):
+    assert len(context.run.sent_to) == count, context.run
+
+
 @then("the caller has each event once, in order")
 def step_in_order(context):
     assert context.run.is_complete, context.run
--- a/features/support/silent_targets.py
+++ b/features/support/silent_targets.py
@@ -11,7 +11,7 @@
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from cowslipcourse.emulator.messages import MessageNetwork
 from cowslipcourse.emulator.site_file import SiteSettings
-from cowslipcourse.entry.attempts import Attempt
+from cowslipcourse.entry.attempts import Attempt, TargetRun
 from cowslipcourse.entry.calls import Call
 from cowslipcourse.entry.context import DaemonContext
 from cowslipcourse.entry.fleet_view import FleetView
@@ -20,7 +20,7 @@
     ReachabilityMonitor,
     answers_nothing,
 )
-from cowslipcourse.entry.silence_detector import SilenceDetector
+from cowslipcourse.entry.silence_detector import SilenceDetector, WatchedStream
 from cowslipcourse.entry.target_conditions import TargetConditions
 from cowslipcourse.exceptions import RequestError, TargetUnreachable
 from cowslipcourse.http_client import ResponseHead
@@ -54,6 +54,7 @@
     "TargetScript",
     "silence_violations",
     "stream_at_targets",
+    "stream_route",
 ]
 
 SERVICE = "s"
@@ -94,6 +95,8 @@
     :param first_event_s: time from a request to its first event.
     :param event_interval_s: time between two events.
     :param is_full_for_s: time for which other requests take all its places.
+    :param queue_from_s: time from which requests are queued at it, or ``None``.
+    :param serves_others: whether another stream gets events all the time.
     :param listed: ``(time, change)`` of each change of the list, by its name in
         :func:`_change_list`. By default, a later incarnation is listed after its end.
     """
@@ -104,6 +107,8 @@
     first_event_s: float = EVENT_INTERVAL_S
     event_interval_s: float = EVENT_INTERVAL_S
     is_full_for_s: float = 0.0
+    queue_from_s: float | None = None
+    serves_others: bool = False
     listed: tuple[tuple[float, str], ...] | None = None
 
     @property
@@ -151,6 +156,7 @@
     :param superseded: numbers of those where another target delivered first.
     :param left_open: numbers of the targets that still ran it at its end.
     :param hedge_counts: number of hedges by outcome.
+    :param suspected: ids of the targets that were suspected.
     """
 
     event_ids: list
@@ -161,6 +167,15 @@
     superseded: list
     left_open: list
     hedge_counts: dict
+    suspected: list
+
+
+class _ServedConnection:
+    """A connection on which another stream gets events all the time."""
+
+    @property
+    def last_received_at(self):
+        return asyncio.get_running_loop().time()
 
 
 class _Connection:
@@ -372,8 +387,9 @@
             hosts.accepts_connections,
             functools.partial(answers_nothing, connect=hosts.connect),
         )
+        self._suspected = set()
         self._detector = SilenceDetector(
-            self._fleet, reachability.is_host_lost, lambda: None
+            self._fleet, reachability.is_host_lost, self._record_suspects
         )
         self._sender = _Sender(scripts, self._fleet, conditions)
         network = MessageNetwork(SITE, random.Random(1))
@@ -410,6 +426,7 @@
                 changes = _list_changes(_entry(number), change)
                 loop.call_at(began_at + at_s, self._fleet.apply, *changes)
         self._set_full(scripts=self._scripts)
+        self._serve_others(began_at)
         if self._new_configuration_after_s is not None:
             loop.call_later(self._new_configuration_after_s, self._change_configuration)
         if self._stop is not None:
@@ -437,6 +454,7 @@
             [number for number, connection in connections if connection.is_superseded],
             [number for number, connection in connections if connection.is_open],
             getattr(self._context, "hedge_counts", {}),
+            sorted(self._suspected),
         )
 
     def _change_configuration(self):
@@ -444,6 +462,25 @@
             self._fleet.apply((), list(self._fleet.entries))
         self._context.table = _new_table(self._route, self._new_configuration)
 
+    def _record_suspects(self):
+        now = asyncio.get_running_loop().time()
+        self._suspected |= self._fleet.suspects(now).keys()
+
+    def _serve_others(self, now):
+        """Let other streams be served, and queued, where targets do so."""
+        loop = asyncio.get_running_loop()
+        for number, script in enumerate(self._scripts):
+            entry = _entry(number)
+            if script.serves_others:
+                attempt = Attempt(entry, _ServedConnection(), now, None)
+                other = WatchedStream(attempt, TargetRun(entry), "other")
+                other.has_events = True
+                self._detector.add(other)
+            if script.queue_from_s is not None:
+                loads = {entry.id: PLACES * 2}
+                queued_at = now + script.queue_from_s
+                loop.call_at(queued_at, self._fleet.set_peers_in_flight, loads)
+
     def _set_full(self, scripts):
         """Let other daemons take the places of targets for some time."""
         full = {
@@ -524,7 +561,8 @@
     }[change]()
 
 
-def _route(is_resumable, max_attempts):
+def stream_route(is_resumable, max_attempts):
+    """Return the :class:`~cowslipcourse.routes.Route` of a stream."""
     return Route(
         "r",
         "h",
@@ -567,7 +605,7 @@
     host=None,
 ):
     """Forward a stream in virtual time and return its :class:`StreamRun`."""
-    route = _route(is_resumable, max_attempts)
+    route = stream_route(is_resumable, max_attempts)
 
     async def run():
         site = StreamSite(
