A gateway gives up a silent group only if that may help

A request that may not be repeated, or whose attempts or retry budget were used up, was answered as broken off, although its group held its grant and went on.

The gateway is asked each time that the limit has passed. It gives the attempt up if another one may follow (repeatable, attempts and budget left) or if the group has lost its grant, which is how a lost engine shows: grants lapse after 3 s without a probe. Otherwise the attempt goes on.

Ruled out: keeping the first attempt open beside a second one as the daemons do. The group of an engine that is silent altogether has lost its grant (3 s) before the limit (5 s) is reached; the others are slow, and still serve.

--- a/cowslipcourse/adapters/targets.py
+++ b/cowslipcourse/adapters/targets.py
@@ -73,7 +73,7 @@
         if status != 200:
             raise TargetUnreachable(f"order got HTTP status {status}")
 
-    async def generate(self, address, request):
+    async def generate(self, address, request, may_abandon):
         """See :class:`~cowslipcourse.ports.TargetClient`."""
         headers = {
             "x-request": request.request_id,
@@ -87,7 +87,7 @@
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=self._settings.connect_timeout_s
         )
-        silence_timeout = _SilenceTimeout(self._settings.token_timeout_s)
+        silence_timeout = _SilenceTimeout(self._settings.token_timeout_s, may_abandon)
         try:
             async with self._get_session().post(
                 f"{address}/generate",
@@ -192,18 +192,20 @@
 
 
 class _SilenceTimeout:
-    """Closes a response on which no bytes arrive.
+    """Closes a response on which no bytes arrive, if it may be given up.
 
     Checks at intervals: a timer for each token would cost more than everything else
     that is done for a token. The response is closed after one to two intervals without
     bytes.
 
     :param timeout_s: seconds between checks.
+    :param may_abandon: returns whether a silent response is given up.
     :ivar has_received: whether bytes have arrived since the last check.
     """
 
-    def __init__(self, timeout_s):
+    def __init__(self, timeout_s, may_abandon):
         self._timeout_s = timeout_s
+        self._may_abandon = may_abandon
         self._response = None
         self._timer = None
         self.has_received = False
@@ -221,7 +223,7 @@
             self._timer.cancel()
 
     def _check(self):
-        if not self.has_received:
+        if not self.has_received and self._may_abandon():
             self._response.close()
             return
         self.has_received = False
--- a/cowslipcourse/gateway/generation.py
+++ b/cowslipcourse/gateway/generation.py
@@ -67,6 +67,7 @@
         self._group_run = None
         self._relay = StreamRelay()
         self._tried_groups = set()
+        self._attempts_left = context.settings.limits.attempts
         self._may_have_started = False
         self._group = ""
         self.attempted_groups = []
@@ -98,6 +99,7 @@
         for attempt_number in range(max_attempts):
             if attempt_number:
                 await self._prepare_retry(attempt_number)
+            self._attempts_left -= 1
             try:
                 self._call.remaining_s()
                 async with aclosing(self._run_attempt()) as chunks:
@@ -119,12 +121,7 @@
 
     async def _prepare_retry(self, attempt_number):
         self._check_quarantine()
-        budget = (
-            self._context.resume_budget
-            if self._relay.offset
-            else self._context.retry_budget
-        )
-        if not budget.try_take():
+        if not self._retry_budget().try_take():
             raise self._caller_error(NoTargetAvailable("the retry budget is exhausted"))
         self._context.metrics.count("retries")
         await asyncio.sleep(
@@ -132,6 +129,25 @@
         )
         self._check_quarantine()
 
+    def _retry_budget(self):
+        """Return the budget that the next attempt is charged to."""
+        context = self._context
+        return context.resume_budget if self._relay.offset else context.retry_budget
+
+    def _may_abandon(self, spec):
+        """Whether a silent attempt is given up.
+
+        A silent group may only be slow: the attempt goes on unless the group has lost
+        its grant or another attempt may follow.
+
+        :param spec: :class:`~cowslipcourse.fleet.GroupSpec` of the group.
+        """
+        if not self._context.fleet_view.is_granted(spec):
+            return True
+        is_repeatable = self._call.repeatable is not False
+        has_budget = self._retry_budget().tokens >= 1.0
+        return is_repeatable and self._attempts_left > 0 and has_budget
+
     def _check_quarantine(self):
         quarantine = self._context.quarantine
         if quarantine.is_quarantined(self._quarantine_call):
@@ -163,7 +179,9 @@
                 raise TargetRefused("grant-lapsed")
             checked_at, granted_at = now(), context.fleet_view.granted_at(spec)
             self.attempted_groups.append(spec.group)
-            event_batches = context.targets.generate(spec.leader.address, request)
+            event_batches = context.targets.generate(
+                spec.leader.address, request, lambda: self._may_abandon(spec)
+            )
             with context.quarantine.tracking(self._quarantine_call, self._group_run):
                 async with aclosing(event_batches):
                     async for events in event_batches:
--- a/cowslipcourse/ports/targets.py
+++ b/cowslipcourse/ports/targets.py
@@ -1,6 +1,6 @@
 """Interface of engines and plain services."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -141,12 +141,17 @@
         """
 
     def generate(
-        self, address: str, request: GenerateRequest
+        self,
+        address: str,
+        request: GenerateRequest,
+        may_abandon: Callable[[], bool],
     ) -> AsyncIterator[list[bytes]]:
         """Yield batches of raw events of the response, in order.
 
         The first batch is empty and marks the start of the response.
 
+        :param may_abandon: returns whether a response on which nothing arrives is given
+            up; it is called each time that the limit has passed.
         :raises TargetRefused: nothing was started.
         :raises TargetUnreachable: no more events will come.
         :raises MalformedResponse: an event belongs to another request.
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -55,7 +55,7 @@
         await client.call(url, "book", "a1", b"{}")
     else:
         request = GenerateRequest("r1", "a1", "g", 1, 0, 0, b"{}")
-        async for _ in client.generate(url, request):
+        async for _ in client.generate(url, request, lambda: True):
             pass
 
 
--- a/features/steps/gateway_ending_steps.py
+++ b/features/steps/gateway_ending_steps.py
@@ -34,9 +34,9 @@
         self.arrivals = []
         self.crash_times = []
 
-    async def generate(self, targets, address, request):
+    async def generate(self, targets, address, request, may_abandon):
         if CRASHING_PHRASE not in request.body:
-            async for events in self._generate(targets, address, request):
+            async for events in self._generate(targets, address, request, may_abandon):
                 yield events
             return
         engine = await targets._reach_target(address, 5.0)
@@ -111,8 +111,8 @@
             await asyncio.sleep(STARTUP_S)
             crasher = _EngineCrasher(site)
 
-            def generate(targets, address, request):
-                return crasher.generate(targets, address, request)
+            def generate(targets, address, request, may_abandon):
+                return crasher.generate(targets, address, request, may_abandon)
 
             with mock.patch.object(FakeTargets, "generate", generate):
                 await _send_repeatedly(
--- a/features/support/fakes.py
+++ b/features/support/fakes.py
@@ -161,7 +161,7 @@
         finally:
             await self._gate.pass_message()
 
-    async def generate(self, address, request):
+    async def generate(self, address, request, may_abandon):
         target = await self._reach_target(address, 5.0)
         headers = {
             "x-attempt": request.attempt_id,
@@ -179,17 +179,20 @@
             raise TargetUnreachable("broken")
         try:
             yield []
-            async with aclosing(self._event_batches(target, sequence)) as batches:
+            event_batches = self._event_batches(target, sequence, may_abandon)
+            async with aclosing(event_batches) as batches:
                 async for events in batches:
                     yield events
         finally:
             target.cancel(sequence.attempt)
 
-    async def _event_batches(self, target, sequence):
+    async def _event_batches(self, target, sequence, may_abandon):
         while True:
             try:
                 event = await asyncio.wait_for(sequence.events.get(), 5.0)
             except TimeoutError as error:
+                if not may_abandon():
+                    continue
                 raise TargetUnreachable("timeout") from error
             await self._gate.pass_message()
             if event is None or target.faults["dead"]:
