The limit of overdue streams stands beside the urgency of requests

The feature of the start found a fault of: its new module made 456 modules that a daemon loads before it serves, and 455 are allowed. The limit stands in admission/urgency.py now, which is loaded anyway. No decision changes; features/starting/start.feature fails before and passes.

--- a/cowslipcourse/admission/urgency.py
+++ b/cowslipcourse/admission/urgency.py
@@ -1,14 +1,17 @@
-"""Urgency of a request at an engine. Pure functions.
+"""Urgency of a request at an engine, and patience of its caller. Pure functions.
 
 After an outage or a burst, more requests arrive than groups can run, including retries
 of refused ones. A request that has missed its objective loses nothing by waiting a
 little longer; one that can still meet it does.
 """
 
+import math
+
 __all__ = [
     "LEAST_URGENT_LEVEL",
     "can_meet_objective",
     "effective_priority",
+    "overdue_after_s",
     "urgency",
 ]
 
@@ -19,6 +22,15 @@
 SEND_DEADLINE_FRACTION = 0.5
 """Fraction of the objective within which a request must be sent to a target to be on
 time; the rest is left for the target to produce its first event."""
+MIN_PATIENCE_S = 2.0
+"""Shortest gap, in seconds, after which callers abandon a stream."""
+PATIENCE_OBJECTIVES = 4.0
+"""The gap in objectives of the route, where that is longer."""
+PATIENCE_PAUSE_LIMITS = 8.0
+"""The gap in pause limits of the route, where that is longer."""
+OVERDUE_FRACTION = 0.5
+"""Fraction of this gap after which a stream is overdue: several times as long as served
+streams wait, and the other half is left to find a place and for a first event there."""
 
 
 def urgency(route, workspace, waited_s):
@@ -51,3 +63,24 @@
     :param waited_s: seconds that the caller has waited, at this daemon and before.
     """
     return waited_s <= SEND_DEADLINE_FRACTION * route.objective_s
+
+
+def overdue_after_s(route):
+    """Return the seconds without an event after which a stream is overdue.
+
+    Without end where it may not be sent to another target.
+
+    :param route: :class:`~cowslipcourse.routes.Route`
+    """
+    if not route.is_retryable or route.max_attempts < 2:
+        return math.inf
+    return OVERDUE_FRACTION * _patience_s(route)
+
+
+def _patience_s(route):
+    """Return the gap, in seconds, after which callers abandon a stream."""
+    return max(
+        MIN_PATIENCE_S,
+        PATIENCE_OBJECTIVES * route.objective_s,
+        PATIENCE_PAUSE_LIMITS * route.pause_limit_s,
+    )
--- a/cowslipcourse/entry/stream_forwarder.py
+++ b/cowslipcourse/entry/stream_forwarder.py
@@ -4,8 +4,8 @@
 from contextlib import contextmanager
 
 from cowslipcourse.adapters.log import get_logger
-from cowslipcourse.admission.caller_patience import overdue_after_s
 from cowslipcourse.admission.failure_attribution import StreamTimes, late_cause
+from cowslipcourse.admission.urgency import overdue_after_s
 from cowslipcourse.entry.attempt_outcomes import NOT_EXECUTED_STATUSES
 from cowslipcourse.entry.retries import try_targets
 from cowslipcourse.entry.silence_detector import WatchedStream
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from cowslipcourse.admission.caller_patience import overdue_after_s
+from cowslipcourse.admission.urgency import overdue_after_s
 from features.support.log_records import recorded_logs
 from features.support.silent_targets import (
     EVENT_COUNT,
