A relayed request is not ended because heartbeats are missing

Seen: by reading; no caller has reported it. A relayed request without an event for 1 s was aborted if no recent heartbeat of its relay had been read. Heartbeats are datagrams, which may be lost; and a daemon that was paused itself finds the heartbeats of all others too old before it has read the ones that wait.

Cause: missing heartbeats were taken for the end of the relay. The other way round, a relay that had lost power and started again counted as alive by its address, so that its requests waited until their deadline.

What shows an end now: a member of the same name that began later; or, if heartbeats are missing, a host that answers none of three connections while that of another daemon answers. A relay whose process has ended on a host that is up ends its connections, as before. HostChecks is shared with the silent targets.

--- a/cowslipcourse/entry/reachability_monitor.py
+++ b/cowslipcourse/entry/reachability_monitor.py
@@ -3,19 +3,16 @@
 import asyncio
 
 from cowslipcourse.adapters.log import get_logger
-from cowslipcourse.entry.host_checks import HostChecks
+from cowslipcourse.entry.host_checks import HostChecks, answers_nothing
 from cowslipcourse.exceptions import TargetUnreachable
 from cowslipcourse.http_client import TargetConnection
 from cowslipcourse.reachability import choose_probed, reaches_targets
 
-__all__ = ["ReachabilityMonitor", "accepts_connections", "answers_nothing"]
+__all__ = ["ReachabilityMonitor", "accepts_connections"]
 
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.4
 """A healthy target accepts within a few ms."""
-MAX_CONNECT_ATTEMPTS = 3
-"""Connections in a row that a host must not answer before it counts as lost: a single
-packet may be."""
 CHECK_INTERVAL_S = 0.25
 CONFIRMATION_VALIDITY_S = 0.1
 """Time for which the result of a round of probes holds for further failures."""
@@ -39,27 +36,6 @@
     return True
 
 
-async def answers_nothing(address, connect=TargetConnection.connect):
-    """Return whether a host neither accepts nor refuses any of several connections.
-
-    A host that is up accepts connections for a paused process, or refuses them while
-    its process finishes its work, and ends those of a process that has ended.
-
-    :param address: ``ip:port``
-    :param connect: coroutine function like :meth:`TargetConnection.connect`.
-    """
-    for _ in range(MAX_CONNECT_ATTEMPTS):
-        try:
-            connection = await connect(address, PROBE_TIMEOUT_S)
-        except TargetUnreachable as error:
-            if isinstance(error.__cause__, ConnectionError):
-                return False
-            continue
-        connection.abort()
-        return False
-    return True
-
-
 class ReachabilityMonitor:
     """Probes targets after failures that may be those of this daemon's own links.
 
--- a/cowslipcourse/entry/relaying.py
+++ b/cowslipcourse/entry/relaying.py
@@ -11,8 +11,13 @@
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.entry.attempts import RelayPeer, relay_id
+from cowslipcourse.entry.host_checks import HostChecks, answers_nothing
 from cowslipcourse.exceptions import TargetRefused, TargetSilent, TargetUnreachable
-from cowslipcourse.http_client import ConnectionPool, TargetRequest
+from cowslipcourse.http_client import (
+    ConnectionPool,
+    TargetConnection,
+    TargetRequest,
+)
 from cowslipcourse.platform.headers import (
     attempt_id_header,
     relay_refusal,
@@ -25,8 +30,11 @@
 CONNECT_TIMEOUT_S = 0.4
 """A healthy daemon accepts within a few ms; a lost packet costs a second or more."""
 CHECK_INTERVAL_S = 0.25
-MAX_SILENCE_S = 1.0
-"""Silence of a relayed response after which its relay must still be alive."""
+MIN_CHECKED_SILENCE_S = 1.0
+"""Silence of a relayed response after which it is checked whether its relay has ended.
+Heartbeats may be lost, or this daemon may be late to read them."""
+MAX_COMPARED = 3
+"""Other daemons that are asked for a connection once a relay has not answered."""
 
 log = get_logger(__name__)
 
@@ -68,13 +76,26 @@
     :param alive_addresses: callable that returns the peer addresses of other daemons
         that are alive.
     :param rng: :class:`random.Random`
+    :param pool: :class:`~cowslipcourse.http_client.ConnectionPool`
+    :param connect: coroutine function like :meth:`TargetConnection.connect`.
     """
 
-    def __init__(self, data_centre, ready_members, alive_addresses, rng):
+    def __init__(
+        self,
+        data_centre,
+        ready_members,
+        alive_addresses,
+        rng,
+        pool=None,
+        connect=TargetConnection.connect,
+    ):
         self._ready_members = ready_members
         self._alive_addresses = alive_addresses
         self._choice = RelayChoice(data_centre, rng)
-        self._pool = ConnectionPool(CONNECT_TIMEOUT_S)
+        self._pool = pool or ConnectionPool(CONNECT_TIMEOUT_S)
+        self._connect = connect
+        self._rng = rng
+        self._hosts = HostChecks(self._is_host_lost)
         self._open_attempts = set()
 
     def choose(self, tried_ids):
@@ -132,17 +153,42 @@
                 self._abort_lost()
 
     def _abort_lost(self):
-        alive = set(self._alive_addresses())
+        """Abort silent requests whose relay is known to have ended."""
         now = asyncio.get_running_loop().time()
-        for attempt in list(self._open_attempts):
-            received_at = max(attempt.sent_at, attempt.connection.last_received_at)
-            silent_s = now - received_at
-            if silent_s > MAX_SILENCE_S and attempt.entry.peer_address not in alive:
-                log.warning("relay-lost", relay=attempt.entry.name)
+        silent = [each for each in self._open_attempts if _is_silent(each, now)]
+        if not silent:
+            return
+        incarnations = {each.name: each.incarnation for each in self._ready_members()}
+        alive = set(self._alive_addresses())
+        for attempt in silent:
+            peer = attempt.entry
+            has_restarted = incarnations.get(peer.name, 0) > peer.incarnation
+            is_missing = peer.peer_address not in alive
+            if has_restarted or (is_missing and self._hosts.is_lost(peer, now)):
+                log.warning("relay-lost", relay=peer.name)
                 attempt.connection.abort(
-                    TargetSilent(f"{attempt.entry.id} is gone", "relay-gone")
+                    TargetSilent(f"{peer.id} is gone", "relay-gone")
                 )
 
+    async def _is_host_lost(self, address):
+        """Return whether a daemon answers nothing, while another one answers."""
+        if not await answers_nothing(address, self._connect):
+            return False
+        others = [
+            member.front_address
+            for member in self._ready_members()
+            if member.front_address != address
+        ]
+        for other in self._rng.sample(others, min(len(others), MAX_COMPARED)):
+            if not await answers_nothing(other, self._connect):
+                return True
+        return False
+
+
+def _is_silent(attempt, now):
+    received_at = max(attempt.sent_at, attempt.connection.last_received_at)
+    return now - received_at > MIN_CHECKED_SILENCE_S
+
 
 def _relayed_request(call, left_s, last_event_id):
     return TargetRequest(
--- a/features/steps/reachability_steps.py
+++ b/features/steps/reachability_steps.py
@@ -10,10 +10,8 @@
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from cowslipcourse.entry.fleet_view import FleetView
-from cowslipcourse.entry.reachability_monitor import (
-    ReachabilityMonitor,
-    answers_nothing,
-)
+from cowslipcourse.entry.host_checks import answers_nothing
+from cowslipcourse.entry.reachability_monitor import ReachabilityMonitor
 from cowslipcourse.exceptions import TargetUnreachable
 from cowslipcourse.ports import TargetEntry
 from cowslipcourse.reachability import choose_probed, reaches_targets
--- a/features/support/silent_targets.py
+++ b/features/support/silent_targets.py
@@ -16,10 +16,8 @@
 from cowslipcourse.entry.context import DaemonContext
 from cowslipcourse.entry.fleet_view import FleetView
 from cowslipcourse.entry.forwarder import Forwarder
-from cowslipcourse.entry.reachability_monitor import (
-    ReachabilityMonitor,
-    answers_nothing,
-)
+from cowslipcourse.entry.host_checks import answers_nothing
+from cowslipcourse.entry.reachability_monitor import ReachabilityMonitor
 from cowslipcourse.entry.silence_detector import SilenceDetector, WatchedStream
 from cowslipcourse.entry.target_conditions import TargetConditions
 from cowslipcourse.exceptions import RequestError, TargetUnreachable
