Streams at paused targets may not use up their time either

Cause: the check passed over streams that had used their time. A stream that was neither refused before a target received it nor whole counts as lost now, whatever its status is.

--- a/features/platform_path/paused_targets.feature
+++ b/features/platform_path/paused_targets.feature
@@ -7,12 +7,14 @@
     When callers stream during all changes of the configuration and all pauses
     Then streams of both kinds were in flight in each pause, before their first event and after it
     And each stream that was passed on to a target is whole or has used its time
+    And no stream has used its time
     And all daemons have had each configuration in force
 
   Scenario Outline: No stream is cut by <disturbances> alone
     Given a platform with four daemons, whose engines answer <answers> during a pause
     When callers stream during <disturbances> alone
     Then each stream that was passed on to a target is whole or has used its time
+    And no stream has used its time
 
     Examples:
       | disturbances                 | answers         |
--- a/features/steps/paused_target_steps.py
+++ b/features/steps/paused_target_steps.py
@@ -91,6 +91,12 @@
     assert not run.lost_calls, run.report()
 
 
+@then("no stream has used its time")
+def step_not_late(context):
+    run = context.stream_run
+    assert not run.late_calls, run.report()
+
+
 @then("all daemons have had each configuration in force")
 def step_configurations(context):
     site = context.platform
--- a/features/support/paused_streams.py
+++ b/features/support/paused_streams.py
@@ -17,6 +17,7 @@
 STREAM_S = 2.0
 """Time for which callers start streams after the last pause."""
 BUDGET_S = 8.0
+REFUSAL_STATUS = 503
 TIME_USED_S = 6.9
 """Time from which a stream has used its shortest time limit."""
 KIND_NAMES = dict(zip(STREAM_ROUTES, ("resumable", "not resumable"), strict=True))
@@ -79,20 +80,34 @@
     pauses: list
     passed_on_ids: set
 
+    @property
+    def late_calls(self):
+        """Streams that have used their time."""
+        return [call for call in self.calls if call.has_used_its_time]
+
     @property
     def passed_on_calls(self):
         """Streams that a target has received."""
         return [call for call in self.calls if call.attempt_id in self.passed_on_ids]
 
+    @property
+    def refused_calls(self):
+        """Streams that were refused and that no target has received."""
+        return [
+            call
+            for call in self.calls
+            if call.status == REFUSAL_STATUS
+            and call.attempt_id not in self.passed_on_ids
+        ]
+
     @property
     def lost_calls(self):
         """Streams that were accepted and ended without a whole answer too early."""
+        refused = set(self.refused_calls)
         return [
             call
             for call in self.calls
-            if not call.is_whole
-            and not call.has_used_its_time
-            and (call.attempt_id in self.passed_on_ids or call.status in (None, 200))
+            if not call.is_whole and not call.has_used_its_time and call not in refused
         ]
 
     def in_flight(self, pause):
@@ -107,11 +122,10 @@
     def report(self):
         """Return a text that says how many streams were lost when, by kind."""
         lost = self.lost_calls
-        others = [c for c in self.calls if not c.is_whole and c not in lost]
-        statuses = dict(Counter(call.status for call in others))
         lines = [
             f"{len(lost)} of {len(self.calls)} streams were lost: {_count_kinds(lost)}",
-            f"not whole, but refused or out of time, by status: {statuses}",
+            f"{len(self.late_calls)} used their time: {_count_kinds(self.late_calls)}",
+            f"{len(self.refused_calls)} were refused",
         ]
         next_starts = [pause.at_s for pause in self.pauses[1:]] + [float("inf")]
         for pause, next_s in zip(self.pauses, next_starts, strict=True):
