--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -213,10 +213,8 @@
         for name in ("p1", "p2"):
             await self._add_plain_target(name)
         self.write_configuration()
-        self._tasks = [
-            asyncio.create_task(self.world.run()),
-            asyncio.create_task(self._publish()),
-        ]
+        self._publishing = asyncio.create_task(self._publish())
+        self._tasks = [asyncio.create_task(self.world.run()), self._publishing]
         for number in range(self._daemon_count):
             self.start_daemon(f"a{number + 1}")
 
