A suspected target is better than none

Seen: by reading; no caller has reported it. A request that one target had refused was refused to its caller too, 2.42 s later, although a sound target was left: that one was suspected (it had been silent, perhaps only paused), and the refusing one was not.

Cause: suspected targets are left out unless all candidates are suspected; those that the request had been sent to already were counted among the others.

Suspected targets are now left out only while another one is left that the request was not sent to.

Ruled out: a resumption after a lost target, which found the suspected one before too, as the lost one was suspected itself; the choice while a trusted target is left.

Not mended: requests that wait by priority (SlotWaiting) share the candidates of their queue and still leave suspected targets out until the suspicion ends.

--- a/cowslipcourse/entry/fleet_view.py
+++ b/cowslipcourse/entry/fleet_view.py
@@ -209,31 +209,46 @@
         """Return the number of requests of all daemons in flight at a target."""
         return self._in_flight.get(target, 0) + self._peers_in_flight.get(target, 0)
 
-    def service_candidates(self, service, now):
-        """Return the :class:`Candidate` list of a service without engine groups."""
+    def service_candidates(self, service, now, tried_ids=frozenset()):
+        """Return the :class:`Candidate` list of a service without engine groups.
+
+        :param service: name of the service.
+        :param now: loop time.
+        :param tried_ids: ids of targets that the request is not sent to again.
+        """
         candidates = [
             Candidate(entry, self.load(entry.id), entry.slots)
             for entry in self._entries.values()
             if entry.service == service and not entry.is_leaving
         ]
-        return self._permitted(candidates, now)
+        return self._permitted(candidates, now, tried_ids)
 
-    def _permitted(self, candidates, now):
+    def _permitted(self, candidates, now, tried_ids):
         """Return the candidates that a request may be sent to."""
         permitted = self.evacuations.filter(candidates, now)
-        return self._without_suspects(permitted, now)
+        return self._without_suspects(permitted, now, tried_ids)
 
-    def _without_suspects(self, candidates, now):
-        """Return the candidates that are not suspected, or all if every one is."""
-        suspects = self.suspects(now)
-        return [
-            candidate for candidate in candidates if candidate.entry.id not in suspects
-        ] or candidates
+    def _without_suspects(self, candidates, now, tried_ids):
+        """Return the candidates that are not suspected, or all if none of them is left.
 
-    def group_candidates(self, service, model, slots, now):
-        """Return a :class:`Candidate` for the head of each open group of a model."""
+        A suspected target may only be paused, which is better than none.
+        """
+        suspects = self.suspects(now)
+        trusted = [each for each in candidates if each.entry.id not in suspects]
+        is_any_left = any(each.entry.id not in tried_ids for each in trusted)
+        return trusted if is_any_left else candidates
+
+    def group_candidates(self, service, model, slots, now, tried_ids=frozenset()):
+        """Return a :class:`Candidate` for the head of each open group of a model.
+
+        :param service: name of the service.
+        :param model: name of the model.
+        :param slots: requests that a group runs at once.
+        :param now: loop time.
+        :param tried_ids: ids of targets that the request is not sent to again.
+        """
         candidates = [
             Candidate(entry, self.load(entry.id), slots)
             for entry in self._heads.serving_heads(service, model, now)
         ]
-        return self._permitted(candidates, now)
+        return self._permitted(candidates, now, tried_ids)
--- a/cowslipcourse/entry/stream_target_selection.py
+++ b/cowslipcourse/entry/stream_target_selection.py
@@ -55,7 +55,7 @@
         with self._waiting(service, model) as poll_interval_s:
             while True:
                 now = loop.time()
-                candidates = self._candidates(service, model, now)
+                candidates = self._candidates(service, model, now, tried_ids)
                 candidate = self._choose_group(progress, candidates, tried_ids, now)
                 if candidate is not None:
                     progress.slot_wait_s += now - wait_started_at
@@ -96,11 +96,11 @@
         spec = self._context.service_spec(service)
         return spec.model(model) is not None
 
-    def _candidates(self, service, model, now):
-        spec = self._context.service_spec(service)
+    def _candidates(self, service, model, now, tried_ids=frozenset()):
+        spec, fleet = self._context.service_spec(service), self._context.fleet
         if spec.models:
-            return self._context.fleet.group_candidates(service, model, spec.slots, now)
-        return self._context.fleet.service_candidates(service, now)
+            return fleet.group_candidates(service, model, spec.slots, now, tried_ids)
+        return fleet.service_candidates(service, now, tried_ids)
 
     def _choose_group(self, progress, candidates, tried_ids, now):
         """Return a candidate with a free slot.
--- a/cowslipcourse/entry/unary_forwarder.py
+++ b/cowslipcourse/entry/unary_forwarder.py
@@ -46,7 +46,7 @@
 
     def _choose(self, service, tried_ids, size=NO_SIZE):
         now = asyncio.get_running_loop().time()
-        candidates = self._context.fleet.service_candidates(service, now)
+        candidates = self._context.fleet.service_candidates(service, now, tried_ids)
         candidate = choose_target(
             self._context.conditions.usable(candidates, now),
             tried_ids,
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -77,6 +77,11 @@
     context.scripts[0] = first
 
 
+@given("suspicions of the targets {numbers}")
+def step_suspicions(context, numbers):
+    context.options["suspected"] = [int(number) for number in numbers.split(", ")]
+
+
 @given("its host {behaviour}")
 def step_host(context, behaviour):
     context.options["host"] = HOSTS[behaviour]
--- a/features/support/silent_fleet.py
+++ b/features/support/silent_fleet.py
@@ -163,10 +163,10 @@
     def _count_looks(self):
         find = self._site.fleet.service_candidates
 
-        def find_counted(service, now):
+        def find_counted(service, now, tried_ids):
             second = int(now - self._began_at)
             self._looks[second] = self._looks.get(second, 0) + 1
-            return find(service, now)
+            return find(service, now, tried_ids)
 
         self._site.fleet.service_candidates = find_counted
 
--- a/features/support/silent_targets.py
+++ b/features/support/silent_targets.py
@@ -358,6 +358,7 @@
     :param new_configuration: name of its change, as in :func:`_new_table`.
     :param host: :class:`HostScript`, or ``None`` if hosts accept connections until
         their targets end.
+    :param suspected: numbers of the targets that are suspected for 8 s.
     """
 
     def __init__(
@@ -370,12 +371,15 @@
         new_configuration_after_s=None,
         new_configuration="with the same content",
         host=None,
+        suspected=(),
     ):
         self._scripts = scripts
         self._route = route
         self._stop = stop
         self.fleet = FleetView()
         self.fleet.apply([_entry(number) for number in range(len(scripts))], ())
+        for number in suspected:
+            self._suspect_long(f"t{number}")
         limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
         conditions = TargetConditions(limiter, self.fleet)
         hosts = _Hosts(scripts, host)
@@ -461,6 +465,12 @@
             sorted(self._suspected),
         )
 
+    def _suspect_long(self, target):
+        """Suspect a target as after many silences in a row."""
+        now = asyncio.get_running_loop().time()
+        for before_s in (9.0, 7.0, 4.0, 0.0):
+            self.fleet.suspect(target, now - before_s)
+
     def _change_configuration(self):
         if self._new_configuration == "without any target":
             self.fleet.apply((), list(self.fleet.entries))
@@ -607,6 +617,7 @@
     new_configuration_after_s=None,
     new_configuration="with the same content",
     host=None,
+    suspected=(),
 ):
     """Forward a stream in virtual time and return its :class:`StreamRun`."""
     route = stream_route(is_resumable, max_attempts)
@@ -621,6 +632,7 @@
             new_configuration_after_s,
             new_configuration,
             host,
+            suspected,
         )
         return await site.run()
 
