A stream that goes on after a later list is not ended by it

Seen: by reading; no caller has reported it. A target that is chosen from a list which still shows its earlier incarnation, or its earlier group, gets the request as what it is now. As soon as the list showed that, the stream was cut at its next pause of 0.3 s.

Cause: what was listed was compared with what the target had been chosen as, however old that was.

The detector notes when a target is first seen to have ended. Events that come more than 0.1 s later show that the stream runs at the target that is listed now, and it is compared with that one from then on.

Open: a target that was chosen from an older list and sends nothing from before the list changes counts as ended, as the two cannot be told apart.

--- a/cowslipcourse/entry/silence_detector.py
+++ b/cowslipcourse/entry/silence_detector.py
@@ -24,6 +24,8 @@
 MIN_CHECKED_SILENCE_S = 1.0
 """Silence of a target without an entry after which its host is checked. Targets may
 serve without one while the store is away, so it does not show that they have ended."""
+IN_FLIGHT_S = 0.1
+"""Time for which events of a target that has ended may still be under way."""
 LOCAL_PAUSE_S = 0.12
 """Lateness of a check that is attributed to a pause of this process. Silence before it
 does not count against targets."""
@@ -51,6 +53,18 @@
         self.has_events = False
         self.is_silent = False
         self._awaited_since = attempt.sent_at
+        self.entry = attempt.entry
+        """The target as it is known to have received the request."""
+        self.end_seen_at = None
+        """Loop time at which the target or its group was first seen to have ended."""
+
+    @property
+    def has_outlived_end(self):
+        """Whether events have come since the target was seen to have ended."""
+        if self.end_seen_at is None:
+            return False
+        received_at = self.attempt.connection.last_received_at
+        return received_at > self.end_seen_at + IN_FLIGHT_S
 
     @contextmanager
     def relaying(self):
@@ -134,6 +148,7 @@
                 self._check_stream(stream, silent_s, now)
 
     def _check_stream(self, stream, silent_s, now):
+        self._note_end(stream, now)
         was_silent = stream.is_silent
         is_target_silent = silent_s > self._limit_s(stream)
         if is_target_silent:
@@ -145,6 +160,21 @@
         elif was_silent and not stream.is_silent:
             stream.run.mark_heard()
 
+    def _note_end(self, stream, now):
+        """Note when the target of a stream was seen to have ended.
+
+        A stream that goes on was sent to the target that is listed now; the list that
+        it was chosen from was older.
+        """
+        if not self._fleet.has_ended(stream.entry):
+            stream.end_seen_at = None
+        elif stream.end_seen_at is None:
+            stream.end_seen_at = now
+        elif stream.has_outlived_end:
+            listed = self._fleet.entries.get(stream.entry.id, stream.entry)
+            if listed != stream.entry:
+                stream.entry, stream.end_seen_at = listed, None
+
     def _limit_s(self, stream):
         if stream.has_events:
             return MAX_EVENT_GAP_S
@@ -188,8 +218,8 @@
 
     def _abort_ended(self, stream, silent_s, now):
         """Abort a silent stream if its target, group or host is known to have ended."""
-        entry = stream.attempt.entry
-        if self._fleet.has_ended(entry):
+        entry = stream.entry
+        if stream.end_seen_at is not None and not stream.has_outlived_end:
             reason = "target-ended"
         elif self._is_lost(entry, silent_s, now):
             reason = "host-lost"
--- a/features/forwarding/older_lists.feature
+++ b/features/forwarding/older_lists.feature
@@ -25,3 +25,22 @@
       | lost, sound             | its group as broken                      | accepts connections | failed in 0.9 s |
       | lost, sound             | a later group                            | accepts connections | failed in 0.9 s |
       | lost, sound             | an earlier incarnation                   | does not answer     | failed in 2.8 s |
+
+  Scenario Outline: A stream that goes on after a later list runs at the target which that one shows
+    Given a not resumable stream that may be sent to 2 targets, with a retry budget: yes
+    And targets that are <targets>
+    And a list that still had <before> of the first one
+    And the list has <listed> of the first one from <at> s on
+    And then <then> of it from 0.9 s on
+    When the stream is forwarded
+    Then the stream is <outcome> and was sent to 1 targets
+
+    Examples:
+      | targets                          | before                 | listed              | at  | then                | outcome         |
+      | paused for 1.0 s at 0.7 s, sound | an earlier incarnation | its entry           | 0.2 | its entry           | whole           |
+      | paused for 1.0 s at 0.7 s, sound | an earlier group       | its entry           | 0.2 | its entry           | whole           |
+      | paused for 1.0 s at 0.7 s, sound | an earlier incarnation | its entry           | 0.2 | no entry            | whole           |
+      | lost at 0.7 s, sound             | an earlier incarnation | its entry           | 0.2 | a later incarnation | failed in 1.1 s |
+      | lost at 0.7 s, sound             | an earlier incarnation | its entry           | 0.2 | its group as broken | failed in 1.1 s |
+      | lost at 0.7 s, sound             | an earlier incarnation | its entry           | 0.8 | its entry           | failed in 1.1 s |
+      | lost at 0.7 s, sound             | an earlier incarnation | a later incarnation | 0.8 | a later incarnation | failed in 1.1 s |
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -27,6 +27,9 @@
     "failing": TargetScript(status=500),
     "full for 2 s": TargetScript(is_full_for_s=2.0),
     "slow": TargetScript(event_interval_s=0.3),
+    "paused for 1.0 s at 0.7 s": TargetScript(silences=((0.7, 1.0),)),
+    "paused for 1.0 s at 0.1 s": TargetScript(silences=((0.1, 1.0),)),
+    "lost at 0.7 s": TargetScript(ends_at_s=0.7),
     "paused for 3.0 s": TargetScript(silences=((0.5, 3.0),)),
     "paused and no other": TargetScript(silences=((0.5, 1.2),)),
     "lost": TargetScript(ends_at_s=0.5),
@@ -77,11 +80,23 @@
     context.scripts[0] = first
 
 
+@given("a list that still had {change} of the first one")
+def step_listed_before(context, change):
+    context.options["listed_before"] = change
+
+
 @given("suspicions of the targets {numbers}")
 def step_suspicions(context, numbers):
     context.options["suspected"] = [int(number) for number in numbers.split(", ")]
 
 
+@given("then {change} of it from {at_s:f} s on")
+def step_listed_then(context, change, at_s):
+    first = context.scripts[0]
+    listed = (*first.listed, (at_s, change))
+    context.scripts[0] = first._replace(listed=listed)
+
+
 @given("its host {behaviour}")
 def step_host(context, behaviour):
     context.options["host"] = HOSTS[behaviour]
--- a/features/support/silent_targets.py
+++ b/features/support/silent_targets.py
@@ -359,6 +359,8 @@
     :param host: :class:`HostScript`, or ``None`` if hosts accept connections until
         their targets end.
     :param suspected: numbers of the targets that are suspected for 8 s.
+    :param listed_before: change of the list, as in :func:`_list_changes`, from which
+        the first target is chosen; empty for none.
     """
 
     def __init__(
@@ -372,12 +374,15 @@
         new_configuration="with the same content",
         host=None,
         suspected=(),
+        listed_before="",
     ):
         self._scripts = scripts
         self._route = route
         self._stop = stop
         self.fleet = FleetView()
         self.fleet.apply([_entry(number) for number in range(len(scripts))], ())
+        if listed_before:
+            self.fleet.apply(*_list_changes(_entry(0), listed_before))
         for number in suspected:
             self._suspect_long(f"t{number}")
         limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
@@ -532,6 +537,7 @@
     earlier_group = group._replace(epoch=EPOCH - 1, state=GroupState.BROKEN)
     changed_entry = {
         "its entry": entry,
+        "an earlier group": entry._replace(membership=group._replace(epoch=EPOCH - 1)),
         "a later incarnation": entry._replace(incarnation=INCARNATION + 1),
         "an earlier incarnation": entry._replace(
             incarnation=INCARNATION - 1, membership=None
@@ -618,6 +624,7 @@
     new_configuration="with the same content",
     host=None,
     suspected=(),
+    listed_before="",
 ):
     """Forward a stream in virtual time and return its :class:`StreamRun`."""
     route = stream_route(is_resumable, max_attempts)
@@ -633,6 +640,7 @@
             new_configuration,
             host,
             suspected,
+            listed_before,
         )
         return await site.run()
 
