--- a/cowslipcourse/entry/stream_target_selection.py
+++ b/cowslipcourse/entry/stream_target_selection.py
@@ -16,8 +16,8 @@
 """Shortest interval at which a request that waits for a free slot checks again, where
 requests do not differ in priority."""
 MAX_POLLS_PER_S = 500.0
-"""Most checks a second of all requests that wait for one model. One takes about 75 us
-with 20 targets; together they see a free slot within 2 ms on average."""
+"""Most checks a second of all requests that wait for one model; bounds the processor
+time that they take."""
 MAX_WAIT_FRACTION = 0.3
 """Fraction of the time left to the deadline that a request may wait for a slot."""
 
