The fake daemon of the withheld requests has the version of its configuration

Seen: one scenario of rate_limits/forwarding.feature failed with an AttributeError since attempts record the configuration they began under. Cause: the fake lacks it. Ruled out: a fault of the product, whose context has it.

--- a/features/steps/withheld_steps.py
+++ b/features/steps/withheld_steps.py
@@ -213,6 +213,7 @@
         count_hedge=None,
         stop=GracefulStop(),
         reachability=AlwaysReachable(),
+        configuration_version=1,
     )
 
     async def forward():
