A lost or slow connection to its host does not end the group of a paused engine

A single connection that was lost, or took longer than a report may, made a coordinator take the host of a paused engine for lost, and order its group to end 0.62 s to 1.22 s after the pause began. Busy machines and full queues of paused processes are slow in just that way.

The daemons' own check of a host tries three connections, as a packet may be lost; the coordinator tried one.

Now three connections are opened at once beside the second report request, and one that is accepted is enough; while it waits for a paused engine, three in a row must fail.

Seen failing before: nine of the eleven rows of the new scenario of paused_engines.feature; the fourth and the fifth connection made no difference. Ruled out: a longer time-out, which would delay the repair of groups whose host is lost.

--- a/cowslipcourse/entry/engine_calls.py
+++ b/cowslipcourse/entry/engine_calls.py
@@ -14,6 +14,12 @@
 """Unanswered status requests after which an engine counts as silent. One is not
 enough: packets get lost, and the group of a silent engine is taken apart."""
 PAUSE_POLL_INTERVAL_S = 0.05
+CONNECTIONS_AT_ONCE = 3
+"""Connections that are opened to an engine's host at once. One may be lost or slow, and
+each takes a place in the queue of a paused engine."""
+MAX_FAILED_CONNECTIONS = 3
+"""Connections in a row to the host of a paused engine that must fail before the host
+counts as lost."""
 MAX_REPORT_REQUESTS = 6
 """Limit on status requests to one engine in a row: requests that this process itself
 delayed prove nothing about the engine."""
@@ -147,11 +153,26 @@
 
     def _check_connection(self, engine):
         """Return a task whose result is whether the engine's host is reached."""
-        check = asyncio.create_task(self._accepts_connections(engine.entry.address))
+        check = asyncio.create_task(self._is_host_reached(engine.entry.address))
         self._tasks.add(check)
         check.add_done_callback(self._tasks.discard)
         return check
 
+    async def _is_host_reached(self, address):
+        """Return whether a host accepts any of several connections."""
+        tasks = [
+            asyncio.create_task(self._accepts_connections(address))
+            for _ in range(CONNECTIONS_AT_ONCE)
+        ]
+        try:
+            for task in asyncio.as_completed(tasks):
+                if await task:
+                    return True
+            return False
+        finally:
+            for task in tasks:
+                task.cancel()
+
     async def _try_report(self, engine, requested_at):
         """Request a report once.
 
@@ -176,11 +197,14 @@
         """
         loop = asyncio.get_running_loop()
         log.info("engine-paused", engine=engine.id)
+        failed_connections = 0
         while loop.time() - silent_since < self._settings.stall_s:
             await asyncio.sleep(PAUSE_POLL_INTERVAL_S)
             if await self._try_report(engine, loop.time()) is None:
                 return True
-            if not await self._accepts_connections(engine.entry.address):
+            is_accepted = await self._accepts_connections(engine.entry.address)
+            failed_connections = 0 if is_accepted else failed_connections + 1
+            if failed_connections == MAX_FAILED_CONNECTIONS:
                 return False
         return False
 
--- a/features/group_plans/paused_engines.feature
+++ b/features/group_plans/paused_engines.feature
@@ -29,6 +29,22 @@
       | divided | large | every engine | 3.8      | 3.0        |
     Then no order or group update has ended any of these groups, and all of them serve
 
+  Scenario: Lost and slow connections to the host of a paused engine do not end its group
+    When engines of serving groups pause, and some of the connections to their hosts fail
+      | kind    | model | engines    | paused_s | connections         |
+      | mixed   | large | the head   | 1.2      | 1 is lost           |
+      | mixed   | large | one member | 1.2      | 1 is lost           |
+      | divided | large | the head   | 1.2      | 1 is lost           |
+      | divided | large | one member | 1.2      | 1 is lost           |
+      | mixed   | large | the head   | 1.2      | 1 takes 0.2 s       |
+      | divided | large | one member | 1.2      | 1 takes 0.2 s       |
+      | mixed   | large | the head   | 1.2      | 2 is lost           |
+      | divided | large | one member | 1.2      | 4 is lost           |
+      | mixed   | large | the head   | 1.2      | 5 is lost           |
+      | divided | large | the head   | 3.8      | every third is lost |
+      | mixed   | large | one member | 3.8      | every third is lost |
+    Then no order or group update has ended any of these groups, and all of them serve
+
   Scenario Outline: A group whose engine has ended is given up
     Given a serving group of large on a <kind> site
     When <engine> of that group ends, and its host <reaction> connections
--- a/features/steps/paused_engine_steps.py
+++ b/features/steps/paused_engine_steps.py
@@ -62,10 +62,13 @@
         self._model = model
         self._chosen = chosen
 
-    async def run(self, seconds, reaction="accepts", takeover_after_s=None):
+    async def run(
+        self, seconds, reaction="accepts", takeover_after_s=None, connections=""
+    ):
         site = PausedEngineSite(self._kind, 1 if takeover_after_s is None else 2)
         await site.settle()
         site.host_reaction = reaction
+        site.failing_connections = connections
         head = site.open_head(self._model)
         self.membership, self.members = head.membership, head.members
         self.began_at = asyncio.get_running_loop().time()
@@ -119,6 +122,17 @@
         context.runs[tuple(row.cells)] = run_in_virtual_time(coroutine)
 
 
+@when(
+    "engines of serving groups pause, and some of the connections to their hosts fail"
+)
+def step_pause_failing(context):
+    context.runs = {}
+    for row in context.table:
+        run = _PausedRun(row["kind"], row["model"], row["engines"])
+        coroutine = run.run(float(row["paused_s"]), connections=row["connections"])
+        context.runs[tuple(row.cells)] = run_in_virtual_time(coroutine)
+
+
 @then("no order or group update has ended any of these groups, and all of them serve")
 def step_keep_serving(context):
     found = {cells: run.faults[0] for cells, run in context.runs.items() if run.faults}
--- a/features/support/paused_engine_runs.py
+++ b/features/support/paused_engine_runs.py
@@ -24,6 +24,8 @@
 SUSPICION_INTERVAL_S = 0.25
 CONNECTION_S = 0.003
 CONNECTION_TIMEOUT_S = 0.4
+SLOW_CONNECTION_S = 0.2
+"""Longer than a report request may take."""
 RUN_DURATION_S = 40.0
 MAX_PAUSE_INTERVAL_S = 2.5
 """Longest time between the starts of two pauses in a domain."""
@@ -100,6 +102,7 @@
 
     def __init__(self, site):
         self._site = site
+        self._count = 0
 
     def doubt(self):
         pass
@@ -109,9 +112,23 @@
 
     async def accepts_connections(self, address):
         is_silent = address in self._site.silent_addresses
-        is_ignored = is_silent and self._site.host_reaction == "ignores"
-        await asyncio.sleep(CONNECTION_TIMEOUT_S if is_ignored else CONNECTION_S)
-        return not is_silent or self._site.host_reaction == "accepts"
+        self._count += is_silent
+        is_lost = is_silent and self._is_lost()
+        is_ignored = is_lost or (is_silent and self._site.host_reaction == "ignores")
+        await asyncio.sleep(self._duration_s(is_silent, is_ignored))
+        return not is_silent or (not is_lost and self._site.host_reaction == "accepts")
+
+    def _is_lost(self):
+        """Whether the present connection to a silent engine's host is lost."""
+        if self._site.failing_connections == "every third is lost":
+            return self._count % 3 == 0
+        return self._site.failing_connections == f"{self._count} is lost"
+
+    def _duration_s(self, is_silent, is_ignored):
+        if is_ignored:
+            return CONNECTION_TIMEOUT_S
+        is_slow = self._site.failing_connections == f"{self._count} takes 0.2 s"
+        return SLOW_CONNECTION_S if is_silent and is_slow else CONNECTION_S
 
 
 class PausedEngineSite:
@@ -128,6 +145,8 @@
             for _ in range(ENGINES_PER_DOMAIN):
                 self.world.add_engine(domain, tuple(model.name for model in MODELS))
         self.host_reaction = "accepts"
+        self.failing_connections = ""
+        """Which connections to hosts of silent engines fail; empty for none."""
         self.orders = []
         self.updates = []
         self.coordinating = 0
