A pause of the coordinator is no silence of an engine that has gone on

What callers saw: nothing yet; found by the review of the incident's fixes. A coordinator that waited for a paused engine and was itself blocked past the limit took the engine for silent without asking again, and ended its group (trial of the review: engine paused for 1.0 s, process blocked from 0.6 s to 4.2 s).

Cause: the wait was counted in wall time. The first report requests leave out those that this process delayed; the wait for a paused engine did not.

Now a request that failed on time must end after the limit before the engine counts as silent. Seen failing before: the new scenario of questions.feature (silent after 4.2 s). All bounds of the other rows are unchanged.

--- a/cowslipcourse/entry/engine_calls.py
+++ b/cowslipcourse/entry/engine_calls.py
@@ -132,8 +132,7 @@
             if failure is None:
                 return
             check = check or self._check_connection(engine)
-            waited_s = loop.time() - requested_at
-            timeouts += waited_s < self._settings.report_timeout_s + MAX_TIMER_DELAY_S
+            timeouts += self._is_timely(requested_at)
             if timeouts >= SILENT_AFTER_TIMEOUTS:
                 break
         if timeouts < SILENT_AFTER_TIMEOUTS:
@@ -158,6 +157,14 @@
         check.add_done_callback(self._tasks.discard)
         return check
 
+    def _is_timely(self, requested_at):
+        """Whether a report request failed on time, so that it was not this process.
+
+        :param requested_at: loop time of the request.
+        """
+        waited_s = asyncio.get_running_loop().time() - requested_at
+        return waited_s < self._settings.report_timeout_s + MAX_TIMER_DELAY_S
+
     async def _is_host_reached(self, address):
         """Return whether a host accepts any of several connections."""
         tasks = [
@@ -198,15 +205,18 @@
         loop = asyncio.get_running_loop()
         log.info("engine-paused", engine=engine.id)
         failed_connections = 0
-        while loop.time() - silent_since < self._settings.stall_s:
+        while True:
             await asyncio.sleep(PAUSE_POLL_INTERVAL_S)
-            if await self._try_report(engine, loop.time()) is None:
+            requested_at = loop.time()
+            if await self._try_report(engine, requested_at) is None:
                 return True
+            is_over = loop.time() - silent_since >= self._settings.stall_s
+            if is_over and self._is_timely(requested_at):
+                return False
             is_accepted = await self._accepts_connections(engine.entry.address)
             failed_connections = 0 if is_accepted else failed_connections + 1
             if failed_connections == MAX_FAILED_CONNECTIONS:
                 return False
-        return False
 
     def _handle_report(self, engine, report, requested_at):
         self._last_report_at = asyncio.get_running_loop().time()
--- a/features/group_plans/questions.feature
+++ b/features/group_plans/questions.feature
@@ -37,6 +37,11 @@
     When a report is requested
     Then it is not silent after 6 report requests
 
+  Scenario: A pause of the coordinator is no silence of an engine that goes on meanwhile
+    Given an engine that answers after 1.0 s, whose host accepts connections
+    When its report is requested by a process that pauses from 0.6 s to 4.2 s
+    Then it is not silent after 5.0 s
+
   Scenario Outline: An engine whose host accepts connections is given time to go on
     Given an engine that answers after <paused> s, whose host <accepts> connections
     When its report is requested
--- a/features/steps/question_steps.py
+++ b/features/steps/question_steps.py
@@ -1,6 +1,7 @@
 """Steps for report requests to engines and the silence of engines."""
 
 import asyncio
+import math
 from types import SimpleNamespace
 from unittest import mock
 
@@ -309,13 +310,23 @@
 
 
 class _PausedEngineControl:
-    """Engine control of an engine that answers nothing until some time."""
+    """Engine control of an engine that answers nothing until some time.
 
-    def __init__(self, until):
+    :param until: loop time from which it answers.
+    :param own_pause: start and end of a pause of this process, in loop time.
+    """
+
+    def __init__(self, until, own_pause):
         self._until = until
+        self._own_pause = own_pause
 
     async def report(self, entry):
-        remaining_s = self._until - asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        starts_at, ends_at = self._own_pause
+        if now < starts_at < now + SETTINGS.report_timeout_s:
+            await asyncio.sleep(ends_at - now)
+            raise TargetUnreachable("no answer to the report request")
+        remaining_s = self._until - now
         if remaining_s > SETTINGS.report_timeout_s:
             await asyncio.sleep(SETTINGS.report_timeout_s)
             raise TargetUnreachable("no answer to the report request")
@@ -331,6 +342,17 @@
 
 @when("its report is requested")
 def step_request_paused(context):
+    _request_paused(context, (math.inf, math.inf))
+
+
+@when(
+    "its report is requested by a process that pauses from {from_s:f} s to {to_s:f} s"
+)
+def step_request_paused_itself(context, from_s, to_s):
+    _request_paused(context, (from_s, to_s))
+
+
+def _request_paused(context, own_pause_s):
     async def accepts_connections(address):
         await asyncio.sleep(1.0 if context.reaction == "ignores" else ROUND_TRIP_S)
         return context.reaction == "accepts"
@@ -345,7 +367,9 @@
             context.silent_after_s = loop.time() - began_at
 
         engine_client = EngineClient(
-            _PausedEngineControl(began_at + context.paused_s),
+            _PausedEngineControl(
+                began_at + context.paused_s, [began_at + at_s for at_s in own_pause_s]
+            ),
             SETTINGS,
             lambda engine, report, requested_at: None,
             on_silent,
