Streams are compared with the list only when it has changed

And a stream that had once outlived a listed end was never compared again: one whose target then ended waited until its deadline (older_lists.feature, the new row, fails on the commit before). What was noted is now forgotten as soon as the stream has outlived it.

--- a/cowslipcourse/entry/fleet_view.py
+++ b/cowslipcourse/entry/fleet_view.py
@@ -46,6 +46,7 @@
         self._heads = GroupHeads()
         self._addresses = AddressHistory()
         self.version = 0
+        """Number of changes of the list and of groups."""
         self.listeners = []
         """Objects that are told of ended requests and of changes, with the methods
         ``request_ended`` and ``room_changed``."""
@@ -147,6 +148,7 @@
 
         :param update: :class:`~cowslipcourse.peer_protocol.GroupUpdate`
         """
+        self.version += 1
         self._heads.apply_group_update(update, self._entries.values(), now)
         self.notify_room_changed()
 
--- a/cowslipcourse/entry/silence_detector.py
+++ b/cowslipcourse/entry/silence_detector.py
@@ -57,6 +57,8 @@
         """The target as it is known to have received the request."""
         self.end_seen_at = None
         """Loop time at which the target or its group was first seen to have ended."""
+        self.checked_version = None
+        """Version of the fleet view in which its end was last looked for."""
 
     @property
     def has_outlived_end(self):
@@ -148,7 +150,10 @@
                 self._check_stream(stream, silent_s, now)
 
     def _check_stream(self, stream, silent_s, now):
-        self._note_end(stream, now)
+        if stream.end_seen_at is not None or (
+            stream.checked_version != self._fleet.version
+        ):
+            self._note_end(stream, now)
         was_silent = stream.is_silent
         is_target_silent = silent_s > self._limit_s(stream)
         if is_target_silent:
@@ -166,14 +171,14 @@
         A stream that goes on was sent to the target that is listed now; the list that
         it was chosen from was older.
         """
+        stream.checked_version = self._fleet.version
         if not self._fleet.has_ended(stream.entry):
             stream.end_seen_at = None
         elif stream.end_seen_at is None:
             stream.end_seen_at = now
         elif stream.has_outlived_end:
-            listed = self._fleet.entries.get(stream.entry.id, stream.entry)
-            if listed != stream.entry:
-                stream.entry, stream.end_seen_at = listed, None
+            stream.entry = self._fleet.entries.get(stream.entry.id, stream.entry)
+            stream.end_seen_at = stream.checked_version = None
 
     def _limit_s(self, stream):
         if stream.has_events:
@@ -186,6 +191,9 @@
 
     def _is_overdue(self, stream, now):
         """Whether a stream waits for too long; a queue explains a late first event."""
+        received_at = stream.attempt.connection.last_received_at
+        if now - received_at <= stream.overdue_after_s:
+            return False
         waited_s = stream.waited_s(now, self._observed_since)
         if waited_s <= stream.overdue_after_s:
             return False
@@ -219,7 +227,7 @@
     def _abort_ended(self, stream, silent_s, now):
         """Abort a silent stream if its target, group or host is known to have ended."""
         entry = stream.entry
-        if stream.end_seen_at is not None and not stream.has_outlived_end:
+        if stream.end_seen_at is not None:
             reason = "target-ended"
         elif self._is_lost(entry, silent_s, now):
             reason = "host-lost"
--- a/features/forwarding/older_lists.feature
+++ b/features/forwarding/older_lists.feature
@@ -44,3 +44,4 @@
       | lost at 0.7 s, sound             | an earlier incarnation | its entry           | 0.2 | its group as broken | failed in 1.1 s |
       | lost at 0.7 s, sound             | an earlier incarnation | its entry           | 0.8 | its entry           | failed in 1.1 s |
       | lost at 0.7 s, sound             | an earlier incarnation | a later incarnation | 0.8 | a later incarnation | failed in 1.1 s |
+      | lost at 0.7 s, sound             | its entry              | its group as broken | 0.2 | a later incarnation | failed in 1.3 s |
