--- a/features/steps/paused_target_steps.py
+++ b/features/steps/paused_target_steps.py
@@ -8,6 +8,7 @@
 
 from features.steps.platform_steps import _all_ready, _wait_until
 from features.support.paused_site import (
+    LONG_SCHEDULE,
     SCHEDULE,
     SHORT_SCHEDULE,
     STREAM_ROUTES,
@@ -58,6 +59,11 @@
     _stream(context, SCHEDULE, with_changes=True, with_pauses=True)
 
 
+@when("callers stream during changes of the configuration and pauses of 2.4 s to 3.4 s")
+def step_long(context):
+    _stream(context, LONG_SCHEDULE, with_changes=True, with_pauses=True)
+
+
 @when("callers stream during {disturbances} alone")
 def step_alone(context, disturbances):
     _stream(
--- a/features/support/paused_site.py
+++ b/features/support/paused_site.py
@@ -9,6 +9,7 @@
 from features.support.platform_site import PlatformSite, route_entry
 
 __all__ = [
+    "LONG_SCHEDULE",
     "SCHEDULE",
     "SHORT_SCHEDULE",
     "STREAM_ROUTES",
@@ -88,6 +89,10 @@
     Disturbance(Change.ROUTE, 13.9, Pause(Heads.ALL, 14.5, 1.8)),
 )
 SHORT_SCHEDULE = SCHEDULE[:2]
+LONG_SCHEDULE = (
+    Disturbance(Change.NOTHING, 1.4, Pause(Heads.ALL, 2.0, 2.4)),
+    Disturbance(Change.TIMEOUT, 8.9, Pause(Heads.PART, 9.4, 3.4)),
+)
 
 
 class PausedSite(PlatformSite):
--- a/soak/silences.py
+++ b/soak/silences.py
@@ -10,8 +10,7 @@
 DELAY_RANGE_S = (0.3, 0.8)
 """Range of the time from a configuration to the silence that follows it."""
 SILENCE_RANGE_S = (1.0, 1.8)
-"""Range of the duration of a silence; shorter than the 2 s after which an engine or a
-target without an entry may count as ended."""
+"""Range of the duration of a silence. Callers abandon a stream after a gap of 2 s."""
 MIN_BREAK_S = 0.5
 """Shortest time between silences of a service. A stream lasts as long, so that few meet
 three silences, which could use up their callers' time."""
