--- a/cowslipcourse/adapters/targets.py
+++ b/cowslipcourse/adapters/targets.py
@@ -195,8 +195,8 @@
     """Closes a response on which no bytes arrive, if it may be given up.
 
     Checks at intervals: a timer for each token would cost more than everything else
-    that is done for a token. The response is closed after one to two intervals without
-    bytes.
+    that is done for a token. The response is closed at the first check after a whole
+    interval without bytes at which it may be given up.
 
     :param timeout_s: seconds between checks.
     :param may_abandon: returns whether a silent response is given up.
--- a/cowslipcourse/admission/urgency.py
+++ b/cowslipcourse/admission/urgency.py
@@ -1,4 +1,4 @@
-"""Urgency of a request at an engine, and patience of its caller. Pure functions.
+"""Urgency of a request at an engine, and overdue streams. Pure functions.
 
 After an outage or a burst, more requests arrive than groups can run, including retries
 of refused ones. A request that has missed its objective loses nothing by waiting a
@@ -22,11 +22,11 @@
 SEND_DEADLINE_FRACTION = 0.5
 """Fraction of the objective within which a request must be sent to a target to be on
 time; the rest is left for the target to produce its first event."""
-MIN_PATIENCE_S = 2.0
+MIN_ABANDON_GAP_S = 2.0
 """Shortest gap, in seconds, after which callers abandon a stream."""
-PATIENCE_OBJECTIVES = 4.0
+ABANDON_GAP_OBJECTIVES = 4.0
 """The gap in objectives of the route, where that is longer."""
-PATIENCE_PAUSE_LIMITS = 8.0
+ABANDON_GAP_PAUSE_LIMITS = 8.0
 """The gap in pause limits of the route, where that is longer."""
 OVERDUE_FRACTION = 0.5
 """Fraction of this gap after which a stream is overdue: several times as long as served
@@ -74,13 +74,13 @@
     """
     if not route.is_retryable or route.max_attempts < 2:
         return math.inf
-    return OVERDUE_FRACTION * _patience_s(route)
+    return OVERDUE_FRACTION * _abandon_gap_s(route)
 
 
-def _patience_s(route):
+def _abandon_gap_s(route):
     """Return the gap, in seconds, after which callers abandon a stream."""
     return max(
-        MIN_PATIENCE_S,
-        PATIENCE_OBJECTIVES * route.objective_s,
-        PATIENCE_PAUSE_LIMITS * route.pause_limit_s,
+        MIN_ABANDON_GAP_S,
+        ABANDON_GAP_OBJECTIVES * route.objective_s,
+        ABANDON_GAP_PAUSE_LIMITS * route.pause_limit_s,
     )
--- a/cowslipcourse/entry/host_checks.py
+++ b/cowslipcourse/entry/host_checks.py
@@ -77,6 +77,9 @@
     async def _run(self, key, entry):
         try:
             is_lost = await self._check(entry.address)
+        except Exception:
+            log.exception("host-check-failed", target=entry.id)
+            is_lost = False
         finally:
             del self._running[key]
         now = asyncio.get_running_loop().time()
--- a/cowslipcourse/entry/stream_target_selection.py
+++ b/cowslipcourse/entry/stream_target_selection.py
@@ -55,28 +55,35 @@
         with self._waiting(service, model) as poll_interval_s:
             while True:
                 now = loop.time()
-                candidates = self._candidates(service, model, now, tried_ids)
-                candidate = self._choose_group(progress, candidates, tried_ids, now)
-                if candidate is not None:
-                    progress.slot_wait_s += now - wait_started_at
-                    return TargetChoice(candidate.entry)
-                usable_at = all_withheld_until(
-                    self._context.conditions, candidates, tried_ids, now
-                )
-                if now >= give_up_at or (
-                    usable_at is not None and usable_at > give_up_at
-                ):
-                    choice = no_target_choice(
-                        self._context.conditions,
-                        self._context.rng,
-                        candidates,
-                        tried_ids,
-                        now,
-                    )
-                    _log_no_target(call, choice.cause, candidates, tried_ids)
+                choice = self._try_choose(progress, service, tried_ids, now, give_up_at)
+                if choice is not None:
+                    if choice.entry is not None:
+                        progress.slot_wait_s += now - wait_started_at
                     return choice
                 await asyncio.sleep(min(poll_interval_s(), give_up_at - now))
 
+    def _try_choose(self, progress, service, tried_ids, now, give_up_at):
+        """Return the ``TargetChoice`` of a stream, or ``None`` while it may wait.
+
+        :param now: loop time.
+        :param give_up_at: loop time until which it may wait for a free slot.
+        """
+        call, conditions = progress.call, self._context.conditions
+        model = call.caller_headers.model
+        candidates = self._candidates(service, model, now, tried_ids)
+        candidate = self._choose_group(progress, candidates, tried_ids, now)
+        if candidate is not None:
+            return TargetChoice(candidate.entry)
+        usable_at = all_withheld_until(conditions, candidates, tried_ids, now)
+        may_be_usable = usable_at is None or usable_at <= give_up_at
+        if now < give_up_at and may_be_usable:
+            return None
+        choice = no_target_choice(
+            conditions, self._context.rng, candidates, tried_ids, now
+        )
+        _log_no_target(call, choice.cause, candidates, tried_ids)
+        return choice
+
     @contextmanager
     def _waiting(self, service, model):
         """Count a request that may wait; yields a function for its poll interval."""
