The support of streams at silent targets is four modules

Cause: one module of 717 lines held the scripts of targets and hosts, lists and configurations, the site that forwards a stream, and the random runs. Each is a module of its own now; names that others use have no underscore, and the options of a site are listed once instead of twice.

--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -6,15 +6,10 @@
 
 from cowslipcourse.admission.urgency import overdue_after_s
 from features.support.log_records import recorded_logs
-from features.support.silent_targets import (
-    EVENT_COUNT,
-    HostScript,
-    Stop,
-    TargetScript,
-    silence_violations,
-    stream_at_targets,
-    stream_route,
-)
+from features.support.scripted_streams import EVENT_COUNT, HostScript, TargetScript
+from features.support.silence_fuzz import silence_violations
+from features.support.silent_targets import Stop, stream_at_targets
+from features.support.stream_lists import stream_route
 
 SCRIPTS = {
     "sound": TargetScript(),
--- a/features/steps/silent_fleet_steps.py
+++ b/features/steps/silent_fleet_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from features.support.silent_fleet import streams_at_silent_fleet
-from features.support.silent_targets import PLACES
+from features.support.stream_lists import PLACES
 
 OBSERVED_AT_S = (1.0, 1.1, 3.0)
 
--- a/features/support/fuzz.py
+++ b/features/support/fuzz.py
@@ -14,7 +14,7 @@
 from features.support.part_runs import part_violations
 from features.support.pause_runs import pause_violations
 from features.support.paused_engine_runs import pausing_run
-from features.support.silent_targets import silence_violations
+from features.support.silence_fuzz import silence_violations
 
 
 def _membership(seed):
--- a/features/support/silent_fleet.py
+++ b/features/support/silent_fleet.py
@@ -8,12 +8,9 @@
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from cowslipcourse.entry.caller_app import FrontApp
 from cowslipcourse.entry.forwarder import Forwarder
-from features.support.silent_targets import (
-    EVENT_COUNT,
-    StreamSite,
-    TargetScript,
-    stream_route,
-)
+from features.support.scripted_streams import EVENT_COUNT, TargetScript
+from features.support.silent_targets import StreamSite
+from features.support.stream_lists import stream_route
 
 __all__ = ["FleetRun", "Observation", "streams_at_silent_fleet"]
 
