--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -169,6 +169,8 @@
         :data:`WITHOUT_TENANTS`."""
         self.extra_routes = []
         """Routes of the configuration beside the usual ones."""
+        self.extra_services = []
+        """Names of services without engine groups beside the usual one."""
         self.changed_route_fields = {}
         """Changed fields of routes by the route's name."""
         self.configuration_version = 1
@@ -260,7 +262,11 @@
                 route_entry("look", "/look/", "idempotent", PLAIN_SERVICE),
                 *self.extra_routes,
             ],
-            "services": [{"name": SERVICE, "engine": engine}, {"name": PLAIN_SERVICE}],
+            "services": [
+                {"name": SERVICE, "engine": engine},
+                {"name": PLAIN_SERVICE},
+                *({"name": name} for name in self.extra_services),
+            ],
         }
         content["routes"] = [
             route | self.changed_route_fields.get(route["name"], {})
--- a/harness/builds.py
+++ b/harness/builds.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from pathlib import Path
 
-__all__ = ["OTHER_BUILD_VARIABLE", "Builds"]
+__all__ = ["OTHER_BUILD_VARIABLE", "Builds", "SingleBuild"]
 
 OTHER_BUILD_VARIABLE = "COWSLIP_OTHER_BUILD"
 """Environment variable with the checkout of another build to run beside this one."""
@@ -35,3 +35,17 @@
         if self._other_checkout is None or (int(name[-1]) + start_count) % 2:
             return None
         return self._other_checkout
+
+
+class SingleBuild:
+    """Selects the same build for every start.
+
+    :param checkout: path of its checkout, or ``None`` for this build.
+    """
+
+    def __init__(self, checkout):
+        self._checkout = None if checkout is None else Path(checkout).resolve()
+
+    def next_checkout(self, name):
+        """See :meth:`Builds.next_checkout`."""
+        return self._checkout
--- /dev/null
+++ b/soak/retry_run.py
@@ -0,0 +1,146 @@
+"""Command: run seeds in which a retry budget is used up, and check the targets."""
+
+import argparse
+import asyncio
+import logging
+import random
+import shutil
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+from features.support.budget_oracle import Excess, largest_use, worst_window
+from soak.retry_callers import RetryCallers
+from soak.retry_faults import RetryFaults, retry_schedule
+from soak.retry_site import SETTINGS, RetrySite
+
+__all__ = ["ServiceFigures", "main", "run_faults", "run_schedule"]
+
+SETTLE_S = 3.0
+"""Time after the last fault in which arrivals are still recorded."""
+
+
+class ServiceFigures(NamedTuple):
+    """Repeats at a service, counted as they arrived.
+
+    :param service: name of the service.
+    :param requests: number of requests of callers.
+    :param repeats: number of arrivals beyond the first of their request.
+    :param worst: :class:`~features.support.budget_oracle.Excess` of the worst window.
+    :param largest_use: largest fraction of its budget that a window uses.
+    :param untaken: repeats that no daemon has logged as taken from the budget; 0 for
+        builds that do not log retries.
+    """
+
+    service: str
+    requests: int
+    repeats: int
+    worst: Excess
+    largest_use: float
+    untaken: int
+
+
+def _untaken(arrivals, taken):
+    return sum(
+        max(0, len(times) - 1 - taken[attempt_id])
+        for attempt_id, times in arrivals.items()
+    )
+
+
+def _figures(site, callers):
+    """Return the :class:`ServiceFigures` of each service."""
+    taken = site.retries_taken()
+    figures = []
+    for service, sent_at in callers.sent_at.items():
+        arrivals = site.arrivals_at(service)
+        repeats = sorted(at for times in arrivals.values() for at in times[1:])
+        untaken = _untaken(arrivals, taken) if taken else 0
+        worst, use = Excess(0.0, 0, SETTINGS.slack), 0.0
+        if repeats:
+            worst = worst_window(SETTINGS, sorted(sent_at), repeats)
+            use = largest_use(SETTINGS, sorted(sent_at), repeats)
+        figures.append(
+            ServiceFigures(service, len(sent_at), len(repeats), worst, use, untaken)
+        )
+    return figures
+
+
+async def run_faults(seed, duration_s, checkout=None):
+    """Run one seed and return ``(figures, site)``.
+
+    :param seed: seed of faults and callers.
+    :param duration_s: seconds from the start of the callers until the last fault ends.
+    :param checkout: checkout of the build of the daemons, or ``None`` for this one.
+    """
+    rng = random.Random(seed)
+    return await run_schedule(retry_schedule(rng, duration_s), rng, checkout)
+
+
+async def run_schedule(schedule, rng, checkout=None):
+    """Apply faults to a site with callers and return ``(figures, site)``.
+
+    :param schedule: :class:`~soak.retry_faults.RetryFault` sequence, sorted by time.
+    :param rng: :class:`random.Random`
+    :param checkout: see :func:`run_faults`.
+    """
+    site = RetrySite(checkout)
+    callers = RetryCallers(site, rng)
+    calling = None
+    try:
+        await site.start()
+        if not await callers.wait_until_served():
+            raise RuntimeError("the site did not serve before the faults")
+        calling = asyncio.create_task(callers.run())
+        await RetryFaults(site, rng).run(schedule)
+        await asyncio.sleep(SETTLE_S)
+        return _figures(site, callers), site
+    finally:
+        if calling is not None:
+            calling.cancel()
+            await asyncio.gather(calling, return_exceptions=True)
+        await site.stop()
+
+
+def _violations(figures):
+    for each in figures:
+        if each.worst.is_violation:
+            yield f"{each.service}: beyond the retry budget: {each.worst}"
+        if each.untaken:
+            yield f"{each.service}: {each.untaken} repeats not taken from the budget"
+
+
+def main():
+    """Run the seeds of the command line and return the exit code."""
+    parser = argparse.ArgumentParser(prog="soak-retries", description=__doc__)
+    parser.add_argument("first", type=int)
+    parser.add_argument("last", type=int)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--daemons", type=Path, help="checkout of the daemons' build")
+    parser.add_argument("--keep", type=Path, help="folder for logs of failed seeds")
+    arguments = parser.parse_args()
+    logging.disable(logging.CRITICAL)
+    failed = 0
+    for seed in range(arguments.first, arguments.last + 1):
+        run = run_faults(seed, arguments.seconds, arguments.daemons)
+        figures, site = asyncio.run(run)
+        violations = list(_violations(figures))
+        for each in figures:
+            print(
+                f"seed {seed}: {each.service}: {each.requests} requests, "
+                f"{each.repeats} repeats, worst window {each.worst.repeats} of "
+                f"{each.worst.allowed:.0f}, largest use {each.largest_use:.2f}",
+                flush=True,
+            )
+        for violation in violations:
+            print(f"seed {seed}: {violation}", flush=True)
+        failed += bool(violations)
+        if violations and arguments.keep:
+            kept = arguments.keep / f"seed-{seed}"
+            shutil.copytree(site.folder, kept, dirs_exist_ok=True)
+        shutil.rmtree(site.folder)
+    print(f"{arguments.last - arguments.first + 1 - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/soak/site.py
+++ b/soak/site.py
@@ -21,7 +21,7 @@
 from soak.schedule import DAEMON_FAULTS
 from soak.silences import ServiceSilences
 
-__all__ = ["DAEMONS", "SoakSite"]
+__all__ = ["DAEMONS", "SoakSite", "handles_sighup"]
 
 DAEMONS = 4
 RESTART_DELAY_S = 0.4
@@ -245,7 +245,7 @@
             process.kill()
 
     async def _do_reload(self, name, fault):
-        if _handles_sighup(self.processes[name].pid):
+        if handles_sighup(self.processes[name].pid):
             self._send_signal(name, signal.SIGHUP)
 
     async def _do_callers_reset(self, name, fault):
@@ -502,7 +502,7 @@
         self.history.record_key_configured(self._key_version)
 
 
-def _handles_sighup(pid):
+def handles_sighup(pid):
     """Whether a daemon handles SIGHUP, which ends it before its first line has run."""
     try:
         lines = Path(f"/proc/{pid}/status").read_text().splitlines()
