Retries that may still arrive use up the retry budget

Callers saw nothing; targets got more repeats in one window than all daemons together are allowed (BUDGET), all logged as taken.

Cause: a retry was charged when it was taken, but counts when its target reads it. Targets that stand still, and links that hold bytes, keep what daemons have given up. All of it arrives when they go on: retries charged to several windows, in one.

The bucket now limits what is saved and what was taken but may still arrive, together, to half of the allowance. A retry settles once its target has begun to answer, was not sent, or has closed its connection; one that was given up, once its target answers a later request, or after 30 s. A window then holds at most this half and what is earned within it, the other half.

--- a/cowslipcourse/admission/budget.py
+++ b/cowslipcourse/admission/budget.py
@@ -3,6 +3,8 @@
 import random
 from collections import deque
 
+from cowslipcourse.admission.late_arrivals import LateArrivals
+
 __all__ = ["MIN_DAEMON_COUNT", "RetryBudget", "SharedRetryBudget"]
 
 MIN_DAEMON_COUNT = 8
@@ -53,6 +55,8 @@
     def __init__(self):
         self.tokens = 0.0
         """Saved retries; negative after requests were withdrawn."""
+        self.unsettled = 0
+        """Retries of requests in progress that may not have arrived yet."""
         self.slack_added_at = None
         """Time until which the slack has been added; ``None`` before the first time."""
         self.requests = deque()
@@ -70,6 +74,9 @@
     end. Neither needs the memory of an earlier incarnation. The slack is earned from
     when the number of daemons is known.
 
+    A retry counts when its target reads it, which may be long after it was taken. Until
+    it has arrived, it uses up as much of the limit as a saved one.
+
     :param settings: :class:`~cowslipcourse.entry.settings.RetrySettings`
     :param rng: :class:`random.Random` that decides about fractions of a retry.
     """
@@ -80,6 +87,7 @@
         self._daemon_count = None
         self._count_known_at = None
         self._buckets = {}
+        self._late_arrivals = LateArrivals()
 
     @property
     def daemon_count(self):
@@ -106,8 +114,16 @@
         bucket.tokens -= self._earned_per_request
 
     def try_take(self, service, now):
-        """Take one retry from the budget; return whether one was available."""
+        """Take one retry from the budget; return whether one was available.
+
+        Call :meth:`settle` once the retry has arrived, or will never arrive.
+        """
         bucket = self._updated(service, now)
+        is_taken = self._try_take(bucket)
+        bucket.unsettled += is_taken
+        return is_taken
+
+    def _try_take(self, bucket):
         if bucket.tokens >= 1.0:
             bucket.tokens -= 1.0
             return True
@@ -119,6 +135,26 @@
         bucket.tokens = min(bucket.tokens, 0.0)
         return is_granted
 
+    def settle(self, service):
+        """Record that a retry which was taken need no longer be waited for."""
+        self._bucket(service).unsettled -= 1
+
+    def expect_late(self, service, target, sent_at):
+        """Record that a request which was given up may still arrive, as a repeat.
+
+        :param target: id of the target's incarnation.
+        :param sent_at: time at which it was sent.
+        """
+        self._late_arrivals.add(service, target, sent_at)
+
+    def record_answer(self, target, sent_at):
+        """Record that a target has read a request, and so those sent before it.
+
+        :param target: id of the target's incarnation.
+        :param sent_at: time at which the request was sent.
+        """
+        self._late_arrivals.remove_before(target, sent_at)
+
     def saved_retries(self, service, now):
         """Return the number of retries that are saved for a service."""
         return self._updated(service, now).tokens
@@ -146,7 +182,9 @@
             bucket.requests.popleft()
         if self._daemon_count is not None:
             self._add_slack(bucket, now)
-        bucket.tokens = min(bucket.tokens, self._capacity(bucket))
+        late = bucket.unsettled + self._late_arrivals.count(service, now)
+        free_capacity = max(0.0, self._capacity(bucket) - late)
+        bucket.tokens = min(bucket.tokens, free_capacity)
         return bucket
 
     def _add_slack(self, bucket, now):
--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -123,6 +123,7 @@
         """Return the response head; a stream has one once the request has started."""
         while self._head.status == 200 and not (self._chunks or self._has_started):
             await self._wait()
+        self.last_received_at = asyncio.get_running_loop().time()
         return self._head._replace(headers=self._head.headers + self._stated_headers())
 
     def start(self):
--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -98,6 +98,8 @@
         self.is_relayed = isinstance(entry, RelayPeer)
         self.connection = None
         """:class:`~cowslipcourse.http_client.TargetConnection` that it was sent on."""
+        self.on_read = None
+        """Called with this run once the target is known to have read the request."""
         self.answer_started = False
         """Whether the response head has arrived, or, for a single response, whether the
         request was sent."""
@@ -127,6 +129,28 @@
         """Whether other attempts at the same request are in progress."""
         return self._rivals.exist_beside(self)
 
+    @property
+    def target_key(self):
+        """Hashable id of the target's incarnation."""
+        return self.entry.id, self.entry.incarnation
+
+    @property
+    def is_answered(self):
+        """Whether a part of the answer has been received."""
+        return self.connection is not None and self.connection.last_received_at > 0.0
+
+    @property
+    def may_arrive(self):
+        """Whether the request was sent, and its target may read it later."""
+        if self.connection is None or self.ended_by_target:
+            return False
+        return not self.is_answered
+
+    def mark_read(self):
+        """Record that the target has read the request."""
+        if self.on_read is not None:
+            self.on_read(self)
+
     def mark_silent(self):
         """Record that the target is silent; the request may be sent to another one."""
         self.is_silent = True
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -14,6 +14,7 @@
 )
 from cowslipcourse.entry.attempts import TargetRun
 from cowslipcourse.entry.concurrent_attempts import ConcurrentAttempts
+from cowslipcourse.entry.request_repeats import RequestRepeats
 from cowslipcourse.exceptions import (
     AttemptSuperseded,
     GatewayDraining,
@@ -84,6 +85,7 @@
         self._choose_target = choose
         self._attempt = attempt
         self._running = ConcurrentAttempts(call.id, context.count_hedge)
+        self._repeats = RequestRepeats(context.retry_budget, service)
         self._tried_ids = set()
         self._attempts = 0
         self._possible_runs = 0
@@ -138,6 +140,7 @@
                     self._running.start(self._send_to_next(is_hedge=True))
         finally:
             await self._running.stop()
+            self._repeats.end()
 
     def _ending_error(self):
         """Return the error with which a stop of this daemon ends it, or ``None``."""
@@ -202,7 +205,7 @@
 
     def _take_retry(self, is_hedge):
         now = asyncio.get_running_loop().time()
-        is_taken = self._context.retry_budget.try_take(self._service, now)
+        is_taken = self._repeats.try_take(now)
         self._record_retry("taken" if is_taken else "refused", is_hedge)
         return is_taken
 
@@ -250,6 +253,7 @@
             run = TargetRun(entry, self._running, is_hedge)
             run.configuration_version = self._context.configuration_version
             self._running.set_run(run)
+            self._repeats.add_send(run)
             try:
                 await self._run_at_target(run)
             except TargetWithheld:
@@ -342,9 +346,18 @@
             if isinstance(error, TargetUnreachable) and not run.is_relayed:
                 await context.reachability.confirm()
             raise
+        finally:
+            self._record_arrival(run)
         if run.succeeded:
             context.quarantine.record_answered(call, run)
 
+    def _record_arrival(self, run):
+        """Record what the end of an attempt tells about arrivals at its target."""
+        if not run.may_arrive:
+            self._repeats.remove_send(run)
+        if run.is_answered and not run.is_relayed:
+            self._context.retry_budget.record_answer(run.target_key, run.sent_at)
+
     def _record_failure(self, run, error):
         context, call = self._context, self._call
         now = asyncio.get_running_loop().time()
--- a/cowslipcourse/entry/stream_forwarder.py
+++ b/cowslipcourse/entry/stream_forwarder.py
@@ -113,6 +113,7 @@
 
     async def _relay(self, progress, run, attempt, stream, observed):
         head = await attempt.read_head()
+        run.mark_read()
         run.answer_started = True
         progress.ends_with_connection = attempt.connection.is_close_delimited
         if is_not_executed(head):
--- a/features/steps/budget_arrival_steps.py
+++ b/features/steps/budget_arrival_steps.py
@@ -53,6 +53,9 @@
         self.taken_count += 1
         return self._budget.try_take(service, now)
 
+    def settle(self, service):
+        self._budget.settle(service)
+
     def saved_retries(self, service, now):
         return self._budget.saved_retries(service, now)
 
--- a/features/support/budget_lives.py
+++ b/features/support/budget_lives.py
@@ -8,7 +8,14 @@
 from cowslipcourse.entry.settings import RetrySettings
 from features.support.budget_oracle import worst_window
 
-__all__ = ["Event", "FleetRun", "Traffic", "budget_violations", "play"]
+__all__ = [
+    "Event",
+    "FleetRun",
+    "Traffic",
+    "budget_violations",
+    "late_budget_violations",
+    "play",
+]
 
 SERVICE = "llm"
 MAX_REPEATS = 2
@@ -19,6 +26,10 @@
 """Longest time from a start until the daemon knows how many there are."""
 NOTICE_S = 1.0
 """Longest time until daemons know of one that has joined."""
+HEDGE_DELAY_S = 1.0
+"""Time from a request to a target that stands still to the next attempt."""
+READ_AFTER_S = 0.5
+"""Longest time in which targets that go on read what has been sent meanwhile."""
 DRAIN_S = 4.0
 """Time for which a stopping daemon still serves beside the one that replaces it."""
 
@@ -33,6 +44,8 @@
     :param changed_rate: rate of requests from the middle of that time on, relative to
         that before.
     :param ends_at_s: time of the last request.
+    :param still_from_s: start of the time in which targets stand still.
+    :param still_until_s: end of that time.
     """
 
     requests_per_s: float
@@ -41,6 +54,8 @@
     failed_fraction: float
     changed_rate: float
     ends_at_s: float
+    still_from_s: float = 0.0
+    still_until_s: float = 0.0
 
 
 class Event(NamedTuple):
@@ -141,6 +156,9 @@
             return
         budget = self._rng.choice(budgets)
         budget.record_request(SERVICE, now)
+        if self._traffic.still_from_s <= now < self._traffic.still_until_s:
+            self._schedule(now + HEDGE_DELAY_S, self._hedge, budget)
+            return
         self._attempt_ended(now, budget, MAX_REPEATS)
 
     def _rate(self, now):
@@ -162,9 +180,21 @@
     def _repeat(self, now, budget, repeats_left):
         if budget in self._ended or not budget.try_take(SERVICE, now):
             return
-        self.repeats.append(now)
+        self._arrive(now, budget)
         self._attempt_ended(now, budget, repeats_left - 1)
 
+    def _hedge(self, now, budget):
+        """Send a request at a silent target to another one, which may be silent too."""
+        if budget in self._ended or not budget.try_take(SERVICE, now):
+            return
+        continued_at = max(now, self._traffic.still_until_s)
+        read_at = continued_at + self._rng.uniform(0.0, READ_AFTER_S)
+        self._schedule(read_at, self._arrive, budget)
+
+    def _arrive(self, now, budget):
+        self.repeats.append(now)
+        budget.settle(SERVICE)
+
 
 def play(settings, daemon_count, traffic, events, rng):
     """Return the :class:`FleetRun` of a plan after it has been played."""
@@ -214,6 +244,31 @@
     settings = RetrySettings(slack=rng.choice([20.0, 134.0, 134.0, 300.0]))
     traffic, events = _random_plan(rng, daemon_count)
     run = play(settings, daemon_count, traffic, events, rng)
+    return _violations(run, daemon_count, events)
+
+
+def late_budget_violations(seed):
+    """Return what is wrong with a random run in which targets stand still."""
+    rng = random.Random(seed)
+    daemon_count = rng.choice([8, 8, 64])
+    settings = RetrySettings(slack=rng.choice([20.0, 134.0, 300.0]))
+    traffic, events = _random_plan(rng, daemon_count)
+    still_from_s = rng.uniform(1.0, traffic.fails_from_s)
+    still_until_s = still_from_s + rng.uniform(3.0, 24.0)
+    traffic = traffic._replace(
+        still_from_s=still_from_s,
+        still_until_s=still_until_s,
+        ends_at_s=max(traffic.ends_at_s, still_until_s + 3.0),
+    )
+    if rng.random() < 0.7:
+        kill_at_s = rng.uniform(still_from_s, still_until_s)
+        events += [Event(kill_at_s, "kill", slot) for slot in range(daemon_count)]
+    run = play(settings, daemon_count, traffic, events, rng)
+    return _violations(run, daemon_count, events)
+
+
+def _violations(run, daemon_count, events):
+    settings = run.settings
     if not run.repeats:
         return []
     window = worst_window(settings, run.requests, run.repeats)
