Daemons that end while targets stand still leave nothing beyond the retry budget

Callers saw nothing; targets that go on after a long pause could read retries of daemons that had been killed, stopped or had left, beside those of their successors and of the daemons that took their callers over: more than all are allowed (BUDGET).

Cause: what a daemon had given up was counted in its own memory only, and its successors saved half of an allowance again while nothing was read. Ruled out as too strict: nothing earned before the first answer; three daemons that had just started then could not resume streams (features/platform_path/platform.feature, red).

A daemon now retries nothing before a target of the service has answered; what it has saved until then is lost if that took over 2 s; and the limit grows only with requests that targets answer. So while targets stand still, all incarnations of all daemons together hold no more than the daemons had at its start.

Steps that build a budget by hand record an answer, as a target's answer is now what allows to retry.

--- a/cowslipcourse/admission/budget.py
+++ b/cowslipcourse/admission/budget.py
@@ -16,6 +16,8 @@
 """Fraction of the allowance of a window that may be saved; the rest is earned. The more
 is saved, the longer a burst of failures can be retried, and the less can be retried
 after a start."""
+MAX_FIRST_ANSWER_S = 2.0
+"""Time to the first answer after which targets are taken to have stood still."""
 MAX_SERVICES = 1000
 """Services whose buckets are kept; a dropped one starts again with nothing saved."""
 
@@ -57,10 +59,22 @@
         """Saved retries; negative after requests were withdrawn."""
         self.unsettled = 0
         """Retries of requests in progress that may not have arrived yet."""
+        self.is_answered = False
+        """Whether a target of the service has answered a request."""
+        self.first_request_at = None
+        """Time of the first request; ``None`` before it."""
         self.slack_added_at = None
         """Time until which the slack has been added; ``None`` before the first time."""
         self.requests = deque()
         """Times of the requests in the last window."""
+        self.answers = deque()
+        """Times of the answers in the last window."""
+
+    def forget_before(self, at):
+        """Forget requests and answers before a time."""
+        for times in (self.requests, self.answers):
+            while times and times[0] < at:
+                times.popleft()
 
 
 class SharedRetryBudget:
@@ -75,7 +89,10 @@
     when the number of daemons is known.
 
     A retry counts when its target reads it, which may be long after it was taken. Until
-    it has arrived, it uses up as much of the limit as a saved one.
+    it has arrived, it uses up as much of the limit as a saved one. Daemons that have
+    ended may have left such retries. So nothing is retried before a target has
+    answered, what was saved until then is lost if targets stood still, and the limit
+    grows only with requests that targets answer.
 
     :param settings: :class:`~cowslipcourse.entry.settings.RetrySettings`
     :param rng: :class:`random.Random` that decides about fractions of a retry.
@@ -104,6 +121,8 @@
         """Record a first attempt at a service."""
         bucket = self._updated(service, now)
         bucket.requests.append(now)
+        if bucket.first_request_at is None:
+            bucket.first_request_at = now
         bucket.tokens += self._earned_per_request
 
     def withdraw_request(self, service, now):
@@ -119,7 +138,7 @@
         Call :meth:`settle` once the retry has arrived, or will never arrive.
         """
         bucket = self._updated(service, now)
-        is_taken = self._try_take(bucket)
+        is_taken = bucket.is_answered and self._try_take(bucket)
         bucket.unsettled += is_taken
         return is_taken
 
@@ -147,14 +166,26 @@
         """
         self._late_arrivals.add(service, target, sent_at)
 
-    def record_answer(self, target, sent_at):
+    def record_answer(self, service, target, sent_at, now):
         """Record that a target has read a request, and so those sent before it.
 
+        :param service: name of the service.
         :param target: id of the target's incarnation.
         :param sent_at: time at which the request was sent.
         """
+        bucket = self._bucket(service)
+        if not bucket.is_answered:
+            self._record_first_answer(service, now)
+        bucket.answers.append(now)
         self._late_arrivals.remove_before(target, sent_at)
 
+    def _record_first_answer(self, service, now):
+        bucket = self._updated(service, now)
+        bucket.is_answered = True
+        asked_at = now if bucket.first_request_at is None else bucket.first_request_at
+        if now - asked_at > MAX_FIRST_ANSWER_S:
+            bucket.tokens = min(bucket.tokens, 0.0)
+
     def saved_retries(self, service, now):
         """Return the number of retries that are saved for a service."""
         return self._updated(service, now).tokens
@@ -172,14 +203,14 @@
 
     def _capacity(self, bucket):
         """Return the largest number of retries that may be saved."""
-        of_requests = self.settings.ratio * len(bucket.requests)
+        answered_count = min(len(bucket.requests), len(bucket.answers))
+        of_requests = self.settings.ratio * answered_count
         return SAVED_FRACTION * (of_requests + self._slack_share)
 
     def _updated(self, service, now):
         """Return the bucket of a service as of now."""
         bucket = self._bucket(service)
-        while bucket.requests and now - bucket.requests[0] > self.settings.window_s:
-            bucket.requests.popleft()
+        bucket.forget_before(now - self.settings.window_s)
         if self._daemon_count is not None:
             self._add_slack(bucket, now)
         late = bucket.unsettled + self._late_arrivals.count(service, now)
--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -100,6 +100,8 @@
         """:class:`~cowslipcourse.http_client.TargetConnection` that it was sent on."""
         self.on_read = None
         """Called with this run once the target is known to have read the request."""
+        self.is_read = False
+        """Whether the target is known to have read the request."""
         self.answer_started = False
         """Whether the response head has arrived, or, for a single response, whether the
         request was sent."""
@@ -148,6 +150,9 @@
 
     def mark_read(self):
         """Record that the target has read the request."""
+        if self.is_read:
+            return
+        self.is_read = True
         if self.on_read is not None:
             self.on_read(self)
 
--- a/cowslipcourse/entry/request_repeats.py
+++ b/cowslipcourse/entry/request_repeats.py
@@ -1,5 +1,7 @@
 """The retries of one request, from when they are taken until they have arrived."""
 
+import asyncio
+
 __all__ = ["RequestRepeats"]
 
 
@@ -32,7 +34,12 @@
         """
         if not run.is_relayed:
             self._unread_runs.append(run)
-            run.on_read = self.remove_send
+            run.on_read = self._on_read
+
+    def _on_read(self, run):
+        now = asyncio.get_running_loop().time()
+        self._budget.record_answer(self._service, run.target_key, run.sent_at, now)
+        self.remove_send(run)
 
     def remove_send(self, run):
         """Remove a run that its target has read, or that it never will read."""
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -353,10 +353,10 @@
 
     def _record_arrival(self, run):
         """Record what the end of an attempt tells about arrivals at its target."""
-        if not run.may_arrive:
+        if run.is_answered:
+            run.mark_read()
+        elif not run.may_arrive:
             self._repeats.remove_send(run)
-        if run.is_answered and not run.is_relayed:
-            self._context.retry_budget.record_answer(run.target_key, run.sent_at)
 
     def _record_failure(self, run, error):
         context, call = self._context, self._call
--- a/features/retry_budget/late_arrivals.feature
+++ b/features/retry_budget/late_arrivals.feature
@@ -6,3 +6,27 @@
     When all targets stand still for 22 s
     Then retries have arrived at the targets
     And no window has more repeats at a service than all daemons together are allowed
+
+  Scenario: Daemons that end while targets stand still leave nothing beyond the budget
+    Given daemons that share a retry budget, with random traffic
+    When targets stand still while daemons are killed, replaced and joined, seeds 1 to 60
+    Then no window has more repeats than all daemons together are allowed
+
+  Scenario Outline: A retry that was given up counts until its target has read it
+    Given a daemon that has saved retries for a service
+    When it has taken all of them for requests to a target, and given them up
+    And <later>
+    Then it has saved retries again after a window: <saved>
+
+    Examples:
+      | later                                                   | saved |
+      | nothing is heard of the target                          | no    |
+      | the target answers a request that was sent before them  | no    |
+      | the target answers a request that was sent after them   | yes   |
+      | another target answers a request that was sent after them | no  |
+      | 30 s have passed                                        | yes   |
+
+  Scenario: A daemon that has started does not retry before a target has answered
+    Given a daemon that has just started, and knows that there are 8
+    When it gets requests for 20 s that no target answers
+    Then it cannot retry before a target has answered, and can within a window after it
--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -96,6 +96,7 @@
     context.budget.set_daemon_count(MIN_DAEMON_COUNT, 0.0)
     for number in range(200):
         context.budget.record_request(SERVICE, number * 0.05)
+        context.budget.record_answer(SERVICE, "t", number * 0.05, number * 0.05)
     assert context.budget.saved_retries(SERVICE, 10.0) > 10.0
 
 
@@ -114,6 +115,7 @@
 def step_unknown_count(context):
     context.budget = SharedRetryBudget(SETTINGS, random.Random(1))
     context.budget.record_request(SERVICE, 0.0)
+    context.budget.record_answer(SERVICE, "t", 0.0, 0.0)
 
 
 @when("it has had no requests for 20 s")
--- a/features/steps/late_retry_steps.py
+++ b/features/steps/late_retry_steps.py
@@ -6,11 +6,18 @@
 
 from behave import given, then, when
 
+from cowslipcourse.admission import MIN_DAEMON_COUNT, SharedRetryBudget
+from cowslipcourse.admission.late_arrivals import MAX_LATENESS_S
+from features.support.budget_lives import late_budget_violations
 from soak.retry_faults import RetryFault
 from soak.retry_run import run_schedule
+from soak.retry_site import SETTINGS
 from soak.target_process import TargetMode
 
 CALM_S = 6.0
+SERVICE = "llm"
+TARGET = "t1"
+SENT_AT = 10.0
 
 
 @given("eight daemons and nine targets as processes")
@@ -35,3 +42,69 @@
 def step_within_budget(context):
     for each in context.figures:
         assert not each.worst.is_violation, each
+
+
+@when(
+    "targets stand still while daemons are killed, replaced and joined, "
+    "seeds {first:d} to {last:d}"
+)
+def step_random_stand_still(context, first, last):
+    for seed in range(first, last + 1):
+        violations = late_budget_violations(seed)
+        if violations:
+            context.violations[seed] = violations
+
+
+@when("it has taken all of them for requests to a target, and given them up")
+def step_given_up(context):
+    count = 0
+    while context.budget.try_take(SERVICE, SENT_AT):
+        count += 1
+    for _ in range(count):
+        context.budget.expect_late(SERVICE, TARGET, SENT_AT)
+        context.budget.settle(SERVICE)
+    context.now = SENT_AT + 1.0
+
+
+@when("nothing is heard of the target")
+def step_nothing_heard(context):
+    """Do nothing."""
+
+
+@when("{which} answers a request that was sent {order} them")
+def step_answered(context, which, order):
+    target = TARGET if which == "the target" else "another"
+    sent_at = SENT_AT - 1.0 if order == "before" else SENT_AT + 0.5
+    context.budget.record_answer(SERVICE, target, sent_at, context.now)
+
+
+@when("30 s have passed")
+def step_passed(context):
+    context.now = SENT_AT + MAX_LATENESS_S + 1.0
+
+
+@then("it has saved retries again after a window: {saved}")
+def step_saved_again(context, saved):
+    later = context.now + SETTINGS.window_s
+    count = context.budget.saved_retries(SERVICE, later)
+    assert (count >= 1.0) == (saved == "yes"), count
+
+
+@given("a daemon that has just started, and knows that there are 8")
+def step_just_started(context):
+    context.budget = SharedRetryBudget(SETTINGS, random.Random(1))
+    context.budget.set_daemon_count(MIN_DAEMON_COUNT, 0.0)
+
+
+@when("it gets requests for 20 s that no target answers")
+def step_unanswered(context):
+    for second in range(20):
+        context.budget.record_request(SERVICE, float(second))
+
+
+@then("it cannot retry before a target has answered, and can within a window after it")
+def step_retries_once_answered(context):
+    assert not context.budget.try_take(SERVICE, 20.0)
+    context.budget.record_answer(SERVICE, TARGET, 20.0, 20.0)
+    assert not context.budget.try_take(SERVICE, 20.0)
+    assert context.budget.try_take(SERVICE, 20.0 + SETTINGS.window_s)
--- a/features/steps/variant_steps.py
+++ b/features/steps/variant_steps.py
@@ -58,6 +58,7 @@
     for budget in budgets:
         budget.set_daemon_count(len(budgets), 0.0)
         budget.record_request("s", 0.0)
+        budget.record_answer("s", "t", 0.0, 0.0)
         granted += sum(budget.try_take("s", 20.0) for _ in range(80))
     assert granted > 0, granted
     assert granted <= settings.slack, granted
--- a/features/support/budget_lives.py
+++ b/features/support/budget_lives.py
@@ -18,6 +18,7 @@
 ]
 
 SERVICE = "llm"
+TARGET = "t"
 MAX_REPEATS = 2
 REPEAT_DELAY_S = 0.3
 """Longest time from an attempt to the next one."""
@@ -159,6 +160,7 @@
         if self._traffic.still_from_s <= now < self._traffic.still_until_s:
             self._schedule(now + HEDGE_DELAY_S, self._hedge, budget)
             return
+        budget.record_answer(SERVICE, TARGET, now, now)
         self._attempt_ended(now, budget, MAX_REPEATS)
 
     def _rate(self, now):
--- a/features/support/saved_budgets.py
+++ b/features/support/saved_budgets.py
@@ -18,5 +18,6 @@
     budget.set_daemon_count(1, now)
     for service in services:
         for _ in range(REQUEST_COUNT):
+            budget.record_answer(service, "t", now, now)
             budget.record_request(service, now)
     return budget
