An answered request counts as read although its connection is used again

Cause: whether a target had answered was read from the connection after the answer had been sent to the caller. By then the connection may carry another request, which has no answer yet; the answered one then counted as not read, for as long as that lasted. Ruled out: streams, whose head marks them at once.

The attempt is marked as read while it still holds its connection. A bucket that was dropped meanwhile is not credited either.

--- a/cowslipcourse/admission/budget.py
+++ b/cowslipcourse/admission/budget.py
@@ -156,7 +156,9 @@
 
     def settle(self, service):
         """Record that a retry which was taken need no longer be waited for."""
-        self._bucket(service).unsettled -= 1
+        bucket = self._bucket(service)
+        # The bucket may have been dropped since.
+        bucket.unsettled = max(0, bucket.unsettled - 1)
 
     def expect_late(self, service, target, sent_at):
         """Record that a request which was given up may still arrive, as a repeat.
@@ -172,6 +174,7 @@
         :param service: name of the service.
         :param target: id of the target's incarnation.
         :param sent_at: time at which the request was sent.
+        :param now: time of the answer.
         """
         bucket = self._bucket(service)
         if not bucket.is_answered:
--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -219,6 +219,8 @@
             self._fleet.request_ended(entry.id)
             if connection is not None and connection.request is not None:
                 run.ended_by_target = connection.ended_by_target
+                if connection.last_received_at:
+                    run.mark_read()
                 connection.request.is_cancelled = True
 
     def _submit(self, call, engine, last_event_id):
--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -136,17 +136,11 @@
         """Hashable id of the target's incarnation."""
         return self.entry.id, self.entry.incarnation
 
-    @property
-    def is_answered(self):
-        """Whether a part of the answer has been received."""
-        return self.connection is not None and self.connection.last_received_at > 0.0
-
     @property
     def may_arrive(self):
         """Whether the request was sent, and its target may read it later."""
-        if self.connection is None or self.ended_by_target:
-            return False
-        return not self.is_answered
+        was_sent = self.connection is not None
+        return was_sent and not (self.is_read or self.ended_by_target)
 
     def mark_read(self):
         """Record that the target has read the request."""
@@ -245,6 +239,8 @@
             if connection is not None:
                 run.ended_by_target = connection.ended_by_target
                 run.ends_with_connection = connection.is_close_delimited
+                if run.connection is not None and connection.last_received_at:
+                    run.mark_read()
                 self._pool.release(key, connection)
 
     @contextmanager
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -347,17 +347,11 @@
                 await context.reachability.confirm()
             raise
         finally:
-            self._record_arrival(run)
+            if not run.may_arrive:
+                self._repeats.remove_send(run)
         if run.succeeded:
             context.quarantine.record_answered(call, run)
 
-    def _record_arrival(self, run):
-        """Record what the end of an attempt tells about arrivals at its target."""
-        if run.is_answered:
-            run.mark_read()
-        elif not run.may_arrive:
-            self._repeats.remove_send(run)
-
     def _record_failure(self, run, error):
         context, call = self._context, self._call
         now = asyncio.get_running_loop().time()
--- a/features/steps/withheld_steps.py
+++ b/features/steps/withheld_steps.py
@@ -337,3 +337,47 @@
     for choice, elapsed_s in context.choices:
         assert choice.cause == LossCause.GROUPS_TRIED, choice
         assert elapsed_s <= limit + 0.03, elapsed_s
+
+
+class _ReusedConnection:
+    """A connection on which the next request is sent as soon as it is released."""
+
+    ended_by_target = False
+    is_close_delimited = False
+    last_received_at = 0.0
+
+    def send(self, request):
+        """Send nothing."""
+
+    async def acquire(self, key, address, needs_new_connection):
+        """Return this connection, as a pool does."""
+        return self
+
+    def release(self, key, connection):
+        """Start the next request."""
+        self.last_received_at = 0.0
+
+
+@given("a target that answers a request")
+def step_answering_target(context):
+    context.connection = _ReusedConnection()
+
+
+@when("the attempt ends, and the next one is sent on its connection at once")
+def step_connection_reused(context):
+    async def actions():
+        limiter = RateLimiter(RecordingPeers(), None, random.Random(1))
+        sender = AttemptSender(FleetView(), TargetConditions(limiter, FleetView()))
+        sender._pool = context.connection
+        context.run_at_target = TargetRun(_entry(1))
+        call = _call(_now())
+        async with sender.open(call, context.run_at_target):
+            context.connection.last_received_at = 1.0
+
+    run_in_virtual_time(actions())
+
+
+@then("the target counts as having read the first request")
+def step_counts_as_read(context):
+    assert context.run_at_target.is_read
+    assert not context.run_at_target.may_arrive
--- a/features/support/fuzz.py
+++ b/features/support/fuzz.py
@@ -5,7 +5,7 @@
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from features.support.booking_runs import BookingRun
-from features.support.budget_lives import budget_violations
+from features.support.budget_lives import budget_violations, late_budget_violations
 from features.support.coordinator_runs import SITES, coordinator_run
 from features.support.crash_runs import crash_violations
 from features.support.edit_runs import EditRun
@@ -95,6 +95,7 @@
     "limits-405": _limits(15, 27),
     "silences": silence_violations,
     "retry-budgets": budget_violations,
+    "late-retries": late_budget_violations,
     "pauses": pause_violations,
     "pauses-64": lambda seed: pause_violations(seed, daemon_count=64),
     "membership": _membership,
