--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -13,8 +13,7 @@
     may_run_again,
 )
 from cowslipcourse.entry.attempts import TargetRun
-from cowslipcourse.entry.concurrent_attempts import ConcurrentAttempts
-from cowslipcourse.entry.request_repeats import RequestRepeats
+from cowslipcourse.entry.concurrent_attempts import ConcurrentAttempts, RequestRepeats
 from cowslipcourse.exceptions import (
     AttemptSuperseded,
     GatewayDraining,
--- a/features/steps/late_retry_steps.py
+++ b/features/steps/late_retry_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from cowslipcourse.admission import MIN_DAEMON_COUNT, SharedRetryBudget
-from cowslipcourse.admission.late_arrivals import MAX_LATENESS_S
+from cowslipcourse.admission.budget import MAX_LATENESS_S
 from features.support.budget_lives import late_budget_violations
 from soak.retry_faults import RetryFault
 from soak.retry_run import run_schedule
--- a/soak/retry_run.py
+++ b/soak/retry_run.py
@@ -101,7 +101,9 @@
         await site.stop()
 
 
-def _violations(figures):
+def _violations(figures, site):
+    for name in site.slow_stops:
+        yield f"a planned stop of {name} took too long"
     for each in figures:
         if each.worst.is_violation:
             yield f"{each.service}: beyond the retry budget: {each.worst}"
@@ -123,7 +125,7 @@
     for seed in range(arguments.first, arguments.last + 1):
         run = run_faults(seed, arguments.seconds, arguments.daemons)
         figures, site = asyncio.run(run)
-        violations = list(_violations(figures))
+        violations = list(_violations(figures, site))
         for each in figures:
             print(
                 f"seed {seed}: {each.service}: {each.requests} requests, "
--- a/soak/retry_site.py
+++ b/soak/retry_site.py
@@ -51,7 +51,7 @@
         self._builds = SingleBuild(checkout)
         self._target_addresses = {}
         self._target_processes = {}
-        self._stopping = set()
+        self._restarting = set()
         self.extra_services = [STREAM_SERVICE]
         self.extra_routes = [
             route_entry(
@@ -145,14 +145,14 @@
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             for name, process in list(self.processes.items()):
-                if process.poll() is not None and name not in self._stopping:
-                    self._stopping.add(name)
+                if process.poll() is not None and name not in self._restarting:
+                    self._restarting.add(name)
                     self._tasks.append(asyncio.create_task(self._restart(name)))
 
     async def _restart(self, name):
         await asyncio.sleep(RESTART_DELAY_S)
         self.start_daemon(name)
-        self._stopping.discard(name)
+        self._restarting.discard(name)
 
     def _write_settings(self, name, path):
         super()._write_settings(name, path)
