A daemon keeps what it has saved while its first requests find no target

Cause: a daemon loses what it has saved if the first answer takes over 2 s, as targets may have stood still. The 2 s began with the first request, also if no target existed yet and nothing was sent.

--- a/cowslipcourse/admission/budget.py
+++ b/cowslipcourse/admission/budget.py
@@ -21,7 +21,8 @@
 is saved, the longer a burst of failures can be retried, and the less can be retried
 after a start."""
 MAX_FIRST_ANSWER_S = 2.0
-"""Time to the first answer after which targets are taken to have stood still."""
+"""Time from the first send to the first answer after which targets are taken to have
+stood still."""
 MAX_LATENESS_S = 30.0
 """Time after which a request that was given up is no longer expected to arrive: several
 times as long as the platform lists a target that stands still."""
@@ -68,8 +69,8 @@
         """Retries of requests in progress that may not have arrived yet."""
         self.is_answered = False
         """Whether a target of the service has answered a request."""
-        self.first_request_at = None
-        """Time of the first request; ``None`` before it."""
+        self.first_sent_at = None
+        """Time at which a request was first sent to a target; ``None`` before it."""
         self.slack_added_at = None
         """Time until which the slack has been added; ``None`` before the first time."""
         self.requests = deque()
@@ -173,8 +174,6 @@
         """Record a first attempt at a service."""
         bucket = self._updated(service, now)
         bucket.requests.append(now)
-        if bucket.first_request_at is None:
-            bucket.first_request_at = now
         bucket.tokens += self._earned_per_request
 
     def withdraw_request(self, service, now):
@@ -206,6 +205,12 @@
         bucket.tokens = min(bucket.tokens, 0.0)
         return is_granted
 
+    def record_send(self, service, now):
+        """Record that a request was sent to a target."""
+        bucket = self._bucket(service)
+        if bucket.first_sent_at is None:
+            bucket.first_sent_at = now
+
     def settle(self, service):
         """Record that a retry which was taken need no longer be waited for."""
         bucket = self._bucket(service)
@@ -237,8 +242,8 @@
     def _record_first_answer(self, service, now):
         bucket = self._updated(service, now)
         bucket.is_answered = True
-        asked_at = now if bucket.first_request_at is None else bucket.first_request_at
-        if now - asked_at > MAX_FIRST_ANSWER_S:
+        sent_at = now if bucket.first_sent_at is None else bucket.first_sent_at
+        if now - sent_at > MAX_FIRST_ANSWER_S:
             bucket.tokens = min(bucket.tokens, 0.0)
 
     def saved_retries(self, service, now):
--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -98,6 +98,8 @@
         self.is_relayed = isinstance(entry, RelayPeer)
         self.connection = None
         """:class:`~cowslipcourse.http_client.TargetConnection` that it was sent on."""
+        self.on_sent = None
+        """Called with this run once the request has been sent to the target."""
         self.on_read = None
         """Called with this run once the target is known to have read the request."""
         self.is_read = False
@@ -142,6 +144,11 @@
         was_sent = self.connection is not None
         return was_sent and not (self.is_read or self.ended_by_target)
 
+    def mark_sent(self):
+        """Record that the request has been sent to the target."""
+        if self.on_sent is not None:
+            self.on_sent(self)
+
     def mark_read(self):
         """Record that the target has read the request."""
         if self.is_read:
@@ -232,6 +239,7 @@
             self._conditions.verify(entry, permit)
             connection.send(request)
             run.connection = connection
+            run.mark_sent()
             with self._tracking(connection, run):
                 yield Attempt(entry, connection, loop.time(), self._conditions)
         finally:
--- a/cowslipcourse/entry/concurrent_attempts.py
+++ b/cowslipcourse/entry/concurrent_attempts.py
@@ -189,8 +189,12 @@
         """
         if not run.is_relayed:
             self._unread_runs.append(run)
+            run.on_sent = self._on_sent
             run.on_read = self._on_read
 
+    def _on_sent(self, run):
+        self._budget.record_send(self._service, asyncio.get_running_loop().time())
+
     def _on_read(self, run):
         now = asyncio.get_running_loop().time()
         self._budget.record_answer(self._service, run.target_key, run.sent_at, now)
--- a/features/retry_budget/late_arrivals.feature
+++ b/features/retry_budget/late_arrivals.feature
@@ -31,6 +31,11 @@
     When it gets requests for 20 s that no target answers
     Then it cannot retry before a target has answered, and can within a window after it
 
+  Scenario: A daemon whose first requests found no target keeps what it has saved
+    Given a daemon that has just started, and knows that there are 8
+    When it gets requests for 20 s for which there is no target
+    Then it can retry as soon as a target has answered
+
   Scenario: An answered request counts as read although its connection is used again
     Given a target that answers a request
     When the attempt ends, and the next one is sent on its connection at once
--- a/features/steps/late_retry_steps.py
+++ b/features/steps/late_retry_steps.py
@@ -100,6 +100,7 @@
 def step_unanswered(context):
     for second in range(20):
         context.budget.record_request(SERVICE, float(second))
+        context.budget.record_send(SERVICE, float(second))
 
 
 @then("it cannot retry before a target has answered, and can within a window after it")
@@ -108,3 +109,16 @@
     context.budget.record_answer(SERVICE, TARGET, 20.0, 20.0)
     assert not context.budget.try_take(SERVICE, 20.0)
     assert context.budget.try_take(SERVICE, 20.0 + SETTINGS.window_s)
+
+
+@when("it gets requests for 20 s for which there is no target")
+def step_no_target(context):
+    for second in range(20):
+        context.budget.record_request(SERVICE, float(second))
+
+
+@then("it can retry as soon as a target has answered")
+def step_retries_at_once(context):
+    context.budget.record_send(SERVICE, 20.0)
+    context.budget.record_answer(SERVICE, TARGET, 20.0, 20.5)
+    assert context.budget.try_take(SERVICE, 20.5)
--- a/features/support/budget_lives.py
+++ b/features/support/budget_lives.py
@@ -157,6 +157,7 @@
             return
         budget = self._rng.choice(budgets)
         budget.record_request(SERVICE, now)
+        budget.record_send(SERVICE, now)
         if self._traffic.still_from_s <= now < self._traffic.still_until_s:
             self._schedule(now + HEDGE_DELAY_S, self._hedge, budget)
             return
