Overlapping faults of one kind in soak-retries last as long as drawn

Cause: a fault that ended let targets, daemons and links go on, also if another one of its kind still held them. Each process and link now goes on once no fault holds it; of overlapping modes the last one holds. Ruled out: drawing faults without overlap, which would miss series.

--- a/soak/retry_faults.py
+++ b/soak/retry_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from collections import Counter
 from typing import NamedTuple
 
 from soak.proxy import LinkState
@@ -80,6 +81,11 @@
     def __init__(self, site, rng):
         self._site = site
         self._rng = rng
+        self._modes = []
+        self._stopped = Counter()
+        """Number of faults that stop a process, by the name of its target or daemon."""
+        self._held = Counter()
+        """Number of faults that hold a link, by the name of its target."""
 
     async def run(self, schedule):
         """Apply all faults of a schedule; return once they have ended."""
@@ -95,17 +101,26 @@
         return self._rng.sample(items, max(1, round(share * len(items))))
 
     async def _targets_broken(self, fault):
+        self._modes.append(fault.mode)
         self._site.set_mode(fault.mode)
         await asyncio.sleep(fault.duration_s)
-        self._site.set_mode(TargetMode.SOUND)
+        self._modes.remove(fault.mode)
+        self._site.set_mode(self._modes[-1] if self._modes else TargetMode.SOUND)
 
     async def _targets_stand_still(self, fault):
         names = self._some(self._site.service_of, fault.share)
+        await self._stop_processes(names, self._site.signal_target, fault.duration_s)
+
+    async def _stop_processes(self, names, send_signal, duration_s):
+        """Stop processes; each goes on once no fault stops it any longer."""
+        self._stopped.update(names)
         for name in names:
-            self._site.signal_target(name, signal.SIGSTOP)
-        await asyncio.sleep(fault.duration_s)
+            send_signal(name, signal.SIGSTOP)
+        await asyncio.sleep(duration_s)
+        self._stopped.subtract(names)
         for name in names:
-            self._site.signal_target(name, signal.SIGCONT)
+            if not self._stopped[name]:
+                send_signal(name, signal.SIGCONT)
 
     async def _targets_restart(self, fault):
         for name in self._some(self._site.service_of, fault.share):
@@ -115,14 +130,15 @@
             self._site.start_target_process(name)
 
     async def _hold_links(self, fault, state):
-        links = [
-            self._site.links[name] for name in self._some(self._site.links, fault.share)
-        ]
-        for link in links:
-            link.state = state
+        names = self._some(self._site.links, fault.share)
+        self._held.update(names)
+        for name in names:
+            self._site.links[name].state = state
         await asyncio.sleep(fault.duration_s)
-        for link in links:
-            link.state = LinkState.SOUND
+        self._held.subtract(names)
+        for name in names:
+            if not self._held[name]:
+                self._site.links[name].state = LinkState.SOUND
 
     async def _links_held(self, fault):
         await self._hold_links(fault, LinkState.SILENT)
@@ -154,12 +170,8 @@
 
     async def _daemons_paused(self, fault):
         names = self._some(self._site.processes, fault.share)
-        processes = [self._site.processes[name] for name in names]
-        for process in processes:
-            process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(min(fault.duration_s, MAX_PAUSE_S))
-        for process in processes:
-            process.send_signal(signal.SIGCONT)
+        pause_s = min(fault.duration_s, MAX_PAUSE_S)
+        await self._stop_processes(names, self._site.kill, pause_s)
 
     async def _daemons_reload(self, fault):
         for name in self._some(self._site.processes, fault.share):
