A test of the retry budget with daemons that are cut from their targets

Hypothesis of the incident: attempts that are free while a daemon reaches no target, and relays, add repeats that nobody takes from the budget. The site of cut links takes a number of daemons, so that it can be combined with targets that fail.

--- a/features/steps/budget_process_steps.py
+++ b/features/steps/budget_process_steps.py
@@ -8,10 +8,18 @@
 from features.steps.platform_steps import start_platform
 from features.support.breaking_site import RETRY_SETTINGS, BreakingSite, call_beside
 from features.support.budget_oracle import worst_window
+from features.support.partitioned_site import Cut, PartitionedSite
 
 SOUND_S = 9.0
 KILLS_AFTER_S = (2.0, 3.0)
 BROKEN_AFTER_KILLS_S = 4.0
+CUT_DAEMONS = ("a1", "a2", "a4", "a5", "a7")
+CUT_S = 3.0
+PAUSE_BETWEEN_CUTS_S = 1.0
+
+
+class _BreakingPartitionedSite(BreakingSite, PartitionedSite):
+    """Targets that can fail all requests, behind links that can be cut."""
 
 
 @given("a platform with four daemons as processes, which share a small retry budget")
@@ -61,3 +69,33 @@
     settings = RetrySettings(**RETRY_SETTINGS)
     window = worst_window(settings, context.sent_at, repeats)
     assert not window.is_violation, window
+
+
+@given("a platform with eight daemons, which share a small retry budget")
+def step_partitioned_platform(context):
+    start_platform(context, _BreakingPartitionedSite(daemon_count=8))
+
+
+async def _break_and_cut(site):
+    await asyncio.sleep(SOUND_S)
+    site.are_broken = True
+    for how in (Cut.RESET, Cut.HANG, Cut.REFUSE_NEW):
+        site.cut(CUT_DAEMONS, how)
+        await asyncio.sleep(CUT_S)
+        site.heal()
+        await asyncio.sleep(PAUSE_BETWEEN_CUTS_S)
+    site.are_broken = False
+
+
+@when("all targets fail all requests, and five daemons are cut from them three times")
+def step_broken_and_cut(context):
+    site = context.platform
+    running = call_beside(site, _break_and_cut(site))
+    context.sent_at = context.runner.run(running)
+
+
+@then("requests of daemons without links were relayed")
+def step_relayed(context):
+    for name in CUT_DAEMONS:
+        counts = context.platform.daemons[name]._context.retry_counts
+        assert any(outcome == "free" for _, outcome in counts), (name, counts)
--- a/features/support/breaking_site.py
+++ b/features/support/breaking_site.py
@@ -17,10 +17,13 @@
 
 
 class BreakingSite(PlatformSite):
-    """A platform whose targets record arrivals and can fail all requests."""
+    """A platform whose targets record arrivals and can fail all requests.
 
-    def __init__(self):
-        super().__init__(daemon_count=DAEMON_COUNT)
+    :param daemon_count: number of daemons.
+    """
+
+    def __init__(self, daemon_count=DAEMON_COUNT):
+        super().__init__(daemon_count=daemon_count)
         self.are_broken = False
         """Whether targets fail all requests."""
         self.arrived_at = {}
--- a/features/support/partitioned_site.py
+++ b/features/support/partitioned_site.py
@@ -20,6 +20,7 @@
 __all__ = ["Cut", "PartitionedSite"]
 
 DATA_CENTRES = ("n1", "n1", "n1", "n2", "n2", "n2", "n3", "n3")
+DAEMON_COUNT = len(DATA_CENTRES)
 _daemon_name = contextvars.ContextVar("daemon_name", default=None)
 _connect = TargetConnection.connect.__func__
 
@@ -35,8 +36,8 @@
 class PartitionedSite(PlatformSite):
     """Eight daemons in three data centres, and the targets behind their links."""
 
-    def __init__(self):
-        super().__init__(daemon_count=len(DATA_CENTRES))
+    def __init__(self, daemon_count=DAEMON_COUNT):
+        super().__init__(daemon_count=daemon_count)
         self.daemons = {}
         self._daemon_tasks = []
         self._proxies = {}
