Links of the partitioned test site are set up although their first connection is given up

Cause: a daemon's first connection to a target started the link's proxy itself. Where a busy machine lets that connection reach its time limit, the start was cancelled: the link stayed dead for the rest of the run, and the site could not be stopped.

The start is a task of its own, which connections wait for and do not cancel. features/reachability/partitions.feature uses the same site.

--- a/features/support/partitioned_site.py
+++ b/features/support/partitioned_site.py
@@ -41,6 +41,7 @@
         self.daemons = {}
         self._daemon_tasks = []
         self._proxies = {}
+        self._proxy_starts = {}
         self._cuts = {}
         self._target_addresses = set()
 
@@ -60,6 +61,8 @@
         for task in self._daemon_tasks:
             task.cancel()
         await asyncio.gather(*self._daemon_tasks, return_exceptions=True)
+        # A start that was begun is waited for, as only a started proxy can be stopped.
+        await asyncio.gather(*self._proxy_starts.values())
         for proxy in self._proxies.values():
             await proxy.stop()
         await super().stop()
@@ -120,6 +123,21 @@
         for proxy in self._proxies.values():
             proxy.state = LinkState.SOUND
 
+    async def link_address(self, name, address):
+        """Return the address of the proxy between a daemon and a target.
+
+        :param name: name of the daemon.
+        :param address: ``ip:port`` of the target.
+        """
+        link = name, address
+        if link not in self._proxies:
+            proxy = LoopbackProxy(f"127.0.0.1:{free_ports(1)[0]}", address)
+            self._proxies[link] = proxy
+            self._proxy_starts[link] = asyncio.create_task(proxy.start())
+        # A connection that is given up must not cancel the start for all later ones.
+        await asyncio.shield(self._proxy_starts[link])
+        return self._proxies[link].address
+
     async def _connect(self, cls, address, timeout_s):
         name = _daemon_name.get()
         if name is None or address not in self._target_addresses:
@@ -130,12 +148,4 @@
             raise TargetUnreachable("hung", sent=False) from TimeoutError()
         if cut is not None:
             raise TargetUnreachable("refused", sent=False) from ConnectionRefusedError()
-        return await _connect(cls, await self._proxy_address(name, address), timeout_s)
-
-    async def _proxy_address(self, name, address):
-        proxy = self._proxies.get((name, address))
-        if proxy is None:
-            proxy = LoopbackProxy(f"127.0.0.1:{free_ports(1)[0]}", address)
-            self._proxies[name, address] = proxy
-            await proxy.start()
-        return proxy.address
+        return await _connect(cls, await self.link_address(name, address), timeout_s)
