A failing test of retries that are taken for more callers than are left

Targets get more repeats in a window than all daemons together are allowed (BUDGET), if they stand still for longer than the runs so far, or if callers leave meanwhile.

--- a/features/retry_budget/late_arrivals.feature
+++ b/features/retry_budget/late_arrivals.feature
@@ -12,6 +12,18 @@
     When targets stand still while daemons are killed, replaced and joined, seeds 1 to 60
     Then no window has more repeats than all daemons together are allowed
 
+  Scenario: Retries taken for more callers than are left keep to the budget
+    When all targets stand still, and a share of the requests is left
+      | daemons | rate | seconds | left |
+      | 8       | 150  | 20      | 1.0  |
+      | 8       | 150  | 20      | 0.3  |
+      | 8       | 150  | 20      | 0.02 |
+      | 8       | 150  | 90      | 1.0  |
+      | 8       | 150  | 90      | 0.02 |
+      | 64      | 1000 | 20      | 0.3  |
+      | 64      | 1000 | 90      | 0.02 |
+    Then no window has more repeats than all daemons together are allowed
+
   Scenario Outline: A retry that was given up counts until its target has read it
     Given a daemon that has saved retries for a service
     When it has taken all of them for requests to a target, and given them up
--- a/features/steps/late_retry_steps.py
+++ b/features/steps/late_retry_steps.py
@@ -8,7 +8,8 @@
 
 from cowslipcourse.admission import MIN_DAEMON_COUNT, SharedRetryBudget
 from cowslipcourse.admission.budget import MAX_LATENESS_S
-from features.support.budget_lives import late_budget_violations
+from features.support.budget_lives import Traffic, late_budget_violations, play
+from features.support.budget_oracle import worst_window
 from soak.retry_faults import RetryFault
 from soak.retry_run import run_schedule
 from soak.retry_site import SETTINGS
@@ -18,6 +19,9 @@
 SERVICE = "llm"
 TARGET = "t1"
 SENT_AT = 10.0
+RUN_IN_S = 60.0
+HEDGES_TAKEN_S = 3.0
+"""Time after which the callers of targets that stand still become fewer."""
 
 
 @given("eight daemons and nine targets as processes")
@@ -55,6 +59,27 @@
             context.violations[seed] = violations
 
 
+def _play_still(daemon_count, rate, still_s, left):
+    """Return the worst window of daemons whose targets all stand still for a time."""
+    changes_at, ends_at = RUN_IN_S + HEDGES_TAKEN_S, RUN_IN_S + still_s
+    traffic = Traffic(
+        rate, changes_at, changes_at, 0.0, left, ends_at + 1.0, RUN_IN_S, ends_at
+    )
+    run = play(SETTINGS, daemon_count, traffic, (), random.Random(1))
+    assert run.repeats
+    return worst_window(SETTINGS, run.requests, run.repeats)
+
+
+@when("all targets stand still, and a share of the requests is left")
+def step_fewer_callers(context):
+    context.violations = {}
+    for row in context.table:
+        daemon_count, rate, still_s, left = map(float, row)
+        window = _play_still(int(daemon_count), rate, still_s, left)
+        if window.is_violation:
+            context.violations[tuple(row)] = window
+
+
 @when("it has taken all of them for requests to a target, and given them up")
 def step_given_up(context):
     count = 0
--- a/features/support/budget_lives.py
+++ b/features/support/budget_lives.py
@@ -18,7 +18,7 @@
 ]
 
 SERVICE = "llm"
-TARGET = "t"
+TARGETS = tuple(f"t{number}" for number in range(9))
 MAX_REPEATS = 2
 REPEAT_DELAY_S = 0.3
 """Longest time from an attempt to the next one."""
@@ -29,6 +29,8 @@
 """Longest time until daemons know of one that has joined."""
 HEDGE_DELAY_S = 1.0
 """Time from a request to a target that stands still to the next attempt."""
+DEADLINE_S = 8.0
+"""Time from a request until its caller leaves, and the daemon gives it up."""
 READ_AFTER_S = 0.5
 """Longest time in which targets that go on read what has been sent meanwhile."""
 DRAIN_S = 4.0
@@ -161,7 +163,7 @@
         if self._traffic.still_from_s <= now < self._traffic.still_until_s:
             self._schedule(now + HEDGE_DELAY_S, self._hedge, budget)
             return
-        budget.record_answer(SERVICE, TARGET, now, now)
+        budget.record_answer(SERVICE, self._rng.choice(TARGETS), now, now)
         self._attempt_ended(now, budget, MAX_REPEATS)
 
     def _rate(self, now):
@@ -190,12 +192,25 @@
         """Send a request at a silent target to another one, which may be silent too."""
         if budget in self._ended or not budget.try_take(SERVICE, now):
             return
+        target = self._rng.choice(TARGETS)
         continued_at = max(now, self._traffic.still_until_s)
         read_at = continued_at + self._rng.uniform(0.0, READ_AFTER_S)
-        self._schedule(read_at, self._arrive, budget)
+        given_up_at = now + DEADLINE_S - HEDGE_DELAY_S
+        if given_up_at < read_at:
+            self._schedule(given_up_at, self._give_up, budget, target, now)
+            self._schedule(read_at, self._arrive_late)
+        else:
+            self._schedule(read_at, self._arrive, budget)
 
-    def _arrive(self, now, budget):
+    def _give_up(self, now, budget, target, sent_at):
+        budget.expect_late(SERVICE, target, sent_at)
+        budget.settle(SERVICE)
+
+    def _arrive_late(self, now):
         self.repeats.append(now)
+
+    def _arrive(self, now, budget):
+        self._arrive_late(now)
         budget.settle(SERVICE)
 
 
@@ -257,7 +272,7 @@
     settings = RetrySettings(slack=rng.choice([20.0, 134.0, 300.0]))
     traffic, events = _random_plan(rng, daemon_count)
     still_from_s = rng.uniform(1.0, traffic.fails_from_s)
-    still_until_s = still_from_s + rng.uniform(3.0, 24.0)
+    still_until_s = still_from_s + rng.choice([24.0, 90.0]) * rng.uniform(0.1, 1.0)
     traffic = traffic._replace(
         still_from_s=still_from_s,
         still_until_s=still_until_s,
