Retries that silent targets hold keep to the budget although callers leave

Callers saw nothing; targets that go on after a pause read more repeats than all daemons together are allowed (BUDGET), if callers have left meanwhile.

Cause: the limit of what is held unread counted the requests of the window in which a retry is taken. A later window, in which it arrives, may have fewer. What was held then also did not reduce what is earned in that window. Evidence: 8 daemons, 150 requests a second, all targets stand still for 20 s, 0.02 of the requests left: 175 of 140.6; 64 daemons, 0.3 left: 851 of 738.8; late-retries 30 and 36. Ruled out: starts of daemons; no case of the scenario has one.

Retries beside silent targets (hedges) are allowed while no more than half of the slack is held unread, one for each daemon at least. What is held beyond the half of the allowance of the requests that are left is paid back from what is earned. Retries after an attempt that has ended are limited as before.

--- a/cowslipcourse/admission/budget.py
+++ b/cowslipcourse/admission/budget.py
@@ -147,6 +147,11 @@
     answered, what was saved until then is lost if targets stood still, and the limit
     grows only with requests that targets answer.
 
+    Callers of targets that stand still may leave, so that fewer retries are allowed
+    when those that were held arrive. So retries that are sent beside a silent target
+    are limited by the slack alone, and what was held beyond the limit of the requests
+    that are left is paid back from what is earned.
+
     :param settings: :class:`~cowslipcourse.entry.settings.RetrySettings`
     :param rng: :class:`random.Random` that decides about fractions of a retry.
     """
@@ -183,13 +188,21 @@
             bucket.requests.pop()
         bucket.tokens -= self._earned_per_request
 
-    def try_take(self, service, now):
+    def try_take(self, service, now, is_hedge=False):
         """Take one retry from the budget; return whether one was available.
 
         Call :meth:`settle` once the retry has arrived, or will never arrive.
+
+        :param service: name of the service.
+        :param now: time in seconds.
+        :param is_hedge: whether it is sent beside an attempt at a silent target.
         """
         bucket = self._updated(service, now)
-        is_taken = bucket.is_answered and self._try_take(bucket)
+        if not bucket.is_answered:
+            return False
+        if is_hedge and self._unread_count(service, bucket, now) + 1 > self._max_held:
+            return False
+        is_taken = self._try_take(bucket)
         bucket.unsettled += is_taken
         return is_taken
 
@@ -261,10 +274,26 @@
             return 0.0
         return self.settings.slack * USABLE_SLACK_FRACTION / self._daemon_count
 
+    @property
+    def _max_held(self):
+        """Retries that may be held unread when one more is sent beside them.
+
+        One is always allowed, as daemons of large fleets have less than one each.
+        """
+        return max(1.0, SAVED_FRACTION * self._slack_share)
+
+    def _unread_count(self, service, bucket, now):
+        """Return the number of retries that were taken and may still arrive."""
+        return bucket.unsettled + self._late_arrivals.count(service, now)
+
     def _capacity(self, bucket):
         """Return the largest number of retries that may be saved."""
         answered_count = min(len(bucket.requests), len(bucket.answers))
-        of_requests = self.settings.ratio * answered_count
+        return self._saved_share(answered_count)
+
+    def _saved_share(self, request_count):
+        """Return this daemon's part of the saved part of a window's allowance."""
+        of_requests = self.settings.ratio * request_count
         return SAVED_FRACTION * (of_requests + self._slack_share)
 
     def _updated(self, service, now):
@@ -273,9 +302,10 @@
         bucket.forget_before(now - self.settings.window_s)
         if self._daemon_count is not None:
             self._add_slack(bucket, now)
-        late = bucket.unsettled + self._late_arrivals.count(service, now)
-        free_capacity = max(0.0, self._capacity(bucket) - late)
-        bucket.tokens = min(bucket.tokens, free_capacity)
+        unread_count = self._unread_count(service, bucket, now)
+        free_capacity = max(0.0, self._capacity(bucket) - unread_count)
+        excess = max(0.0, unread_count - self._saved_share(len(bucket.requests)))
+        bucket.tokens = min(bucket.tokens, free_capacity - excess)
         return bucket
 
     def _add_slack(self, bucket, now):
--- a/cowslipcourse/entry/concurrent_attempts.py
+++ b/cowslipcourse/entry/concurrent_attempts.py
@@ -176,9 +176,13 @@
         self._unsettled = 0
         self._unread_runs = []
 
-    def try_take(self, now):
-        """Take a retry from the budget; return whether one was available."""
-        is_taken = self._budget.try_take(self._service, now)
+    def try_take(self, now, is_hedge):
+        """Take a retry from the budget; return whether one was available.
+
+        :param now: loop time in seconds.
+        :param is_hedge: whether it is sent beside an attempt at a silent target.
+        """
+        is_taken = self._budget.try_take(self._service, now, is_hedge)
         self._unsettled += is_taken
         return is_taken
 
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -204,7 +204,7 @@
 
     def _take_retry(self, is_hedge):
         now = asyncio.get_running_loop().time()
-        is_taken = self._repeats.try_take(now)
+        is_taken = self._repeats.try_take(now, is_hedge)
         self._record_retry("taken" if is_taken else "refused", is_hedge)
         return is_taken
 
--- a/features/steps/budget_arrival_steps.py
+++ b/features/steps/budget_arrival_steps.py
@@ -49,9 +49,9 @@
     def withdraw_request(self, service, now):
         self.recorded_count -= 1
 
-    def try_take(self, service, now):
+    def try_take(self, service, now, is_hedge=False):
         self.taken_count += 1
-        return self._budget.try_take(service, now)
+        return self._budget.try_take(service, now, is_hedge)
 
     def settle(self, service):
         self._budget.settle(service)
--- a/features/support/budget_lives.py
+++ b/features/support/budget_lives.py
@@ -190,7 +190,7 @@
 
     def _hedge(self, now, budget):
         """Send a request at a silent target to another one, which may be silent too."""
-        if budget in self._ended or not budget.try_take(SERVICE, now):
+        if budget in self._ended or not budget.try_take(SERVICE, now, is_hedge=True):
             return
         target = self._rng.choice(TARGETS)
         continued_at = max(now, self._traffic.still_until_s)
--- a/features/support/silent_targets.py
+++ b/features/support/silent_targets.py
@@ -167,7 +167,7 @@
         now = asyncio.get_running_loop().time()
         budget = saved_budget(settings.retries, [SERVICE], now)
         if not has_retry_budget:
-            budget.try_take = lambda service, now: False
+            budget.try_take = lambda service, now, is_hedge: False
         self.context = DaemonContext(
             settings,
             self.fleet,
