soak-retries tells repeats without a line of a daemon from requests that a client sends again, and from lost lines

The callers count what their client sends; kills are recorded. A repeat whose daemon was killed during the call is printed as unproven; any other one without a line fails as before. The budget itself still counts each arrival beyond the first.

--- a/soak/retry_callers.py
+++ b/soak/retry_callers.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import itertools
+from collections import Counter
+from typing import NamedTuple
 
 import aiohttp
 
 from features.support.platform_site import HOST, KEY, PLAIN_SERVICE
 from soak.retry_site import STREAM_SERVICE
 
-__all__ = ["RetryCallers"]
+__all__ = ["Call", "RetryCallers"]
 
 CALL_INTERVAL_S = 0.011
 STREAM_SHARE = 0.5
@@ -17,11 +19,29 @@
 SERVING_TIMEOUT_S = 20.0
 
 
+class Call(NamedTuple):
+    """A request of a caller.
+
+    :param daemon: name of the daemon that was asked.
+    :param began_at: loop time in seconds.
+    :param ended_at: loop time in seconds; infinite before its end.
+    """
+
+    daemon: str
+    began_at: float
+    ended_at: float
+
+
 class RetryCallers:
     """Sends requests to all daemons in turn, at a constant rate."""
 
     def __init__(self, site, rng):
         self.sent_at = {service: [] for service in PATHS}
+        self.calls = {}
+        """The :class:`Call` of each request by its name."""
+        self.send_counts = Counter()
+        """Number of times that each request was sent: the client sends a ``GET`` again
+        whose connection ends without an answer."""
         self._site = site
         self._rng = rng
         self._numbers = itertools.count(1)
@@ -29,7 +49,7 @@
     async def run(self):
         """Send requests until cancelled."""
         loop, due_at = asyncio.get_running_loop(), asyncio.get_running_loop().time()
-        async with aiohttp.ClientSession() as session, asyncio.TaskGroup() as group:
+        async with self._session() as session, asyncio.TaskGroup() as group:
             for name in itertools.cycle(self._site.front_addresses):
                 is_stream = self._rng.random() < STREAM_SHARE
                 service = STREAM_SERVICE if is_stream else PLAIN_SERVICE
@@ -41,7 +61,7 @@
         """Wait until every daemon serves both services; return whether it did."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + SERVING_TIMEOUT_S
-        async with aiohttp.ClientSession() as session:
+        async with self._session() as session:
             while loop.time() < deadline:
                 calls = [
                     self._call(session, name, service)
@@ -52,10 +72,27 @@
                     return True
         return False
 
+    def _session(self):
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(self._count_send)
+        return aiohttp.ClientSession(trace_configs=[trace])
+
+    async def _count_send(self, session, trace_context, params):
+        self.send_counts[params.headers["X-Attempt-Id"]] += 1
+
     async def _call(self, session, daemon, service):
         """Send a request, and return whether it was answered with success."""
-        self.sent_at[service].append(asyncio.get_running_loop().time())
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        self.sent_at[service].append(began_at)
         request_name = f"r{next(self._numbers)}"
+        self.calls[request_name] = Call(daemon, began_at, float("inf"))
+        try:
+            return await self._exchange(session, daemon, service, request_name)
+        finally:
+            self.calls[request_name] = Call(daemon, began_at, loop.time())
+
+    async def _exchange(self, session, daemon, service, request_name):
         timeout_s = CALLER_TIMEOUT_S[service]
         headers = {
             "Host": HOST,
--- a/soak/retry_run.py
+++ b/soak/retry_run.py
@@ -14,7 +14,14 @@
 from soak.retry_faults import RetryFaults, retry_schedule
 from soak.retry_site import SETTINGS, RetrySite
 
-__all__ = ["ServiceFigures", "main", "run_faults", "run_schedule"]
+__all__ = [
+    "ServiceFigures",
+    "find_untaken",
+    "is_unproven",
+    "main",
+    "run_faults",
+    "run_schedule",
+]
 
 SETTLE_S = 3.0
 """Time after the last fault in which arrivals are still recorded."""
@@ -30,6 +37,8 @@
     :param largest_use: largest fraction of its budget that a window uses.
     :param untaken: repeats that no daemon has logged as taken from the budget; 0 for
         builds that do not log retries.
+    :param unproven: those of them whose daemon was killed during the call: lines that
+        it had not written yet are lost.
     """
 
     service: str
@@ -38,12 +47,28 @@
     worst: Excess
     largest_use: float
     untaken: int
+    unproven: int
 
 
-def _untaken(arrivals, taken):
-    return sum(
-        max(0, len(times) - 1 - taken[attempt_id])
+def find_untaken(arrivals, taken, callers):
+    """Return the repeats without a line of a daemon, by attempt id.
+
+    What the caller has sent again itself is no repeat.
+    """
+    counts = {
+        attempt_id: len(times)
+        - max(1, callers.send_counts[attempt_id])
+        - taken[attempt_id]
         for attempt_id, times in arrivals.items()
+    }
+    return {attempt_id: count for attempt_id, count in counts.items() if count > 0}
+
+
+def is_unproven(call, kills):
+    """Whether the daemon of a call was killed before the call ended."""
+    return any(
+        name == call.daemon and call.began_at <= at <= call.ended_at
+        for name, at in kills
     )
 
 
@@ -54,13 +79,26 @@
     for service, sent_at in callers.sent_at.items():
         arrivals = site.arrivals_at(service)
         repeats = sorted(at for times in arrivals.values() for at in times[1:])
-        untaken = _untaken(arrivals, taken) if taken else 0
+        untaken = find_untaken(arrivals, taken, callers) if taken else {}
+        unproven = sum(
+            count
+            for attempt_id, count in untaken.items()
+            if is_unproven(callers.calls[attempt_id], site.kills)
+        )
         worst, use = Excess(0.0, 0, SETTINGS.slack), 0.0
         if repeats:
             worst = worst_window(SETTINGS, sorted(sent_at), repeats)
             use = largest_use(SETTINGS, sorted(sent_at), repeats)
         figures.append(
-            ServiceFigures(service, len(sent_at), len(repeats), worst, use, untaken)
+            ServiceFigures(
+                service,
+                len(sent_at),
+                len(repeats),
+                worst,
+                use,
+                sum(untaken.values()),
+                unproven,
+            )
         )
     return figures
 
@@ -107,8 +145,9 @@
     for each in figures:
         if each.worst.is_violation:
             yield f"{each.service}: beyond the retry budget: {each.worst}"
-        if each.untaken:
-            yield f"{each.service}: {each.untaken} repeats not taken from the budget"
+        unexplained = each.untaken - each.unproven
+        if unexplained:
+            yield f"{each.service}: {unexplained} repeats not taken from the budget"
 
 
 def main():
@@ -130,7 +169,8 @@
             print(
                 f"seed {seed}: {each.service}: {each.requests} requests, "
                 f"{each.repeats} repeats, worst window {each.worst.repeats} of "
-                f"{each.worst.allowed:.0f}, largest use {each.largest_use:.2f}",
+                f"{each.worst.allowed:.0f}, largest use {each.largest_use:.2f}, "
+                f"unproven {each.unproven}",
                 flush=True,
             )
         for violation in violations:
--- a/soak/retry_site.py
+++ b/soak/retry_site.py
@@ -48,6 +48,8 @@
         """Service of each target by the target's name."""
         self.slow_stops = []
         """Daemons that did not end in time after a planned stop."""
+        self.kills = []
+        """``(name, loop time)`` of daemons that were killed."""
         self._builds = SingleBuild(checkout)
         self._target_addresses = {}
         self._target_processes = {}
@@ -125,6 +127,12 @@
 
     # Daemons
 
+    def kill(self, name, signal_number=signal.SIGKILL):
+        """See :class:`PlatformSite`."""
+        if signal_number == signal.SIGKILL:
+            self.kills.append((name, asyncio.get_running_loop().time()))
+        super().kill(name, signal_number)
+
     async def stop_as_planned(self, name):
         """Stop a daemon as for maintenance, and wait for its end."""
         process = self.processes[name]
