Retries that were lost with their targets hold others back for one window

Callers of targets that fall silent after others were lost for good could wait at them for up to 120 s of the daemon's life, where a second target would have answered: what had been given up at the lost ones used up all that may be held beside silent targets.

Found by reading; the new scenario fails before (nothing may be sent after the window). Ruled out as needed for the budget: once no target has answered for a window, the capacity of the bucket has no part that requests have earned, so the capacity alone limits what is held from earlier windows to half of the slack.

--- a/cowslipcourse/admission/budget.py
+++ b/cowslipcourse/admission/budget.py
@@ -108,6 +108,13 @@
             self._counts[self._expected.popleft().service] -= 1
         return self._counts[service]
 
+    def count_since(self, service, sent_at):
+        """Return the number of them that were sent to a service since a time."""
+        return sum(
+            each.service == service and each.sent_at >= sent_at
+            for each in self._expected
+        )
+
     def add(self, service, target, sent_at):
         """Add a retry that was given up.
 
@@ -200,7 +207,7 @@
         bucket = self._updated(service, now)
         if not bucket.is_answered:
             return False
-        if is_hedge and self._unread_count(service, bucket, now) + 1 > self._max_held:
+        if is_hedge and not self._may_hold_another(service, bucket, now):
             return False
         is_taken = self._try_take(bucket)
         bucket.unsettled += is_taken
@@ -274,13 +281,17 @@
             return 0.0
         return self.settings.slack * USABLE_SLACK_FRACTION / self._daemon_count
 
-    @property
-    def _max_held(self):
-        """Retries that may be held unread when one more is sent beside them.
+    def _may_hold_another(self, service, bucket, now):
+        """Whether another retry may be held unread by a silent target.
 
+        Once no target has answered for a window, the capacity of the bucket has no part
+        that requests have earned, so what was sent earlier need not be counted here.
         One is always allowed, as daemons of large fleets have less than one each.
         """
-        return max(1.0, SAVED_FRACTION * self._slack_share)
+        window_begins_at = now - self.settings.window_s
+        late = self._late_arrivals.count_since(service, window_begins_at)
+        most = max(1.0, SAVED_FRACTION * self._slack_share)
+        return bucket.unsettled + late + 1 <= most
 
     def _unread_count(self, service, bucket, now):
         """Return the number of retries that were taken and may still arrive."""
--- a/features/retry_budget/late_arrivals.feature
+++ b/features/retry_budget/late_arrivals.feature
@@ -38,6 +38,11 @@
       | another target answers a request that was sent after them | no  |
       | 120 s have passed                                       | yes   |
 
+  Scenario: Retries that were lost with their targets hold others back for one window
+    Given a daemon that has saved retries for a service
+    When it has sent all that it may beside a silent target, and given them up
+    Then it sends none beside another silent target within a window, and some after it
+
   Scenario: A daemon that has started does not retry before a target has answered
     Given a daemon that has just started, and knows that there are 8
     When it gets requests for 20 s that no target answers
--- a/features/steps/late_retry_steps.py
+++ b/features/steps/late_retry_steps.py
@@ -19,6 +19,7 @@
 SERVICE = "llm"
 TARGET = "t1"
 SENT_AT = 10.0
+REQUEST_COUNT = 200
 RUN_IN_S = 60.0
 HEDGES_TAKEN_S = 3.0
 """Time after which the callers of targets that stand still become fewer."""
@@ -80,17 +81,39 @@
             context.violations[tuple(row)] = window
 
 
-@when("it has taken all of them for requests to a target, and given them up")
-def step_given_up(context):
+def _give_up_all(budget, is_hedge):
+    """Take all retries that are available, and give them up unread."""
     count = 0
-    while context.budget.try_take(SERVICE, SENT_AT):
+    while budget.try_take(SERVICE, SENT_AT, is_hedge):
         count += 1
     for _ in range(count):
-        context.budget.expect_late(SERVICE, TARGET, SENT_AT)
-        context.budget.settle(SERVICE)
+        budget.expect_late(SERVICE, TARGET, SENT_AT)
+        budget.settle(SERVICE)
+
+
+@when("it has taken all of them for requests to a target, and given them up")
+def step_given_up(context):
+    _give_up_all(context.budget, is_hedge=False)
     context.now = SENT_AT + 1.0
 
 
+@when("it has sent all that it may beside a silent target, and given them up")
+def step_hedges_given_up(context):
+    _give_up_all(context.budget, is_hedge=True)
+
+
+@then("it sends none beside another silent target within a window, and some after it")
+def step_hedges_again(context):
+    budget = context.budget
+    window_ends_at = SENT_AT + SETTINGS.window_s
+    for number in range(REQUEST_COUNT):
+        now = SENT_AT + SETTINGS.window_s * number / REQUEST_COUNT
+        assert not budget.try_take(SERVICE, now, is_hedge=True), now
+        budget.record_request(SERVICE, now)
+        budget.record_answer(SERVICE, "another", now, now)
+    assert budget.try_take(SERVICE, window_ends_at + 0.1, is_hedge=True)
+
+
 @when("nothing is heard of the target")
 def step_nothing_heard(context):
     """Do nothing."""
