The test of killed daemons waits until each of them has started before it kills them again

Cause: the second kill came 3 s after the first one; at that load a daemon had not logged its start by then, so its second incarnation never served. Ruled out: the budget; the step that fails only counts incarnations.

All daemons are waited for, up to 20 s each time, and then the same pauses follow. The bound of the budget is as before.

--- a/features/steps/budget_process_steps.py
+++ b/features/steps/budget_process_steps.py
@@ -13,6 +13,8 @@
 SOUND_S = 9.0
 KILLS_AFTER_S = (2.0, 3.0)
 BROKEN_AFTER_KILLS_S = 4.0
+MAX_START_S = 20.0
+POLL_INTERVAL_S = 0.1
 CUT_DAEMONS = ("a1", "a2", "a4", "a5", "a7")
 CUT_S = 3.0
 PAUSE_BETWEEN_CUTS_S = 1.0
@@ -36,12 +38,25 @@
         site.start_daemon(name)
 
 
+def _have_started(site, count):
+    """Whether each daemon has logged that many starts."""
+    return all(log.count("event=started") >= count for log in site.logs().values())
+
+
+async def _wait_for_starts(site, count):
+    """Wait until each daemon has logged that many starts, as a busy machine is slow."""
+    async with asyncio.timeout(MAX_START_S):
+        while not _have_started(site, count):
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+
 async def _break_and_kill(site):
     await asyncio.sleep(SOUND_S)
     site.are_broken = True
-    for after_s in KILLS_AFTER_S:
+    for count, after_s in enumerate(KILLS_AFTER_S, start=1):
         await asyncio.sleep(after_s)
         await _kill_all(site)
+        await _wait_for_starts(site, count + 1)
     await asyncio.sleep(BROKEN_AFTER_KILLS_S)
     site.are_broken = False
 
