The line of a retry says how many retries may still arrive

Operators could not tell a retry that is refused because nothing is saved from one that is refused because too many are held unread beside silent targets: both have outcome=refused. The line has the number of unread ones. Logs only, no decision has changed; 74 scenarios of features/retry_budget (without processes) and features/forwarding/silence.feature pass.

--- a/cowslipcourse/admission/budget.py
+++ b/cowslipcourse/admission/budget.py
@@ -270,6 +270,11 @@
         """Return the number of retries that are saved for a service."""
         return self._updated(service, now).tokens
 
+    def unread_retries(self, service, now):
+        """Return the number of retries that were taken and may still arrive."""
+        bucket = self._bucket(service)
+        return bucket.unsettled + self._late_arrivals.count(service, now)
+
     @property
     def _earned_per_request(self):
         return (1.0 - SAVED_FRACTION) * self.settings.ratio
@@ -293,10 +298,6 @@
         most = max(1.0, SAVED_FRACTION * self._slack_share)
         return bucket.unsettled + late + 1 <= most
 
-    def _unread_count(self, service, bucket, now):
-        """Return the number of retries that were taken and may still arrive."""
-        return bucket.unsettled + self._late_arrivals.count(service, now)
-
     def _capacity(self, bucket):
         """Return the largest number of retries that may be saved."""
         answered_count = min(len(bucket.requests), len(bucket.answers))
@@ -313,7 +314,7 @@
         bucket.forget_before(now - self.settings.window_s)
         if self._daemon_count is not None:
             self._add_slack(bucket, now)
-        unread_count = self._unread_count(service, bucket, now)
+        unread_count = self.unread_retries(service, now)
         free_capacity = max(0.0, self._capacity(bucket) - unread_count)
         excess = max(0.0, unread_count - self._saved_share(len(bucket.requests)))
         bucket.tokens = min(bucket.tokens, free_capacity - excess)
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -226,6 +226,7 @@
             is_relayed=self._call.caller_headers.is_relayed,
             daemons=budget.daemon_count,
             saved=round(budget.saved_retries(self._service, now), 2),
+            unread=budget.unread_retries(self._service, now),
         )
 
     async def _send_to_next(self, is_hedge):
--- a/features/steps/budget_arrival_steps.py
+++ b/features/steps/budget_arrival_steps.py
@@ -59,6 +59,9 @@
     def saved_retries(self, service, now):
         return self._budget.saved_retries(service, now)
 
+    def unread_retries(self, service, now):
+        return self._budget.unread_retries(service, now)
+
 
 class _Reachability:
     is_reachable = True
--- a/features/steps/late_retry_steps.py
+++ b/features/steps/late_retry_steps.py
@@ -89,6 +89,7 @@
     for _ in range(count):
         budget.expect_late(SERVICE, TARGET, SENT_AT)
         budget.settle(SERVICE)
+    assert budget.unread_retries(SERVICE, SENT_AT) == count
 
 
 @when("it has taken all of them for requests to a target, and given them up")
