Docstrings of the retry budget and of soak-retries say what their fields hold

Found on reading the change again: saved retries were said to be negative only after withdrawals, late arrivals to be in the order in which they were sent (they are in that in which they were given up), and two figures of soak-retries overlapped, so that each reader had to subtract one from the other.

--- a/cowslipcourse/admission/budget.py
+++ b/cowslipcourse/admission/budget.py
@@ -64,7 +64,8 @@
 
     def __init__(self):
         self.tokens = 0.0
-        """Saved retries; negative after requests were withdrawn."""
+        """Saved retries; negative after requests were withdrawn, and while more may
+        still arrive than the present requests allow."""
         self.unsettled = 0
         """Retries of requests in progress that may not have arrived yet."""
         self.is_answered = False
@@ -92,7 +93,7 @@
 
 
 class _LateArrivals:
-    """Retries that may still arrive, in order of the time at which they were sent.
+    """Retries that may still arrive, in the order in which they were given up.
 
     A target reads requests in the order in which they were sent, so one that answers a
     request has read those that were sent to it before.
@@ -287,10 +288,10 @@
         return self.settings.slack * USABLE_SLACK_FRACTION / self._daemon_count
 
     def _may_hold_another(self, service, bucket, now):
-        """Whether another retry may be held unread by a silent target.
+        """Whether another retry may be sent beside a silent target, which may hold it.
 
-        Once no target has answered for a window, the capacity of the bucket has no part
-        that requests have earned, so what was sent earlier need not be counted here.
+        Those sent before the last window are not counted. If all targets are silent for
+        so long, the capacity of the bucket comes from the slack alone and limits them.
         One is always allowed, as daemons of large fleets have less than one each.
         """
         window_begins_at = now - self.settings.window_s
--- a/soak/retry_run.py
+++ b/soak/retry_run.py
@@ -35,10 +35,10 @@
     :param repeats: number of arrivals beyond the first of their request.
     :param worst: :class:`~features.support.budget_oracle.Excess` of the worst window.
     :param largest_use: largest fraction of its budget that a window uses.
-    :param untaken: repeats that no daemon has logged as taken from the budget; 0 for
-        builds that do not log retries.
-    :param unproven: those of them whose daemon was killed during the call: lines that
-        it had not written yet are lost.
+    :param untaken: repeats that no daemon has logged as taken from the budget although
+        it could; 0 for builds that do not log retries.
+    :param unproven: repeats without a line whose daemon was killed during the call:
+        lines that it had not written yet are lost.
     """
 
     service: str
@@ -96,7 +96,7 @@
                 len(repeats),
                 worst,
                 use,
-                sum(untaken.values()),
+                sum(untaken.values()) - unproven,
                 unproven,
             )
         )
@@ -145,9 +145,8 @@
     for each in figures:
         if each.worst.is_violation:
             yield f"{each.service}: beyond the retry budget: {each.worst}"
-        unexplained = each.untaken - each.unproven
-        if unexplained:
-            yield f"{each.service}: {unexplained} repeats not taken from the budget"
+        if each.untaken:
+            yield f"{each.service}: {each.untaken} repeats not taken from the budget"
 
 
 def main():
