soak-retries also checks the number of targets and the time that requests are given

Targets write down the time budget of each request and whether they ran it. A run fails if a request ran at more than maxAttempts targets for each time that its caller sent it, if a target got over 0.5 s more than the caller waits, or, in runs without faults that hold requests, if a repeat ends over 0.5 s after the first one and after the caller's own limit. The checks have a module of their own. Ruled out: the end of repeats in runs that hold requests; a request is read seconds after it was sent there, and the target counts its time from then.

--- a/soak/retry_callers.py
+++ b/soak/retry_callers.py
@@ -3,14 +3,14 @@
 import asyncio
 import itertools
 from collections import Counter
-from typing import NamedTuple
 
 import aiohttp
 
 from features.support.platform_site import HOST, KEY, PLAIN_SERVICE
+from soak.retry_checks import Call
 from soak.retry_site import STREAM_SERVICE
 
-__all__ = ["Call", "RetryCallers"]
+__all__ = ["RetryCallers"]
 
 CALL_INTERVAL_S = 0.011
 STREAM_SHARE = 0.5
@@ -19,19 +19,6 @@
 SERVING_TIMEOUT_S = 20.0
 
 
-class Call(NamedTuple):
-    """A request of a caller.
-
-    :param daemon: name of the daemon that was asked.
-    :param began_at: loop time in seconds.
-    :param ended_at: loop time in seconds; infinite before its end.
-    """
-
-    daemon: str
-    began_at: float
-    ended_at: float
-
-
 class RetryCallers:
     """Sends requests to all daemons in turn, at a constant rate."""
 
@@ -86,11 +73,12 @@
         began_at = loop.time()
         self.sent_at[service].append(began_at)
         request_name = f"r{next(self._numbers)}"
-        self.calls[request_name] = Call(daemon, began_at, float("inf"))
+        call = Call(daemon, began_at, float("inf"), CALLER_TIMEOUT_S[service])
+        self.calls[request_name] = call
         try:
             return await self._exchange(session, daemon, service, request_name)
         finally:
-            self.calls[request_name] = Call(daemon, began_at, loop.time())
+            self.calls[request_name] = call._replace(ended_at=loop.time())
 
     async def _exchange(self, session, daemon, service, request_name):
         timeout_s = CALLER_TIMEOUT_S[service]
--- a/soak/retry_faults.py
+++ b/soak/retry_faults.py
@@ -8,7 +8,7 @@
 from soak.proxy import LinkState
 from soak.target_process import TargetMode
 
-__all__ = ["RetryFault", "RetryFaults", "retry_schedule"]
+__all__ = ["HOLDING_KINDS", "RetryFault", "RetryFaults", "retry_schedule"]
 
 CALM_S = 6.0
 """Time before the first fault, in which budgets are saved."""
@@ -21,6 +21,8 @@
 MAX_PAUSE_S = 3.0
 MAX_OUTAGE_S = 6.0
 TARGET_RESTART_DELAY_S = 0.5
+HOLDING_KINDS = frozenset(("targets_stand_still", "links_held", "links_cut_one_way"))
+"""Kinds of faults in which targets read requests later than they were sent."""
 _WEIGHTS = {
     "targets_broken": 10,
     "targets_stand_still": 8,
--- a/soak/retry_run.py
+++ b/soak/retry_run.py
@@ -11,13 +11,18 @@
 
 from features.support.budget_oracle import Excess, largest_use, worst_window
 from soak.retry_callers import RetryCallers
-from soak.retry_faults import RetryFaults, retry_schedule
-from soak.retry_site import SETTINGS, RetrySite
+from soak.retry_checks import (
+    find_extended,
+    find_overlong,
+    find_untaken,
+    find_widened,
+    is_unproven,
+)
+from soak.retry_faults import HOLDING_KINDS, RetryFaults, retry_schedule
+from soak.retry_site import MAX_ATTEMPTS, SETTINGS, RetrySite
 
 __all__ = [
     "ServiceFigures",
-    "find_untaken",
-    "is_unproven",
     "main",
     "run_faults",
     "run_schedule",
@@ -39,6 +44,9 @@
         it could; 0 for builds that do not log retries.
     :param unproven: repeats without a line whose daemon was killed during the call:
         lines that it had not written yet are lost.
+    :param widened: requests that ran at more targets than their route allows.
+    :param overlong: requests that were sent with more time than their callers wait.
+    :param extended: requests that were sent again with a later end.
     """
 
     service: str
@@ -48,38 +56,23 @@
     largest_use: float
     untaken: int
     unproven: int
+    widened: list
+    overlong: list
+    extended: list
 
 
-def find_untaken(arrivals, taken, callers):
-    """Return the repeats without a line of a daemon, by attempt id.
+def _figures(site, callers, are_held):
+    """Return the :class:`ServiceFigures` of each service.
 
-    What the caller has sent again itself is no repeat.
+    :param are_held: whether requests were read later than they were sent.
     """
-    counts = {
-        attempt_id: len(times)
-        - max(1, callers.send_counts[attempt_id])
-        - taken[attempt_id]
-        for attempt_id, times in arrivals.items()
-    }
-    return {attempt_id: count for attempt_id, count in counts.items() if count > 0}
-
-
-def is_unproven(call, kills):
-    """Whether the daemon of a call was killed before the call ended."""
-    return any(
-        name == call.daemon and call.began_at <= at <= call.ended_at
-        for name, at in kills
-    )
-
-
-def _figures(site, callers):
-    """Return the :class:`ServiceFigures` of each service."""
     taken = site.retries_taken()
     figures = []
     for service, sent_at in callers.sent_at.items():
         arrivals = site.arrivals_at(service)
-        repeats = sorted(at for times in arrivals.values() for at in times[1:])
-        untaken = find_untaken(arrivals, taken, callers) if taken else {}
+        repeats = sorted(at for each in arrivals.values() for at, *_ in each[1:])
+        sends = callers.send_counts
+        untaken = find_untaken(arrivals, taken, sends) if taken else {}
         unproven = sum(
             count
             for attempt_id, count in untaken.items()
@@ -98,6 +91,9 @@
                 use,
                 sum(untaken.values()) - unproven,
                 unproven,
+                find_widened(arrivals, sends, MAX_ATTEMPTS),
+                find_overlong(arrivals, callers.calls),
+                [] if are_held else find_extended(arrivals, callers.calls),
             )
         )
     return figures
@@ -131,7 +127,8 @@
         calling = asyncio.create_task(callers.run())
         await RetryFaults(site, rng).run(schedule)
         await asyncio.sleep(SETTLE_S)
-        return _figures(site, callers), site
+        are_held = any(fault.kind in HOLDING_KINDS for fault in schedule)
+        return _figures(site, callers, are_held), site
     finally:
         if calling is not None:
             calling.cancel()
@@ -147,6 +144,12 @@
             yield f"{each.service}: beyond the retry budget: {each.worst}"
         if each.untaken:
             yield f"{each.service}: {each.untaken} repeats not taken from the budget"
+        if each.widened:
+            yield f"{each.service}: ran at too many targets: {each.widened[:5]}"
+        if each.overlong:
+            yield f"{each.service}: more time than callers wait: {each.overlong[:5]}"
+        if each.extended:
+            yield f"{each.service}: repeats with a later end: {each.extended[:5]}"
 
 
 def main():
--- a/soak/retry_site.py
+++ b/soak/retry_site.py
@@ -17,13 +17,20 @@
 from soak.site import handles_sighup
 from soak.target_process import TargetMode, mode_path, read_arrivals
 
-__all__ = ["DAEMON_COUNT", "SETTINGS", "STREAM_SERVICE", "RetrySite"]
+__all__ = [
+    "DAEMON_COUNT",
+    "MAX_ATTEMPTS",
+    "SETTINGS",
+    "STREAM_SERVICE",
+    "RetrySite",
+]
 
 DAEMON_COUNT = 8
 SETTINGS = RetrySettings(ratio=0.2, slack=134.0, window_s=10.0)
 STREAM_SERVICE = "notes"
 """A service whose answers are streams that may be resumed."""
 TARGET_COUNTS = {PLAIN_SERVICE: 3, STREAM_SERVICE: 6}
+MAX_ATTEMPTS = 2
 PLAIN_SLOTS = 12
 STREAM_SLOTS = 26
 PLAIN_TIMEOUT_MS = 1200
@@ -63,9 +70,12 @@
                 STREAM_SERVICE,
                 resumable=True,
                 timeoutMs=STREAM_TIMEOUT_MS,
+                maxAttempts=MAX_ATTEMPTS,
             )
         ]
-        self.changed_route_fields = {"look": {"timeoutMs": PLAIN_TIMEOUT_MS}}
+        self.changed_route_fields = {
+            "look": {"timeoutMs": PLAIN_TIMEOUT_MS, "maxAttempts": MAX_ATTEMPTS}
+        }
 
     async def start(self):
         """Start everything; daemons that end are started again."""
@@ -171,14 +181,14 @@
     # Records
 
     def arrivals_at(self, service):
-        """Return the sorted loop times of arrivals at a service by attempt id."""
+        """Return the sorted :class:`~soak.retry_checks.Arrival` lists by attempt id."""
         by_attempt = {}
         for name, its_service in self.service_of.items():
             if its_service != service:
                 continue
-            for at, attempt_id in read_arrivals(self.folder, name):
-                by_attempt.setdefault(attempt_id, []).append(at)
-        return {attempt_id: sorted(times) for attempt_id, times in by_attempt.items()}
+            for arrival in read_arrivals(self.folder, name):
+                by_attempt.setdefault(arrival.attempt_id, []).append(arrival)
+        return {attempt_id: sorted(each) for attempt_id, each in by_attempt.items()}
 
     def retries_taken(self):
         """Return the number of retries that daemons logged as taken, by attempt id."""
--- a/soak/target_process.py
+++ b/soak/target_process.py
@@ -14,6 +14,7 @@
 
 from cowslipcourse.adapters.http_server import WebServer
 from cowslipcourse.platform.headers import not_executed_head
+from soak.retry_checks import Arrival
 
 __all__ = ["TargetMode", "arrivals_path", "mode_path", "read_arrivals"]
 
@@ -23,6 +24,7 @@
 EVENT_INTERVAL_S = 0.03
 EVENTS_BEFORE_BREAK = 2
 FAILURE_STATUS = 500
+MS_PER_S = 1000.0
 REFUSAL_STATUS = 503
 
 
@@ -48,12 +50,17 @@
 
 
 def read_arrivals(folder, name):
-    """Return the recorded ``(loop time, attempt id)`` pairs of a target."""
+    """Return the recorded :class:`~soak.retry_checks.Arrival` list of a target."""
     path = arrivals_path(folder, name)
     if not path.exists():
         return []
-    pairs = [line.split() for line in path.read_text().splitlines()]
-    return [(float(at), attempt_id) for at, attempt_id in pairs]
+    arrivals = []
+    for line in path.read_text().splitlines():
+        at, attempt_id, budget_ms, has_run = line.split()
+        time_budget_s = int(budget_ms) / MS_PER_S
+        has_run = has_run == str(True)
+        arrivals.append(Arrival(float(at), attempt_id, name, time_budget_s, has_run))
+    return arrivals
 
 
 class _Target:
@@ -72,8 +79,10 @@
         """Record a request and answer it as the mode says."""
         attempt_id = request.headers["x-attempt-id"]
         now = asyncio.get_running_loop().time()
-        self._arrivals.write(f"{now} {attempt_id}\n")
         mode = TargetMode(self._mode_path.read_text())
+        budget_ms = request.headers["x-time-budget-ms"]
+        has_run = mode is not TargetMode.REFUSES
+        self._arrivals.write(f"{now} {attempt_id} {budget_ms} {has_run}\n")
         headers = {"x-attempt-id": attempt_id}
         if mode is TargetMode.FAILS:
             return Response(status_code=FAILURE_STATUS, headers=headers)
