Log lines that say which exits count against parts of prompts, and what answered for them

Hypotheses 1 to 3 of the incident could not be told apart: evidence that was not counted left no trace, nor did answers that cleared a part. part-crash says of each request at an exit whether it counts; part-answer says of each answer to a request with a suspected part whether it was whole. No decision has changed.

--- a/cowslipcourse/quarantine_runtime/part_evaluation.py
+++ b/cowslipcourse/quarantine_runtime/part_evaluation.py
@@ -103,7 +103,17 @@
             return
         incarnation = report.target, report.incarnation
         self._observed_exits.record(parts[0], incarnation, _now())
-        if not report.has_begun or report.relayed_events:
+        is_evidence = report.has_begun and not report.relayed_events
+        log.info(
+            "part-crash",
+            request=call.id,
+            parts=",".join(part.hex() for part in parts),
+            target=report.target,
+            begun=report.has_begun,
+            events=report.relayed_events,
+            counts=is_evidence,
+        )
+        if not is_evidence:
             return
         crash = PartCrash(
             report.fingerprint, parts, report.target, report.incarnation, 0.0
@@ -137,6 +147,15 @@
         now = _now()
         self._sound.record(parts, run.sent_at)
         for part in parts:
+            if self._suspects.is_suspected(part) or part in self._watched_until:
+                log.info(
+                    "part-answer",
+                    request=call.id,
+                    part=part.hex(),
+                    target=run.entry.id,
+                    whole=run.succeeded,
+                    events=run.relayed_events,
+                )
             verdict = self._verdicts.get(part)
             if verdict is not None and verdict.issued_at <= run.sent_at:
                 self._lift(part)
