--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -289,8 +289,9 @@
         """Start an engine."""
         await self._serve_engine(self.world.add_engine(domain))
 
-    async def _serve_engine(self, engine):
-        address = f"127.0.0.1:{free_ports(1)[0]}"
+    async def _serve_engine(self, engine, address=None):
+        """Serve an engine, at a given address or at a free one."""
+        address = address or f"127.0.0.1:{free_ports(1)[0]}"
         self._addresses[engine.id] = await self.published_address(address)
         report, order, stream = (
             functools.partial(call, engine.id)
