A response that ended with its connection is whole only if its target still runs

Cause: a response with neither a length nor chunks ends with its connection, and the connection of a process that exits is closed in just this way; the caller's own answer then states an end that nobody had stated. Before such an end is passed on, the daemon connects to the target once more: refused, unanswered or closed at once means that it has exited. The request goes on at another target where it may, else its caller gets 502 or a stream that breaks off. A relay always states its ends, so that one without is cut. The new connection is kept for the next request. Ruled out: answers without a length of our own (callers still take the end for whole); a question over the new connection (takes a slot of the target).

--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -94,6 +94,11 @@
                     engine.finish_closing()
 
 
+async def _always_runs(entry):
+    """Return that a target runs: emulated streams do not end with their connection."""
+    return True
+
+
 def _instance(engine):
     return engine.id, engine.incarnation
 
@@ -214,7 +219,7 @@
             await asyncio.sleep(LINK_DELAY_S)
             connection = run.connection = self._submit(call, engine, last_event_id)
             now = asyncio.get_running_loop().time()
-            yield Attempt(entry, connection, now, self._conditions)
+            yield Attempt(entry, connection, now, self._conditions, _always_runs)
         finally:
             self._fleet.request_ended(entry.id)
             if connection is not None and connection.request is not None:
--- a/cowslipcourse/entry/attempts.py
+++ b/cowslipcourse/entry/attempts.py
@@ -6,14 +6,28 @@
 
 from cowslipcourse.admission.urgency import urgency
 from cowslipcourse.entry.concurrent_attempts import NO_RIVALS
-from cowslipcourse.exceptions import AttemptSuperseded, TargetUnreachable
-from cowslipcourse.http_client import ConnectionPool, TargetRequest
+from cowslipcourse.exceptions import (
+    AttemptSuperseded,
+    IncompleteResponse,
+    TargetUnreachable,
+)
+from cowslipcourse.http_client import (
+    ConnectionPool,
+    PortState,
+    TargetRequest,
+    check_port,
+)
 from cowslipcourse.platform.headers import attempt_id_header, target_headers
 
 __all__ = ["Attempt", "AttemptSender", "RelayPeer", "TargetRun", "relay_id"]
 
 CONNECT_TIMEOUT_S = 0.4
 """A healthy target accepts within a few ms; a lost packet costs a second or more."""
+MAX_END_CHECKS = 2
+"""Connection attempts after a response that ended with its connection."""
+END_CHECK_S = 0.02
+"""Time for which such a connection must stay open: longer than a round trip within a
+region."""
 MAX_SILENCE_S = 0.5
 """Silence after which a request is relayed once the links are lost: longer than the
 pauses between events, as open connections may live on while new ones fail."""
@@ -27,12 +41,15 @@
     :param sent_at: loop time at which the request was sent.
     :param conditions:
         :class:`~cowslipcourse.entry.target_conditions.TargetConditions`
+    :param still_runs: coroutine function that returns whether the process of a target
+        still runs.
     """
 
     entry: object
     connection: object
     sent_at: float
     conditions: object
+    still_runs: object
 
     async def read_head(self):
         """Return the head of the response, after recording what it states.
@@ -43,6 +60,19 @@
         self.conditions.observe(self.entry, head)
         return head
 
+    async def confirm_end(self):
+        """Check that a response which ended with its connection is whole.
+
+        The connection of a target whose process exits is closed in the same way.
+
+        :raises IncompleteResponse: the target has exited.
+        """
+        if not self.connection.is_close_delimited:
+            return
+        if not await self.still_runs(self.entry):
+            self.connection.reject_end()
+            raise IncompleteResponse("the target has exited as its response ended")
+
 
 class RelayPeer(NamedTuple):
     """A daemon that a request is sent to in place of a target.
@@ -241,7 +271,13 @@
             run.connection = connection
             run.mark_sent()
             with self._tracking(connection, run):
-                yield Attempt(entry, connection, loop.time(), self._conditions)
+                yield Attempt(
+                    entry,
+                    connection,
+                    loop.time(),
+                    self._conditions,
+                    self._still_runs,
+                )
         finally:
             self._fleet.request_ended(entry.id)
             if connection is not None:
@@ -251,6 +287,20 @@
                     run.mark_read()
                 self._pool.release(key, connection)
 
+    async def _still_runs(self, entry):
+        """Return whether a target accepts connections, or ends as planned.
+
+        The connection is kept for the next request, in place of the one that ended.
+        """
+        if not self._fleet.is_expected(entry):
+            return True
+        state, connection = await check_port(
+            entry.address, MAX_END_CHECKS, CONNECT_TIMEOUT_S, END_CHECK_S
+        )
+        if connection is not None:
+            self._pool.release(_connection_key(entry), connection)
+        return state is PortState.OPEN
+
     @contextmanager
     def _tracking(self, connection, run):
         now = asyncio.get_running_loop().time()
--- a/cowslipcourse/entry/relaying.py
+++ b/cowslipcourse/entry/relaying.py
@@ -12,7 +12,12 @@
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.entry.attempts import RelayPeer, relay_id
 from cowslipcourse.entry.host_checks import HostChecks, answers_nothing
-from cowslipcourse.exceptions import NotRelayed, TargetSilent, TargetUnreachable
+from cowslipcourse.exceptions import (
+    IncompleteResponse,
+    NotRelayed,
+    TargetSilent,
+    TargetUnreachable,
+)
 from cowslipcourse.http_client import (
     ConnectionPool,
     TargetConnection,
@@ -66,6 +71,15 @@
         self.on_relayed(self.entry)
         return head
 
+    async def confirm_end(self):
+        """Check that the end of the response was stated: daemons always state it.
+
+        :raises IncompleteResponse: it ended with its connection.
+        """
+        if self.connection.is_close_delimited:
+            self.connection.reject_end()
+            raise IncompleteResponse("the response of a relay has no stated end")
+
 
 class Relays:
     """Chooses daemons that relay requests, and sends requests to them.
--- a/cowslipcourse/entry/stream_forwarder.py
+++ b/cowslipcourse/entry/stream_forwarder.py
@@ -136,6 +136,7 @@
                     await self._relay_events(progress, run, head, events)
             self._context.quarantine.record_progress(progress.call, run)
         _check_end(run, attempt.connection, splitter)
+        await attempt.confirm_end()
         async with progress.relaying:
             await _finish(progress, run, head)
 
@@ -157,6 +158,7 @@
     async def _relay_error(self, progress, run, head, attempt):
         responder = progress.responder
         body = await attempt.connection.read_all()
+        await attempt.confirm_end()
         is_proven = run.is_relayed or head.status not in NOT_EXECUTED_STATUSES
         if responder.started or run.has_rivals or not is_proven:
             raise IncompleteResponse(f"answered {head.status}")
--- a/cowslipcourse/entry/unary_forwarder.py
+++ b/cowslipcourse/entry/unary_forwarder.py
@@ -88,6 +88,7 @@
     if is_not_executed(head):
         raise TargetRefused(f"answered {head.status}")
     body = await attempt.connection.read_all()
+    await attempt.confirm_end()
     if head.status < MIN_FAILURE_STATUS:
         observed.record_answer(asyncio.get_running_loop().time())
     return head, body
--- a/cowslipcourse/http_client/connection.py
+++ b/cowslipcourse/http_client/connection.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 from collections import deque
 from typing import NamedTuple
 
@@ -81,6 +82,7 @@
         self._closed = False
         self._closed_locally = False
         self._ended_by_target = False
+        self._was_reset = False
         self._has_stray_data = False
         self._close_announced = False
         self._waiter = None
@@ -136,6 +138,17 @@
         """
         return self._response is not None and self._response.is_close_delimited
 
+    async def is_closed_within(self, seconds):
+        """Wait whether the target closes an unused connection, without a reset.
+
+        :param seconds: time to wait in seconds.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                while not self._closed:
+                    await self._wait()
+        return self._closed and not self._was_reset
+
     def send(self, request):
         """Send a request. The connection must be reusable.
 
@@ -275,6 +288,7 @@
     def connection_lost(self, error):
         """See :class:`asyncio.Protocol`."""
         self._closed = True
+        self._was_reset = error is not None
         is_complete = self._response is not None and self._response.complete
         if not (self._closed_locally or is_complete):
             self._ended_by_target = True
--- a/cowslipcourse/http_client/pool.py
+++ b/cowslipcourse/http_client/pool.py
@@ -1,11 +1,14 @@
-"""Pool of idle connections to targets."""
+"""New connections to targets, and the pool of idle ones."""
 
 import asyncio
+import enum
 from collections import deque
+from typing import NamedTuple
 
+from cowslipcourse.exceptions import TargetUnreachable
 from cowslipcourse.http_client.connection import TargetConnection
 
-__all__ = ["ConnectionPool"]
+__all__ = ["ConnectionPool", "PortCheck", "PortState", "check_port"]
 
 KEEP_ALIVE_MARGIN_S = 0.6
 """A connection expires this long before the target closes it, as a request must not
@@ -16,6 +19,50 @@
 """Limit of idle connections to one target."""
 
 
+class PortState(enum.Enum):
+    """What a host does with a new connection."""
+
+    OPEN = "open"
+    """It accepts it; one that it resets then has met a process with too many."""
+    CLOSED = "closed"
+    """It refuses it, or accepts and closes it."""
+    UNANSWERED = "unanswered"
+
+
+class PortCheck(NamedTuple):
+    """Result of a check.
+
+    :param state: :class:`PortState`
+    :param connection: the :class:`TargetConnection` that was accepted, or ``None``.
+    """
+
+    state: PortState
+    connection: object = None
+
+
+async def check_port(address, max_attempts, connect_timeout_s, open_s):
+    """Connect to an address and see whether the connection stays open.
+
+    :param address: ``ip:port``
+    :param max_attempts: connection attempts while there is neither an answer nor a
+        refusal.
+    :param connect_timeout_s: time limit of each of them, in seconds.
+    :param open_s: time for which the connection must stay open, in seconds.
+    :returns: :class:`PortCheck`
+    """
+    for _ in range(max_attempts):
+        try:
+            connection = await TargetConnection.connect(address, connect_timeout_s)
+        except TargetUnreachable as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return PortCheck(PortState.CLOSED)
+            continue
+        is_closed = await connection.is_closed_within(open_s)
+        state = PortState.CLOSED if is_closed else PortState.OPEN
+        return PortCheck(state, connection)
+    return PortCheck(PortState.UNANSWERED)
+
+
 class ConnectionPool:
     """Keeps idle connections to targets by instance.
 
--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -38,6 +38,7 @@
 STREAM = b"".join(EVENTS)
 CONTENTS = {
     "a whole stream": STREAM,
+    "a stream that ends between events": EVENTS[0] + EVENTS[1],
     "a stream that ends inside an event": EVENTS[0] + EVENTS[1][:-5],
     "a stream that ends in its first event": EVENTS[0][:-5],
     "the head of a stream": b"",
@@ -151,12 +152,16 @@
         await super().serve(reader, writer)
 
 
-@given(
-    "a target that sends {content} without length or chunks, and whose process then "
-    "exits"
-)
-def step_exiting_target(context, content):
+class _RunningTarget(ScriptedTarget):
+    """A scripted target that goes on listening."""
+
+    server = None
+
+
+@given("a target that sends {content} without length or chunks, and {then_}")
+def step_target(context, content, then_):
     context.content = RESPONSE_HEAD + b"\r\n" + CONTENTS[content]
+    context.target_type = _ExitingTarget if "exits" in then_ else _RunningTarget
 
 
 @given("a target that sends a whole stream")
@@ -169,7 +174,7 @@
 def step_ask(context):
     async def run():
         ports = free_ports(2)
-        exiting = _ExitingTarget(context.content, "close")
+        exiting = context.target_type(context.content, "close")
         whole = ScriptedTarget(context.whole_content, None)
         exiting.server = await asyncio.start_server(
             exiting.serve, "127.0.0.1", ports[0]
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -128,7 +128,7 @@
 def _stream(context, target, last_received_at, has_events):
     entry = context.fleet.entries[target]
     stream = WatchedStream(
-        Attempt(entry, _Connection(last_received_at), 10.0, None),
+        Attempt(entry, _Connection(last_received_at), 10.0, None, None),
         _Run(),
         "r1",
     )
--- a/features/support/partitioned_site.py
+++ b/features/support/partitioned_site.py
@@ -34,10 +34,14 @@
 
 
 class PartitionedSite(PlatformSite):
-    """Eight daemons in three data centres, and the targets behind their links."""
+    """Eight daemons in three data centres, and the targets behind their links.
 
-    def __init__(self, daemon_count=DAEMON_COUNT):
-        super().__init__(daemon_count=daemon_count)
+    :param daemon_count: number of daemons, the first ones of the eight.
+    :param layout: further parameters of :class:`PlatformSite`.
+    """
+
+    def __init__(self, daemon_count=DAEMON_COUNT, **layout):
+        super().__init__(daemon_count=daemon_count, **layout)
         self.daemons = {}
         self._daemon_tasks = []
         self._proxies = {}
--- a/features/support/scripted_streams.py
+++ b/features/support/scripted_streams.py
@@ -175,7 +175,7 @@
             run.connection = connection
             self.sent_to.append(number)
             self.connections.append((number, connection))
-            yield Attempt(entry, connection, now, self._conditions)
+            yield Attempt(entry, connection, now, self._conditions, None)
         finally:
             self._fleet.request_ended(entry.id)
             if connection is not None:
--- a/features/support/silent_targets.py
+++ b/features/support/silent_targets.py
@@ -253,7 +253,7 @@
         for number, script in enumerate(self._scripts):
             entry = target_entry(number)
             if script.serves_others:
-                attempt = Attempt(entry, ServedConnection(), now, None)
+                attempt = Attempt(entry, ServedConnection(), now, None, None)
                 other = WatchedStream(attempt, TargetRun(entry), "other")
                 other.has_events = True
                 self._detector.add(other)
--- a/harness/run_tests.py
+++ b/harness/run_tests.py
@@ -31,6 +31,7 @@
     "groups",
     "membership",
     "bookings",
+    "cut_relayed_answers",
 )
 """The slowest features, started first so that none runs alone at the end."""
 
