Gateways take no response of a plain service that states neither a length nor chunks

The wire format of plain services now asks for a stated end; a response without one is an attempt that was broken off. cut_answers.feature, replies that are cut at each byte: the row of service calls passes with the change.

--- a/cowslipcourse/adapters/targets.py
+++ b/cowslipcourse/adapters/targets.py
@@ -144,6 +144,8 @@
             raise TargetUnreachable(repr(error)) from error
         if response.headers.get("x-attempt") != attempt_id:
             raise MalformedResponse("response to another call")
+        if not _states_its_end(response.headers):
+            raise TargetUnreachable("the response states neither a length nor chunks")
         if response.status == HTTP_CONFLICT and "x-not-started" in response.headers:
             raise TargetRefused(_refusal_reason(response_body))
         return ServiceResponse(response.status, response.content_type, response_body)
@@ -162,6 +164,14 @@
         return self._session
 
 
+def _states_its_end(headers):
+    """Whether a cut response is told from a whole one.
+
+    :param headers: headers of a response.
+    """
+    return "content-length" in headers or "transfer-encoding" in headers
+
+
 def _decode_status(content):
     try:
         status_fields = msgspec.json.decode(content)
--- a/features/exchange/cut_answers.feature
+++ b/features/exchange/cut_answers.feature
@@ -42,3 +42,4 @@
       | call         |
       | store read   |
       | report       |
+      | service call |
