A target has exited too if its port accepts connections and closes them

What callers saw: requests went on to targets that had exited, as the exits counted for nothing while something kept the port open. Cause: a refused connection was the only sign of an exit. A new connection that is closed within 0.4 s means an exit now; one that is reset does not (a process with too many connections does that). No request waits for it. Two rows of ends.feature fail before.

--- a/cowslipcourse/quarantine_runtime/target_exits.py
+++ b/cowslipcourse/quarantine_runtime/target_exits.py
@@ -2,22 +2,24 @@
 
 A broken connection is weak evidence: it may have been reset on the way, or the target
 may have closed it. After a process has exited nothing listens on its port, so its host
-refuses the next connection. A host that is lost or unreachable refuses nothing, and a
-target that was about to leave has exited as planned: neither says anything about the
-requests that it ran.
+refuses the next connection, or whatever keeps the port open for the next process closes
+it soon; a target that has too many connections resets further ones. A host that is
+lost or unreachable refuses nothing, and a target that was about to leave has exited as
+planned: neither says anything about the requests that it ran.
 """
 
 import asyncio
 from collections import OrderedDict
 
 from cowslipcourse.adapters.log import get_logger
-from cowslipcourse.exceptions import TargetUnreachable
-from cowslipcourse.http_client import TargetConnection
+from cowslipcourse.http_client import PortState, check_port
 
 __all__ = ["TargetExitDetector", "refuses_connections"]
 
 CONNECT_TIMEOUT_S = 0.4
 """A live host answers within some ms; a lost packet is retransmitted after a second."""
+CLOSE_WAIT_S = CONNECT_TIMEOUT_S
+"""Time for which a new connection must stay open; no request waits for it."""
 MAX_CONNECT_ATTEMPTS = 3
 """Connection attempts while there is neither an answer nor a refusal."""
 MAX_REMEMBERED_EXITS = 1_000
@@ -28,20 +30,17 @@
 
 
 async def refuses_connections(address):
-    """Return whether the host of an address is up and refuses connections there.
+    """Return whether the host of an address is up and refuses connections there, or
+    closes them soon.
 
     :param address: ``ip:port``
     """
-    for _ in range(MAX_CONNECT_ATTEMPTS):
-        try:
-            connection = await TargetConnection.connect(address, CONNECT_TIMEOUT_S)
-        except TargetUnreachable as error:
-            if isinstance(error.__cause__, ConnectionRefusedError):
-                return True
-            continue
+    state, connection = await check_port(
+        address, MAX_CONNECT_ATTEMPTS, CONNECT_TIMEOUT_S, CLOSE_WAIT_S
+    )
+    if connection is not None:
         connection.abort()
-        return False
-    return False
+    return state is PortState.CLOSED
 
 
 class TargetExitDetector:
--- a/features/quarantine/ends.feature
+++ b/features/quarantine/ends.feature
@@ -10,6 +10,9 @@
       | behaviour                                             | closed | exited |
       | answers in part, and its process exits                | yes    | yes    |
       | reads the request, and its process exits              | yes    | yes    |
+      | exits, and its port closes new connections at once    | yes    | yes    |
+      | exits, and its port closes new connections in 0.2 s   | yes    | yes    |
+      | drops the connection and resets new connections       | yes    | no     |
       | resets the connection and keeps running               | yes    | no     |
       | is marked as leaving, and its process exits           | yes    | no     |
       | was removed from the list, and its process exits      | yes    | no     |
--- a/features/steps/target_end_steps.py
+++ b/features/steps/target_end_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 from behave import given, then
 
@@ -21,7 +22,7 @@
     RouteTable,
     Workspace,
 )
-from features.support.scripted_target import RESPONSE_HEAD
+from features.support.scripted_target import RESPONSE_HEAD, ZERO_LINGER
 from harness.ports import free_ports
 
 PARTIAL_ANSWER = RESPONSE_HEAD + b"Content-Length: 5\r\n\r\nhe"
@@ -38,17 +39,22 @@
     def __init__(self, behaviour):
         self._behaviour = behaviour
         self._server = None
+        self._has_read = False
         address = f"127.0.0.1:{free_ports(1)[0]}"
         self.entry = TargetEntry("t1", "s", address, "n", 6, incarnation=5)
         self.fleet = FleetView()
         self.fleet.apply([self.entry], ())
 
     async def _serve(self, reader, writer):
+        if self._has_read and "new connections" in self._behaviour:
+            await self._end_new_connection(writer)
+            return
         try:
             await reader.readuntil(b"\r\n\r\n")
         except (asyncio.IncompleteReadError, asyncio.CancelledError):
             # The probe of the exit detector connects and sends nothing.
             return
+        self._has_read = True
         if "in part" in self._behaviour:
             writer.write(PARTIAL_ANSWER)
             await writer.drain()
@@ -57,6 +63,14 @@
         if "silent" not in self._behaviour:
             writer.transport.abort()
 
+    async def _end_new_connection(self, writer):
+        if "in 0.2 s" in self._behaviour:
+            await asyncio.sleep(0.2)
+        if "resets" in self._behaviour:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ZERO_LINGER)
+        writer.close()
+
     def _update_fleet(self):
         if "marked as leaving" in self._behaviour:
             self.fleet.apply([self.entry._replace(is_leaving=True)], ())
