A request under which two targets have exited waits for a second, and a later exit counts in full

What callers saw: a request that ends its targets after some events was never convicted. Same cause as that of the parts: an exit counted only as far as the answer got no further than an earlier one. After two exits the request now waits for 1 s (503 request-held, not run); by then the cause is mostly gone if it was another request, so an exit after that counts against it however far its answer had got. Three rows and one scenario of judging.feature say so. Ruled out: counting every exit at once, as requests that run beside the cause would be convicted.

--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -268,14 +268,14 @@
 
     async def _choose(self):
         """Return the :class:`TargetChoice` unless the request must not be sent."""
-        if self._is_quarantined():
+        if self._is_refused():
             return self._quarantine_refusal()
         refusal = self._ending_error()
         if refusal is not None:
             return TargetChoice(None, refusal=refusal)
         choice = await self._choose_reachable()
         # The request may have been quarantined while it waited for a free slot.
-        if choice.entry is not None and self._is_quarantined():
+        if choice.entry is not None and self._is_refused():
             return self._quarantine_refusal()
         return choice
 
@@ -316,8 +316,8 @@
         else:
             budget.withdraw_request(self._service, now)
 
-    def _is_quarantined(self):
-        return self._context.quarantine.is_quarantined(self._call)
+    def _is_refused(self):
+        return self._context.quarantine.is_refused(self._call)
 
     def _quarantine_refusal(self):
         refusal = self._context.quarantine.refusal(self._call)
--- a/cowslipcourse/exceptions.py
+++ b/cowslipcourse/exceptions.py
@@ -42,6 +42,7 @@
     "ReplyLost",
     "RequestError",
     "RequestFailed",
+    "RequestHeld",
     "RequestQuarantined",
     "ResponseTooLarge",
     "SelectorError",
@@ -449,6 +450,12 @@
     code = "request-quarantined"
 
 
+class RequestHeld(AdmissionError):
+    """Targets have just ended under the request, which waits before it is sent."""
+
+    code = "request-held"
+
+
 class WorkspaceOverShare(AdmissionError):
     """The workspace exceeds its share while the targets are full."""
 
--- a/cowslipcourse/gateway/generation.py
+++ b/cowslipcourse/gateway/generation.py
@@ -150,7 +150,7 @@
 
     def _check_quarantine(self):
         quarantine = self._context.quarantine
-        if quarantine.is_quarantined(self._quarantine_call):
+        if quarantine.is_refused(self._quarantine_call):
             refusal = quarantine.refusal(self._quarantine_call)
             raise self._caller_error(refusal, refusal.retry_after_s)
 
--- a/cowslipcourse/quarantine/verdicts.py
+++ b/cowslipcourse/quarantine/verdicts.py
@@ -14,6 +14,10 @@
 begun and got no further convict it. A request that only ran beside the cause would have
 to meet three exits in its at most four runs, each in the first 0.1 s after it had
 begun.
+
+A request under which two targets have exited waits for a while before it is sent again.
+By then the cause of the first exits is mostly gone, if it was another request; so an
+exit after such a wait counts fully, however far the answer got.
 """
 
 from collections import OrderedDict
@@ -30,7 +34,6 @@
     "Suspects",
     "Verdict",
     "Verdicts",
-    "is_incriminating",
 ]
 
 STALLED_WEIGHT = 2
@@ -47,6 +50,10 @@
 SUSPICION_S = 600.0
 """Time for which an exit counts against a request: one that is repeated hours later
 meets other software, and the memory is bounded."""
+HOLD_EXITS = 2
+REQUEST_HOLD_S = 1.0
+"""Time after an exit for which a request waits under which :data:`HOLD_EXITS` targets
+have exited: by then it shows whether others are the cause."""
 PART_SUSPICION_S = 3_600.0
 """Time for which a crash counts against parts of prompts; an answer ends it much sooner
 for parts in use."""
@@ -127,11 +134,6 @@
     age_s: _Age
 
 
-def is_incriminating(report):
-    """Whether a report is worth sending: a run that relayed events proves little."""
-    return not report.relayed_events
-
-
 class _Suspect:
     """Evidence against a request."""
 
@@ -142,14 +144,20 @@
         self.last_exit_at = 0.0
 
     def add_report(self, report, now):
-        weight = self._weight(report)
         target_incarnation = report.target, report.incarnation
+        is_known = target_incarnation in self.report_by_incarnation
+        is_later = now - self.last_exit_at >= REQUEST_HOLD_S
+        if self.report_by_incarnation and is_later and not is_known:
+            weight = STALLED_WEIGHT
+        else:
+            weight = self._weight(report)
         self.weight_by_incarnation[target_incarnation] = max(
             weight, self.weight_by_incarnation.get(target_incarnation, 0)
         )
         self.report_by_incarnation[target_incarnation] = report
         self.highest_event_id = max(self.highest_event_id, report.last_event_id)
-        self.last_exit_at = now
+        if not is_known:
+            self.last_exit_at = now
 
     def _weight(self, report):
         if report.relayed_events and report.last_event_id > self.highest_event_id:
@@ -195,6 +203,13 @@
                 return
             del self._suspects[fingerprint]
 
+    def hold_left_s(self, fingerprint, now):
+        """Return the seconds for which a request at several exits must still wait."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or len(suspect.weight_by_incarnation) < HOLD_EXITS:
+            return 0.0
+        return max(0.0, suspect.last_exit_at + REQUEST_HOLD_S - now)
+
     def exited_incarnations(self, fingerprint):
         """Return the ``(target, incarnation)`` list that exited under a request."""
         suspect = self._suspects.get(fingerprint)
--- a/cowslipcourse/quarantine_runtime/crash_reporting.py
+++ b/cowslipcourse/quarantine_runtime/crash_reporting.py
@@ -12,7 +12,6 @@
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.peer_protocol import CrashReports
 from cowslipcourse.quarantine import CrashReport
-from cowslipcourse.quarantine.verdicts import is_incriminating
 
 __all__ = ["CrashReporting", "QuarantinePeers", "evaluators", "is_first_evaluator"]
 
@@ -121,10 +120,7 @@
         for report in by_evaluator.pop(self._peers.address, ()):
             self._evaluate(report)
         for evaluator, evaluator_reports in by_evaluator.items():
-            self._send_to_evaluator(
-                evaluator,
-                [each for each in evaluator_reports if is_incriminating(each)],
-            )
+            self._send_to_evaluator(evaluator, evaluator_reports)
 
     def _send_to_evaluator(self, evaluator, reports, is_resend=False):
         """Send reports, and resend those whose requests are still unanswered."""
--- a/cowslipcourse/quarantine_runtime/enforcement.py
+++ b/cowslipcourse/quarantine_runtime/enforcement.py
@@ -12,6 +12,7 @@
 from cowslipcourse.exceptions import (
     IncompleteResponse,
     MalformedResponse,
+    RequestHeld,
     RequestQuarantined,
     StoreError,
 )
@@ -135,6 +136,16 @@
 
     # Requests.
 
+    def is_refused(self, call):
+        """Whether a request must not be sent to a target now.
+
+        It or a part of its prompt is quarantined and it is not the trial, or targets
+        have just exited under it.
+
+        :param call: :class:`~cowslipcourse.entry.calls.Call`
+        """
+        return self.is_quarantined(call) or self._is_held(call)
+
     def is_quarantined(self, call):
         """Whether a request, or a part of its prompt, is quarantined and not on trial.
 
@@ -145,6 +156,9 @@
             for verdict in self._verdicts_on(call)
         )
 
+    def _is_held(self, call):
+        return self._suspects.hold_left_s(call.fingerprint, _now()) > 0
+
     def is_on_trial(self, call):
         """Whether a request is the trial of its quarantine, which lasts for one run.
 
@@ -161,9 +175,15 @@
 
         :param call: :class:`~cowslipcourse.entry.calls.Call`
         :raises RequestQuarantined: the request is quarantined and has not run.
+        :raises RequestHeld: targets have just exited under it.
         """
-        if not self.is_quarantined(call):
-            return
+        if self.is_quarantined(call):
+            await self._try(call)
+        if self._is_held(call):
+            raise self.refusal(call)
+
+    async def _try(self, call):
+        """Begin the trial of a quarantined request, or refuse it."""
         verdicts = self._verdicts_on(call)
         if max(verdict.until for verdict in verdicts) <= _now():
             for verdict in verdicts:
@@ -172,10 +192,15 @@
             raise self.refusal(call)
 
     def refusal(self, call):
-        """Return the error for the caller of a quarantined request.
+        """Return the error for the caller of a quarantined or held request.
 
         It states when the request may be tried again, as it is not sent before.
         """
+        if not self.is_quarantined(call):
+            return RequestHeld(
+                "targets have just ended under this request",
+                self._suspects.hold_left_s(call.fingerprint, _now()),
+            )
         left_s = max(verdict.until for verdict in self._verdicts_on(call)) - _now()
         is_request = self._verdicts.get(call.fingerprint) is not None
         return RequestQuarantined(
--- a/features/quarantine/judging.feature
+++ b/features/quarantine/judging.feature
@@ -20,6 +20,17 @@
       | answered, begun a, begun b, begun c                      | no          |
       | answered, 601 s, begun a, begun b, begun c               | yes         |
       | begun a, begun b, 601 s, begun c                         | no          |
+      | 5 events a, 9 events b, 1 s, 12 events c, 1 s, 14 events d, 1 s, 16 events e | yes |
+      | waiting a, waiting b, 1 s, waiting c, 1 s, waiting d     | yes         |
+      | waiting a, waiting b, 1 s, waiting c                     | no          |
+
+  Scenario: A request under which two targets have exited waits for a second
+    Given these target crashes under a request: begun a
+    Then it must wait for 0 s
+    Given these target crashes under a request: begun a, waiting b
+    Then it must wait for 1 s
+    Given these target crashes under a request: begun a, waiting b, answered
+    Then it must wait for 0 s
 
   Scenario: A request that only runs beside crashing ones is hardly ever quarantined
     A model with assumed probabilities, given in the step: 2,000 requests, each beside one that crashes its targets.
--- a/features/steps/budget_arrival_steps.py
+++ b/features/steps/budget_arrival_steps.py
@@ -81,7 +81,7 @@
 
 
 class _Quarantine:
-    def is_quarantined(self, call):
+    def is_refused(self, call):
         return False
 
     @contextlib.contextmanager
--- a/features/steps/judging_steps.py
+++ b/features/steps/judging_steps.py
@@ -20,6 +20,7 @@
 from cowslipcourse.entry.unloaded_components import AlwaysReachable
 from cowslipcourse.exceptions import (
     IncompleteResponse,
+    RequestHeld,
     RequestQuarantined,
     TargetFailed,
 )
@@ -38,7 +39,7 @@
     VERDICTS_KEY,
     _encode_verdicts,
 )
-from cowslipcourse.quarantine.verdicts import QUARANTINE_S
+from cowslipcourse.quarantine.verdicts import QUARANTINE_S, REQUEST_HOLD_S
 from cowslipcourse.quarantine_runtime import Quarantine, TargetExitDetector
 from cowslipcourse.routes import RequestKind, Route
 from features.support.saved_budgets import saved_budget
@@ -73,9 +74,9 @@
 # Which requests are quarantined.
 
 
-def _is_quarantined_after(crashes):
+def _is_quarantined_after(suspects, crashes):
     """Report crashes given in words; return whether the request is quarantined."""
-    suspects, now, last_event_id, quarantined = Suspects(), 0.0, 0, False
+    now, last_event_id, quarantined = 0.0, 0, False
     for step in crashes.split(", "):
         words = step.split()
         if step == "answered":
@@ -98,7 +99,13 @@
 
 @given("these target crashes under a request: {crashes}")
 def step_crashes(context, crashes):
-    context.quarantined = _is_quarantined_after(crashes)
+    context.suspects = Suspects()
+    context.quarantined = _is_quarantined_after(context.suspects, crashes)
+
+
+@then("it must wait for {seconds:g} s")
+def step_wait(context, seconds):
+    assert context.suspects.hold_left_s(FINGERPRINT, 0.0) == seconds
 
 
 @then("it is quarantined: {quarantined}")
@@ -304,7 +311,7 @@
         try:
             await quarantine.admit(call)
             await try_targets(tools, call, "s", choose, attempt)
-        except (RequestQuarantined, TargetFailed) as error:
+        except (RequestHeld, RequestQuarantined, TargetFailed) as error:
             return error
         finally:
             quarantine.record_finished(call)
@@ -493,7 +500,7 @@
         await asyncio.sleep(0.5)
         context.stored = (await verdict_store.read()).reports
         daemons.quarantines[0] = daemons.start("a0")
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(REQUEST_HOLD_S + 0.5)
         assert not daemons.quarantines[0].is_quarantined(_call())
         await daemons.request(daemons.quarantines[0])
         await asyncio.sleep(0.5)
--- a/features/steps/withheld_steps.py
+++ b/features/steps/withheld_steps.py
@@ -177,7 +177,7 @@
 class _Quarantine:
     """Quarantines nothing."""
 
-    def is_quarantined(self, call):
+    def is_refused(self, call):
         return False
 
     @contextlib.contextmanager
