Reporters relay messages on quarantines to the daemons of their data centres

Daemons of older builds do not read relayed messages and learn by the repetitions. spread.feature bounds the bytes, also of reporters, and says what is relayed. Ruled out: the addresses divided between the two reporters, half of which are lost while one comes back (a row of spread.feature refused it).

--- a/cowslipcourse/emulator/messages.py
+++ b/cowslipcourse/emulator/messages.py
@@ -42,12 +42,20 @@
         is_first = all(self.address < name for name in self.alive_addresses())
         return others if is_first else []
 
+    def shared_repeat_addresses(self):
+        """Return the same, as there is one data centre."""
+        return self.repeat_addresses()
+
     def send(self, message, addresses):
         """Send a message to other daemons."""
         for address in addresses:
             if address != self.address:
                 self._network.send(message, self.address, address)
 
+    def broadcast(self, message):
+        """Send a message to all other daemons."""
+        self.send(message, self.all_addresses())
+
 
 class MessageNetwork:
     """Delivers messages to the quarantines and rate limiters of daemons.
--- a/cowslipcourse/entry/peer_link.py
+++ b/cowslipcourse/entry/peer_link.py
@@ -22,6 +22,7 @@
     ProbeGrant,
     ProbeRequest,
     QuarantineUpdate,
+    Relayed,
     RequestCleared,
     SpeedReport,
     TargetChanges,
@@ -33,6 +34,8 @@
 
 MAX_PUSH_BYTES = 32_000
 """Longest pushed datagram; peers read larger changes as state."""
+MAX_DIRECT_DATAGRAMS = 64
+"""Daemons up to which a message to all of them is sent to each, without relays."""
 
 QUARANTINE_MESSAGES = (
     CrashReports,
@@ -195,6 +198,23 @@
             now
         )
 
+    def shared_repeat_addresses(self):
+        """Return the addresses to which this daemon repeats what all reporters know.
+
+        The active reporter repeats it to its own data centre, and the other one to the
+        reporters elsewhere; a single one does both.
+        """
+        now = asyncio.get_running_loop().time()
+        own_heartbeat = self._daemon.heartbeat()
+        names = self._registry.reporter_names(own_heartbeat, now)
+        if own_heartbeat.member.name not in names:
+            return []
+        is_active = self._registry.is_active_reporter(own_heartbeat, now)
+        addresses = self._registry.local_addresses(now) if is_active else []
+        if not is_active or len(names) == 1:
+            addresses += self._registry.remote_addresses(now)
+        return addresses
+
     def local_repeat_addresses(self):
         """Return the same without the reporters elsewhere."""
         now = asyncio.get_running_loop().time()
@@ -211,6 +231,20 @@
         """Send a message once to each address; datagrams may be lost."""
         self._send(encode(message), addresses)
 
+    def broadcast(self, message):
+        """Send a message to all other daemons, once; datagrams may be lost.
+
+        If they are many, the reporters of other data centres relay it.
+        """
+        content = encode(message)
+        now = asyncio.get_running_loop().time()
+        addresses = self._registry.all_addresses(now)
+        if len(addresses) <= MAX_DIRECT_DATAGRAMS:
+            self._send(content, addresses)
+            return
+        self._send(content, self._registry.local_addresses(now))
+        self._send(encode(Relayed(content)), self._registry.remote_addresses(now))
+
     def push_changes(self, changes):
         """Send target changes to the daemons of this data centre."""
         content = encode(changes)
@@ -230,12 +264,15 @@
                 self._transport.sendto(content, (host, int(port)))
 
     def _handle_datagram(self, content):
+        now = asyncio.get_running_loop().time()
         try:
             message = decode(content)
+            if isinstance(message, Relayed):
+                self._relay(message.content, now)
+                return
         except MalformedResponse as error:
             log.info("datagram-unreadable", why=error)
             return
-        now = asyncio.get_running_loop().time()
         if isinstance(message, TargetChanges):
             self._daemon.replica.apply_push(message)
         elif isinstance(message, GroupUpdate):
@@ -271,6 +308,19 @@
             self._daemon.evacuation_exchange.greet(heartbeat.member.peer_address)
         self._daemon.investigate_suspects(heartbeat)
 
+    def _relay(self, content, now):
+        """Handle a message from another data centre, and relay it if it is this
+        daemon's turn.
+
+        :raises MalformedResponse: it is none that is relayed.
+        """
+        message = decode(content)
+        if not isinstance(message, QUARANTINE_MESSAGES):
+            raise MalformedResponse(f"{type(message).__name__} is not relayed")
+        if self._registry.is_active_reporter(self._daemon.heartbeat(), now):
+            self._send(content, self._registry.local_addresses(now))
+        self._daemon.quarantine.handle_message(message)
+
     def _relay_digest(self, content, digest, now):
         """Relay a digest of another data centre to the daemons of this one, once."""
         is_local = digest.reporter.data_centre == self._settings.data_centre
--- a/cowslipcourse/gateway/quarantine_adapters.py
+++ b/cowslipcourse/gateway/quarantine_adapters.py
@@ -148,7 +148,7 @@
         silent = set(self._agent.silent_members(self._agent.times.isolation_s))
         return [name for name in self.all_addresses() if name not in silent]
 
-    def repeat_addresses(self):
+    def shared_repeat_addresses(self):
         """Return the names of the other gateways if this one is to repeat verdicts."""
         others = self.alive_addresses()
         return others if self.address < min(others, default="") else []
@@ -162,6 +162,10 @@
         key = f"{QUARANTINE_PREFIX}{member.name}/{member.incarnation}/{slot}"
         self._agent.publish(key, _AddressedMessage(tuple(addresses), encode(message)))
 
+    def broadcast(self, message):
+        """Send a message to all other gateways, once."""
+        self.send(message, self.all_addresses())
+
     def _handle_record(self, record):
         if not record.key.startswith(QUARANTINE_PREFIX):
             return
--- a/cowslipcourse/peer_protocol/messages.py
+++ b/cowslipcourse/peer_protocol/messages.py
@@ -37,6 +37,7 @@
     "ProbeGrant",
     "ProbeRequest",
     "QuarantineUpdate",
+    "Relayed",
     "RequestCleared",
     "SpeedReport",
     "StatedLimit",
@@ -363,12 +364,22 @@
     percents: dict[str, _Count]
 
 
+class Relayed(NamedTuple):
+    """A message that reporters of other data centres relay to the daemons of theirs.
+
+    :param content: the encoded message.
+    """
+
+    content: bytes
+
+
 _TYPE_BY_LETTER = {
     b"A": PermitResponse,
     b"B": PartAnswers,
     b"C": CrashReports,
     b"D": Digest,
     b"E": EvacuatedSet,
+    b"F": Relayed,
     b"G": GroupUpdate,
     b"H": Heartbeat,
     b"I": PartInquiry,
--- a/cowslipcourse/quarantine_runtime/crash_reporting.py
+++ b/cowslipcourse/quarantine_runtime/crash_reporting.py
@@ -52,12 +52,15 @@
     def all_addresses(self) -> list[str]:
         """Return the addresses of all other daemons that are known."""
 
-    def repeat_addresses(self) -> list[str]:
+    def shared_repeat_addresses(self) -> list[str]:
         """Return the addresses to repeat verdicts to; empty if another daemon does."""
 
     def send(self, message, addresses) -> None:
         """Send a message to some daemons, once; it may be lost."""
 
+    def broadcast(self, message) -> None:
+        """Send a message to all other daemons, once; it may be lost."""
+
 
 class ExitedRun(NamedTuple):
     """A request with shared parts in its prompt, at a target that has exited.
--- a/cowslipcourse/quarantine_runtime/enforcement.py
+++ b/cowslipcourse/quarantine_runtime/enforcement.py
@@ -470,7 +470,7 @@
         self._parts.expire_holds(now)
         self._save_unsaved_verdicts()
         self._parts.repeat_lifts(now)
-        addresses = self._peers.repeat_addresses() if len(self._verdicts) else ()
+        addresses = self._peers.shared_repeat_addresses() if len(self._verdicts) else ()
         if not addresses:
             return
         verdicts = sorted(self._verdicts)
@@ -483,10 +483,9 @@
         self._peers.send(QuarantineUpdate(relative_verdicts), addresses)
 
     def _broadcast(self, message):
-        addresses = self._peers.all_addresses()
-        self._peers.send(message, addresses)
+        self._peers.broadcast(message)
         loop = asyncio.get_running_loop()
-        loop.call_later(UPDATE_RESEND_DELAY_S, self._peers.send, message, addresses)
+        loop.call_later(UPDATE_RESEND_DELAY_S, self._peers.broadcast, message)
 
     def _save_unsaved_verdicts(self):
         """Store unsaved verdicts of which this daemon is the first evaluator."""
--- a/cowslipcourse/quarantine_runtime/part_answers.py
+++ b/cowslipcourse/quarantine_runtime/part_answers.py
@@ -185,7 +185,7 @@
         ]
         for first in range(0, len(due), MAX_PARTS):
             parts = tuple(due[first : first + MAX_PARTS])
-            self._peers.send(PartInquiry(parts), self._peers.all_addresses())
+            self._peers.broadcast(PartInquiry(parts))
             self.handle_inquiry(parts)
 
     def _asks(self, part, suspected_since):
--- a/cowslipcourse/quarantine_runtime/part_lifts.py
+++ b/cowslipcourse/quarantine_runtime/part_lifts.py
@@ -88,7 +88,7 @@
         part = verdict.fingerprint
         if is_first_evaluator(self._peers, part):
             age_s = _now() - self._lifted_at[part]
-            self._peers.send(PartCleared(part, age_s), self._peers.all_addresses())
+            self._peers.broadcast(PartCleared(part, age_s))
         return True
 
     def repeat(self, now):
@@ -104,7 +104,7 @@
             for part, lifted_at in self._lifted_at.items()
             if now - lifted_at < REPEAT_S
         ]
-        addresses = self._peers.repeat_addresses() if recent else ()
+        addresses = self._peers.shared_repeat_addresses() if recent else ()
         for message in recent if addresses else ():
             self._peers.send(message, addresses)
 
--- a/features/quarantine/spread.feature
+++ b/features/quarantine/spread.feature
@@ -20,12 +20,22 @@
     When four of them each see one target crash under another request with one part
     Then all daemons refuse it 2.5 s later
     And none refuses requests with the other part of these, which all daemons answer
+    And from then on no daemon sends more than <bytes> bytes per second for it
 
-    Examples:
-      | data centres | daemons | loss |
-      | 1            | 8       | 2    |
-      | 1            | 8       | 30   |
-      | 3            | 12      | 10   |
+    Examples: each daemon is told directly
+      | data centres | daemons | loss | bytes |
+      | 1            | 8       | 2    | 2000  |
+      | 1            | 8       | 30   | 2000  |
+      | 3            | 12      | 10   | 2000  |
+
+    Examples: reporters relay to the daemons of their data centres
+      | data centres | daemons | loss | bytes |
+      | 4            | 18      | 10   | 2000  |
+
+  Scenario: Only messages on quarantines are relayed, and not twice
+    Given 4 data centres of 18 daemons with 0 % datagram loss
+    When a reporter is to relay a verdict, a heartbeat, and another verdict that is to be relayed again
+    Then all daemons of its data centre have the first verdict only, and the others have none
 
   Scenario: A daemon that was isolated or has just started learns of a verdict within 2.5 s
     Given 3 data centres of 12 daemons with 10 % datagram loss
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -6,7 +6,11 @@
 
 from cowslipcourse.quarantine_runtime import Quarantine
 from features.support.daemon_network import NetworkShape
-from features.support.spread_runs import SpreadScenario, simulate_spread
+from features.support.spread_runs import (
+    SpreadScenario,
+    simulate_relays,
+    simulate_spread,
+)
 
 
 @given(
@@ -80,6 +84,27 @@
     )
 
 
+@when(
+    "a reporter is to relay a verdict, a heartbeat, and another verdict that is to be "
+    "relayed again"
+)
+def step_relay(context):
+    context.relayed = simulate_relays(context.spread_scenario.shape)
+
+
+@then(
+    "all daemons of its data centre have the first verdict only, and the others have "
+    "none"
+)
+def step_relayed(context):
+    relayed, shape = context.relayed, context.spread_scenario.shape
+    counts = sorted(relayed.first.values())
+    others = [0] * (shape.data_centres - 1)
+    assert counts == [*others, shape.daemons_per_data_centre], relayed
+    assert not any(relayed.nested.values()), relayed
+    assert not any(relayed.greeted.values()), relayed
+
+
 @then("no daemon sends anything for quarantines")
 def step_no_bytes(context):
     _simulate(context)
--- a/features/support/spread_runs.py
+++ b/features/support/spread_runs.py
@@ -1,20 +1,36 @@
 """Simulate how quarantine verdicts spread between daemons, in simulated time."""
 
 import asyncio
+from collections import Counter
 from types import SimpleNamespace
 from typing import NamedTuple
 
 from cowslipcourse.emulator.clock import run_in_virtual_time
 from cowslipcourse.entry.attempts import TargetRun
 from cowslipcourse.entry.fleet_view import FleetView
-from cowslipcourse.peer_protocol import encode
+from cowslipcourse.entry.peer_link import QUARANTINE_MESSAGES
+from cowslipcourse.peer_protocol import (
+    Heartbeat,
+    QuarantineUpdate,
+    Relayed,
+    decode,
+    encode,
+)
 from cowslipcourse.ports import RowChanges, TargetEntry
-from cowslipcourse.quarantine import VerdictStore, part_fingerprints
+from cowslipcourse.quarantine import Verdict, VerdictStore, part_fingerprints
+from cowslipcourse.quarantine.verdicts import QUARANTINE_S
 from cowslipcourse.quarantine_runtime import Quarantine, TargetExitDetector
 from cowslipcourse.quarantine_runtime.part_evaluation import PartEvaluation
 from features.support.daemon_network import IP_UDP_HEADER_BYTES, DaemonNetwork
 
-__all__ = ["SPREAD_LIMIT_S", "SpreadResult", "SpreadScenario", "simulate_spread"]
+__all__ = [
+    "SPREAD_LIMIT_S",
+    "RelayedVerdicts",
+    "SpreadResult",
+    "SpreadScenario",
+    "simulate_relays",
+    "simulate_spread",
+]
 
 STARTUP_S = 2.0
 SPREAD_LIMIT_S = 2.5
@@ -26,6 +42,11 @@
 )
 SOUND_PART, CRASHING_PART = part_fingerprints("s", ("sound", "crashing"))
 ANSWER_INTERVAL_S = 0.2
+FIRST, NESTED = b"1" * 16, b"2" * 16
+"""Fingerprints of a verdict that is relayed, and of one that is relayed twice."""
+UNKNOWN_DAEMON = "unknown"
+RELAY_S = 0.1
+"""Time until what is relayed has arrived; nothing is repeated so soon."""
 
 
 class SpreadScenario(NamedTuple):
@@ -64,6 +85,19 @@
     repeat_bytes_per_s: list[float]
 
 
+class RelayedVerdicts(NamedTuple):
+    """Daemons that have learnt from a reporter that relays, by data centre.
+
+    :param first: counts of those that refuse the request of the relayed verdict.
+    :param nested: counts of those that refuse that of one which was relayed twice.
+    :param greeted: counts of those that have heard of the unknown daemon.
+    """
+
+    first: Counter
+    nested: Counter
+    greeted: Counter
+
+
 class _Store:
     """A store that discards all writes, so that verdicts spread by datagrams only."""
 
@@ -74,20 +108,19 @@
         return 2
 
 
-class _CountingLink:
-    """Wraps a daemon's link and counts the bytes sent for quarantines."""
+class _QuarantineBytes:
+    """Counts the bytes that a daemon's link sends and relays for quarantines."""
 
     def __init__(self, link):
-        self._link = link
         self.sent_bytes = 0
+        self._send = link._send
+        link._send = self._count
 
-    def __getattr__(self, name):
-        return getattr(self._link, name)
-
-    def send(self, message, addresses):
-        datagram_bytes = len(encode(message)) + IP_UDP_HEADER_BYTES
-        self.sent_bytes += datagram_bytes * len(addresses)
-        self._link.send(message, addresses)
+    def _count(self, content, addresses):
+        if isinstance(decode(content), (*QUARANTINE_MESSAGES, Relayed)):
+            datagram_bytes = len(content) + IP_UDP_HEADER_BYTES
+            self.sent_bytes += datagram_bytes * len(addresses)
+        self._send(content, addresses)
 
 
 def _entry(number):
@@ -102,12 +135,14 @@
     fleet = FleetView()
     fleet.apply([_entry(number) for number in range(MAX_EXITS)], ())
     verdict_store = VerdictStore(_Store(), lambda: 0.0)
-    link = _CountingLink(daemon.link)
+    counted_bytes = _QuarantineBytes(daemon.link)
     daemon.quarantine = Quarantine(
-        link, TargetExitDetector(fleet.is_expected, _connection_refused), verdict_store
+        daemon.link,
+        TargetExitDetector(fleet.is_expected, _connection_refused),
+        verdict_store,
     )
     daemon.quarantine.load_part_evaluation(PartEvaluation)
-    return link
+    return counted_bytes
 
 
 def _request(scenario, number):
@@ -185,6 +220,59 @@
     return SpreadResult(refusing, refusing_sound, spread_bytes, repeat_bytes_per_s)
 
 
+def _request_of(fingerprint):
+    return SimpleNamespace(fingerprint=fingerprint, part_fingerprints=())
+
+
+def _relayed_contents(daemon):
+    """Return what a reporter is asked to relay."""
+    first, nested = (
+        encode(QuarantineUpdate((Verdict(fingerprint, QUARANTINE_S),)))
+        for fingerprint in (FIRST, NESTED)
+    )
+    unknown = daemon.member._replace(name=UNKNOWN_DAEMON)
+    heartbeat = encode(Heartbeat(unknown, 1, True, 99, {}, {}))
+    return first, encode(Relayed(nested)), heartbeat
+
+
+async def _simulate_relays(daemons):
+    for daemon in daemons:
+        _attach_quarantine(daemon)
+    now = asyncio.get_running_loop().time()
+    reporter = next(
+        daemon
+        for daemon in daemons
+        if daemon.registry.is_active_reporter(daemon.heartbeat(), now)
+    )
+    for content in _relayed_contents(reporter):
+        reporter.link._handle_datagram(encode(Relayed(content)))
+    await asyncio.sleep(RELAY_S)
+    result = RelayedVerdicts(Counter(), Counter(), Counter())
+    for daemon in daemons:
+        data_centre = daemon.member.data_centre
+        is_quarantined = daemon.quarantine.is_quarantined
+        result.first[data_centre] += is_quarantined(_request_of(FIRST))
+        result.nested[data_centre] += is_quarantined(_request_of(NESTED))
+        unknown = daemon.member._replace(name=UNKNOWN_DAEMON)
+        result.greeted[data_centre] += not daemon.registry.is_unknown(unknown)
+    return result
+
+
+def simulate_relays(shape):
+    """Let a reporter relay messages; return the :class:`RelayedVerdicts`.
+
+    :param shape: :class:`~features.support.daemon_network.NetworkShape`
+    """
+    network = DaemonNetwork(shape)
+    results = []
+
+    async def simulate():
+        results.append(await _simulate_relays(network.daemons))
+
+    run_in_virtual_time(network.run(STARTUP_S / 2, simulate))
+    return results[0]
+
+
 def simulate_spread(scenario):
     """Simulate a :class:`SpreadScenario` and return the :class:`SpreadResult`."""
     network = DaemonNetwork(scenario.shape)
