Links that a request has found lost are probed until they are back

What callers saw: 503, "this daemon reaches no targets", of daemons whose targets had been back for minutes. Cause: the round of probes that finds the links lost may be that of a failed request (confirm), while the task that probes until they are back waits for a doubt. A target that is suspected already raises none; and without links nothing is sent to targets, so that nothing raises one later. That task now also goes on when the links are known to be lost. Ruled out: a probe that fails (the targets accepted connections), the majority that is asked of probes (all three would have answered).

--- a/cowslipcourse/entry/reachability_monitor.py
+++ b/cowslipcourse/entry/reachability_monitor.py
@@ -120,14 +120,19 @@
     async def run(self):
         """Probe the links whenever they are in doubt or lost, until cancelled."""
         while True:
-            if self._is_reachable:
-                await self._wait_for_doubt()
+            await self._wait_for_doubt()
             self._doubted.clear()
             await self._join_round()
             await asyncio.sleep(PROBE_INTERVAL_S)
 
+    @property
+    def _is_in_doubt(self):
+        """Whether the links are to be probed; a request may have found them lost."""
+        is_silent = self._silent_s() > MAX_SILENCE_S
+        return not self._is_reachable or self._doubted.is_set() or is_silent
+
     async def _wait_for_doubt(self):
-        while not self._doubted.is_set() and self._silent_s() <= MAX_SILENCE_S:
+        while not self._is_in_doubt:
             try:
                 async with asyncio.timeout(CHECK_INTERVAL_S):
                     await self._doubted.wait()
--- a/features/reachability/probes.feature
+++ b/features/reachability/probes.feature
@@ -27,6 +27,12 @@
     Then the daemon knows from 2 s to 9.5 s that it reaches no targets
     And it probes at most 4 targets each 0.5 s, and none before or afterwards
 
+  Scenario: Links that a request has found lost are probed until they are back
+    Given a daemon whose links to all targets fail from 1 s to 9 s
+    When a request at a target that is suspected already fails after 2 s
+    Then the daemon knows from 2 s to 9.5 s that it reaches no targets
+    And it probes at most 4 targets each 0.5 s, and none before or afterwards
+
   Scenario: Links are probed when nothing arrives although requests are in flight
     Given a daemon whose links to all targets fail from 1 s to 9 s
     When requests in flight get no bytes from 1 s on
--- a/features/steps/reachability_steps.py
+++ b/features/steps/reachability_steps.py
@@ -73,7 +73,7 @@
     context.cut = start_s, end_s
 
 
-def _observe_links(context, doubt_at_s=None, silent_from_s=None):
+def _observe_links(context, doubt_at_s=None, silent_from_s=None, confirm_at_s=None):
     """Run a monitor and record its state and its probes."""
 
     async def run():
@@ -98,6 +98,9 @@
         task = asyncio.create_task(monitor.run())
         if doubt_at_s is not None:
             loop.call_later(doubt_at_s, monitor.doubt)
+        if confirm_at_s is not None:
+            await asyncio.sleep(confirm_at_s)
+            await monitor.confirm()
         while (elapsed_s := loop.time() - start) < RUN_S:
             context.states.append((elapsed_s, monitor.is_reachable))
             await asyncio.sleep(SAMPLE_INTERVAL_S)
@@ -112,6 +115,11 @@
     _observe_links(context, doubt_at_s=doubt_at_s)
 
 
+@when("a request at a target that is suspected already fails after {fails_at_s:g} s")
+def step_request_fails(context, fails_at_s):
+    _observe_links(context, confirm_at_s=fails_at_s)
+
+
 @when("requests in flight get no bytes from {silent_from_s:g} s on")
 def step_silence(context, silent_from_s):
     _observe_links(context, silent_from_s=silent_from_s)
