A request that may have ended its target is sent again once the exit has been weighed

Traced with logs: two or three requests with the part within 0.3 s each ended a second engine by their retries, 0.06 s after the first, before any evaluator had weighed anything; and two exits within 0.1 s may be one loss, so that four exits counted as one event. A request with a part that this daemon has never seen answered now waits for 0.25 s after its target has broken it off. By then the first exit is weighed, the part may be held, and a second exit is an event of its own. Four rows of judging.feature; two fail without the wait. Requests whose parts were answered before, and those without parts, are sent again at once, as before. Ruled out: an earlier hold (from 0.05 on) by design/quarantine.md; a wait for all requests at an exit, most of which only ran beside the cause.

--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -92,6 +92,7 @@
         self._withheld = 0
         self._next_hedge_at = 0.0
         self._failure = None
+        self._retry_delay_s = 0.0
 
     @property
     def call(self):
@@ -187,7 +188,15 @@
         if not self._is_within_budget(error):
             cause = LossCause.NO_RETRY_BUDGET
             raise final_error(self._possible_runs, cause) from error
-        self._running.start(self._send_to_next(is_hedge=False))
+        self._running.start(self._send_later())
+
+    async def _send_later(self):
+        """Send the request to the next target once the exit of the last one is known.
+
+        :returns: see :meth:`_send_to_next`.
+        """
+        await asyncio.sleep(self._retry_delay_s)
+        return await self._send_to_next(is_hedge=False)
 
     def _is_within_budget(self, error):
         """Whether another attempt is allowed.
@@ -344,6 +353,8 @@
                 self._tried_ids.discard(run.entry.id)
                 raise
             self._record_failure(run, error)
+            if not run.is_relayed:
+                self._retry_delay_s = context.quarantine.retry_delay_s(call, run)
             if isinstance(error, TargetUnreachable) and not run.is_relayed:
                 await context.reachability.confirm()
             raise
--- a/cowslipcourse/quarantine_runtime/enforcement.py
+++ b/cowslipcourse/quarantine_runtime/enforcement.py
@@ -87,6 +87,10 @@
     def record_broken(self, call, run):
         """Ignore a run."""
 
+    def retry_delay_s(self, call):
+        """Return that no request waits."""
+        return 0.0
+
     def report_exit(self, target_key, runs):
         """Ignore an exit."""
 
@@ -347,6 +351,14 @@
         if run.ended_by_target:
             self._reporting.report_if_exited(call, run, is_probe)
 
+    def retry_delay_s(self, call, run):
+        """Return the seconds for which a request waits after a failed run.
+
+        :param call: :class:`~cowslipcourse.entry.calls.Call`
+        :param run: :class:`~cowslipcourse.entry.attempts.TargetRun`
+        """
+        return self._parts.retry_delay_s(call) if run.ended_by_target else 0.0
+
     # Verdicts.
 
     def _evaluate_report(self, report):
--- a/cowslipcourse/quarantine_runtime/part_evaluation.py
+++ b/cowslipcourse/quarantine_runtime/part_evaluation.py
@@ -49,6 +49,9 @@
 """The same for each exit that is kept: a weighing takes up to 0.4 ms for each."""
 MAX_LOGGED_WEIGHTS = 5
 """Parts of a service that are logged at a weighing, the most suspect ones."""
+RETRY_DELAY_S = 0.25
+"""Time from an exit until a request that may be the cause is sent again: the exit has
+been weighed by then, and a second one does not count as part of the same loss."""
 ACTIVE_S = 10.0
 """Time after its last exit for which a part is weighed."""
 HOLD_PROBABILITY = 0.2
@@ -199,6 +202,20 @@
         if len(self._broken_targets) > MAX_BROKEN_TARGETS:
             self._broken_targets.popitem(last=False)
 
+    def retry_delay_s(self, call):
+        """Return the seconds for which a request waits that its target broke off.
+
+        One with a part that no request to this daemon was answered with may be the
+        cause: its next target must not exit before the exit of the last one is known.
+
+        :param call: :class:`~cowslipcourse.entry.calls.Call`
+        """
+        is_unproven = any(
+            self._answers.answered_at(part) == float("-inf")
+            for part in call.part_fingerprints
+        )
+        return RETRY_DELAY_S if is_unproven else 0.0
+
     def report_exit(self, target_key, runs):
         """Report that a target has exited, with the requests that were in flight there.
 
--- a/features/quarantine/judging.feature
+++ b/features/quarantine/judging.feature
@@ -32,6 +32,18 @@
     Given these target crashes under a request: begun a, waiting b, answered
     Then it must wait for 0 s
 
+  Scenario Outline: A request that may have ended its target is sent again once the exit is known
+    Given a daemon that has answered a request with part A
+    When a target breaks off a request with parts <parts>
+    Then it is sent to the next target after <seconds> s
+
+    Examples:
+      | parts | seconds |
+      | none  | 0       |
+      | A     | 0       |
+      | B     | 0.25    |
+      | A, B  | 0.25    |
+
   Scenario: A request that only runs beside crashing ones is hardly ever quarantined
     A model with assumed probabilities, given in the step: 2,000 requests, each beside one that crashes its targets.
     Callers try twice and daemons retry at a second target, so each request runs four times at most.
--- a/features/steps/budget_arrival_steps.py
+++ b/features/steps/budget_arrival_steps.py
@@ -84,6 +84,9 @@
     def is_refused(self, call):
         return False
 
+    def retry_delay_s(self, call, run):
+        return 0.0
+
     @contextlib.contextmanager
     def tracking(self, call, run):
         yield
--- a/features/steps/judging_steps.py
+++ b/features/steps/judging_steps.py
@@ -32,6 +32,7 @@
     Verdict,
     Verdicts,
     VerdictStore,
+    part_fingerprints,
 )
 from cowslipcourse.quarantine.verdict_store import (
     QUARANTINE_TABLE,
@@ -41,11 +42,15 @@
 )
 from cowslipcourse.quarantine.verdicts import QUARANTINE_S, REQUEST_HOLD_S
 from cowslipcourse.quarantine_runtime import Quarantine, TargetExitDetector
+from cowslipcourse.quarantine_runtime.part_evaluation import PartEvaluation
 from cowslipcourse.routes import RequestKind, Route
 from features.support.saved_budgets import saved_budget
 
 FINGERPRINT = b"f" * 16
 HOUR_S = 3600.0
+RUN_S = 0.05
+"""Time from the arrival of a request at a target to its exit or its answer."""
+TIMER_MARGIN_S = 0.01
 DAY_S = 24 * HOUR_S
 CLOCK_ROUNDING_S = 1e-6
 """Rounding error of the loop's clock."""
@@ -229,11 +234,12 @@
     """The attributes of a call that a quarantine uses."""
 
 
-def _call():
+def _call(parts=()):
     return _Call(
         id="a1",
         fingerprint=FINGERPRINT,
-        part_fingerprints=(),
+        part_fingerprints=part_fingerprints("s", parts),
+        model="m",
         caller_headers=CallerHeaders(),
         route=ROUTE,
         deadline=asyncio.get_running_loop().time() + ROUTE.timeout_s,
@@ -274,12 +280,13 @@
     async def _probe(self, address):
         return self.crashes_targets
 
-    async def request(self, quarantine, on_attempt=None):
+    async def request(self, quarantine, on_attempt=None, parts=()):
         """Send a request to targets; return the error that its caller gets, if any.
 
         :param on_attempt: coroutine function awaited with each run at a target.
+        :param parts: ids of the shared parts of its prompt.
         """
-        call = _call()
+        call = _call(parts)
 
         async def choose(tried):
             return TargetChoice(_entry(len(self.sent_target_ids)))
@@ -289,7 +296,7 @@
             run.answer_started = True
             if on_attempt is not None:
                 await on_attempt(run)
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(RUN_S)
             if self.crashes_targets:
                 run.ended_by_target = True
                 raise IncompleteResponse("the connection ended")
@@ -643,3 +650,45 @@
 @then("the run is aborted")
 def step_run_aborted(context):
     assert isinstance(context.connection.error, IncompleteResponse)
+
+
+# Retries.
+
+
+@given("a daemon that has answered a request with part A")
+def step_answered_part(context):
+    async def answer(daemons):
+        daemons.crashes_targets = False
+        quarantine = daemons.quarantines[0]
+        quarantine.load_part_evaluation(PartEvaluation)
+        assert await daemons.request(quarantine, parts=("A",)) is None
+
+    context.answer = answer
+
+
+@when("a target breaks off a request with parts {parts}")
+def step_broken_off(context, parts):
+    context.sent_at = []
+
+    async def on_attempt(run):
+        context.sent_at.append(asyncio.get_running_loop().time())
+
+    async def scenario(daemons):
+        await context.answer(daemons)
+        daemons.crashes_targets = True
+        asyncio.get_running_loop().call_later(1.4 * RUN_S, _restore_targets, daemons)
+        names = () if parts == "none" else tuple(parts.split(", "))
+        await daemons.request(daemons.quarantines[0], on_attempt, names)
+
+    _run_with_daemons(1, scenario)
+
+
+def _restore_targets(daemons):
+    daemons.crashes_targets = False
+
+
+@then("it is sent to the next target after {seconds:g} s")
+def step_sent_again(context, seconds):
+    assert len(context.sent_at) > 1, context.sent_at
+    waited_s = context.sent_at[1] - context.sent_at[0] - RUN_S
+    assert abs(waited_s - seconds) < TIMER_MARGIN_S, waited_s
