The doubt of links stands with the properties; one branch for failed runs at targets

Before and after, probes.feature and judging.feature pass (50 scenarios); no decision differs. Ruled out: a wait after a relay has failed, which says nothing of a target.

--- a/cowslipcourse/entry/reachability_monitor.py
+++ b/cowslipcourse/entry/reachability_monitor.py
@@ -76,6 +76,12 @@
         """See :class:`~cowslipcourse.entry.unloaded_components.Reachability`."""
         return self._is_reachable
 
+    @property
+    def _is_in_doubt(self):
+        """Whether the links are to be probed; a request may have found them lost."""
+        is_silent = self._silent_s() > MAX_SILENCE_S
+        return not self._is_reachable or self._doubted.is_set() or is_silent
+
     def doubt(self):
         """See :class:`~cowslipcourse.entry.unloaded_components.Reachability`."""
         self._doubted.set()
@@ -125,12 +131,6 @@
             await self._join_round()
             await asyncio.sleep(PROBE_INTERVAL_S)
 
-    @property
-    def _is_in_doubt(self):
-        """Whether the links are to be probed; a request may have found them lost."""
-        is_silent = self._silent_s() > MAX_SILENCE_S
-        return not self._is_reachable or self._doubted.is_set() or is_silent
-
     async def _wait_for_doubt(self):
         while not self._is_in_doubt:
             try:
--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -355,8 +355,8 @@
             self._record_failure(run, error)
             if not run.is_relayed:
                 self._retry_delay_s = context.quarantine.retry_delay_s(call, run)
-            if isinstance(error, TargetUnreachable) and not run.is_relayed:
-                await context.reachability.confirm()
+                if isinstance(error, TargetUnreachable):
+                    await context.reachability.confirm()
             raise
         finally:
             if not run.may_arrive:
--- a/cowslipcourse/quarantine_runtime/part_evaluation.py
+++ b/cowslipcourse/quarantine_runtime/part_evaluation.py
@@ -205,8 +205,8 @@
     def retry_delay_s(self, call):
         """Return the seconds for which a request waits that its target broke off.
 
-        One with a part that no request to this daemon was answered with may be the
-        cause: its next target must not exit before the exit of the last one is known.
+        It may be the cause if this daemon knows of no answer with one of its parts; its
+        next target must not exit before the exit of the last one has been weighed.
 
         :param call: :class:`~cowslipcourse.entry.calls.Call`
         """
