Reports of exits, log lines on weights and the unloaded stand-in have modules of their own

Found on reading the change as a newcomer: part_evaluation.py (544 lines) reported exits, weighed them and logged the result, and enforcement.py began with a class that does nothing. Ruled out: a split of the repetition and storage of verdicts, which share the verdicts in force. part_judging.feature and part_verdicts.feature pass before and after (48 scenarios).

--- a/cowslipcourse/quarantine_runtime/enforcement.py
+++ b/cowslipcourse/quarantine_runtime/enforcement.py
@@ -28,6 +28,9 @@
     CrashReporting,
     is_first_evaluator,
 )
+from cowslipcourse.quarantine_runtime.unloaded_part_evaluation import (
+    UnloadedPartEvaluation,
+)
 
 __all__ = ["Quarantine"]
 
@@ -46,71 +49,6 @@
 log = get_logger(__name__)
 
 
-class _UnloadedPartEvaluation:
-    """Stands in the place of the evaluation of parts until that is loaded."""
-
-    exit_count = 0
-    hold_count = 0
-
-    def __init__(self):
-        self.stored_exits = []
-
-    def add_stored_exits(self, exits):
-        """Keep exits that were read from the store."""
-        self.stored_exits += exits
-
-    def is_held(self, call):
-        """Return that nothing is held."""
-        return False
-
-    def is_probe(self, call):
-        """Return that no request is a probe."""
-        return False
-
-    def end_probe(self, call):
-        """Ignore a request, which is no probe."""
-
-    def expire_holds(self, now):
-        """Release nothing."""
-
-    def record_request(self, call):
-        """Ignore a request."""
-
-    def tracking(self, call, run):
-        """Return a context that does nothing."""
-        return contextlib.nullcontext()
-
-    def runs_with(self, part):
-        """Return no runs."""
-        return []
-
-    def record_broken(self, call, run):
-        """Ignore a run."""
-
-    def retry_delay_s(self, call):
-        """Return that no request waits."""
-        return 0.0
-
-    def report_exit(self, target_key, runs):
-        """Ignore an exit."""
-
-    def record_answer(self, call, run):
-        """Ignore an answer."""
-
-    def handle_message(self, message):
-        """Ignore a message; those on exits are sent again."""
-
-    def handle_verdict(self, part):
-        """Ignore a verdict."""
-
-    def is_outdated(self, verdict):
-        """Return that no quarantine was lifted."""
-        return False
-
-    def repeat_lifts(self, now):
-        """Repeat nothing."""
-
-
 class Quarantine:
     """Reports exits of targets, evaluates requests and parts of prompts, and refuses
     quarantined ones.
@@ -127,7 +65,7 @@
         self._store = store
         self._suspects = Suspects()
         self._verdicts = Verdicts()
-        self._parts = _UnloadedPartEvaluation()
+        self._parts = UnloadedPartEvaluation()
         self._reporting = CrashReporting(
             peers,
             exit_detector,
--- a/cowslipcourse/quarantine_runtime/part_evaluation.py
+++ b/cowslipcourse/quarantine_runtime/part_evaluation.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 from collections import OrderedDict
-from typing import NamedTuple
 
 from cowslipcourse.adapters.log import get_logger
 from cowslipcourse.exceptions import StoreError
@@ -21,7 +20,6 @@
     ProbeGrant,
     ProbeRequest,
 )
-from cowslipcourse.quarantine import make_exit_report
 from cowslipcourse.quarantine.fingerprints import SERVICE_BYTES
 from cowslipcourse.quarantine.part_evidence import (
     MIN_EXITS,
@@ -31,24 +29,21 @@
 from cowslipcourse.quarantine.part_holds import HOLD_S, PartHolds
 from cowslipcourse.quarantine.part_shares import PoolHistories
 from cowslipcourse.quarantine_runtime.crash_reporting import service_evaluators
+from cowslipcourse.quarantine_runtime.exit_reporting import ExitReporting
 from cowslipcourse.quarantine_runtime.part_answers import PartAnswerExchange
 from cowslipcourse.quarantine_runtime.part_lifts import PartLifts
 from cowslipcourse.quarantine_runtime.pool_runs import PoolRuns, pool_key
 from cowslipcourse.quarantine_runtime.probe_permits import ProbePermits
+from cowslipcourse.quarantine_runtime.weight_log import WeightLog
 
 __all__ = ["PartEvaluation"]
 
-REPORT_RESEND_DELAYS_S = (0.4, 2.0, 5.0)
-"""Delays after which a report is sent once more: a datagram may be lost, or a daemon
-isolated for some seconds."""
 POLL_INTERVAL_S = 0.1
 """Interval at which suspected parts are weighed without anything new."""
 MIN_WEIGHING_INTERVAL_S = 0.05
 """Least interval between two weighings: reports of one exit come together."""
 WEIGHING_INTERVAL_PER_EXIT_S = 0.005
 """The same for each exit that is kept: a weighing takes up to 0.4 ms for each."""
-MAX_LOGGED_WEIGHTS = 5
-"""Parts of a service that are logged at a weighing, the most suspect ones."""
 RETRY_DELAY_S = 0.25
 """Time from an exit until a request that may be the cause is sent again: the exit has
 been weighed by then, and a second one does not count as part of the same loss."""
@@ -67,8 +62,6 @@
 CONVICTION_DELAY_PER_RANK_S = 0.05
 """Additional delay for each evaluator of higher rank, which only convicts if it hears
 of no verdict of theirs."""
-MAX_BROKEN_TARGETS = 256
-MAX_LOGGED_RIVALS = 3
 MAX_SERVICES = 16
 MAX_CONVICTED = 512
 """Convicted parts whose exits are remembered, in case an answer arrives late."""
@@ -76,17 +69,6 @@
 log = get_logger(__name__)
 
 
-class _BrokenTarget(NamedTuple):
-    """What was in flight when the first request at a target broke off.
-
-    :param at: loop time.
-    :param in_flight: :class:`~cowslipcourse.quarantine.InFlightRuns`
-    """
-
-    at: float
-    in_flight: object
-
-
 class PartEvaluation:
     """Reports exits by the parts of prompts, exchanges answers, and convicts parts.
 
@@ -110,11 +92,13 @@
         self._lifts = PartLifts(peers, verdicts, store, broadcast)
         self._histories = PoolHistories()
         self._runs = PoolRuns()
-        self._broken_targets = OrderedDict()
+        self._exit_reporting = ExitReporting(
+            peers, self._runs, self._histories, self._add_reports
+        )
         self._answers = PartAnswerExchange(peers, self._handle_answer)
         self._evidence = OrderedDict()
         self._exit_times_by_convicted = OrderedDict()
-        self._last_logged = {}
+        self._weight_log = WeightLog()
         self._news = asyncio.Event()
         self._poll_task = None
         self._has_unsaved = False
@@ -190,17 +174,12 @@
         return self._runs.with_part(part)
 
     def record_broken(self, call, run):
-        """Record what is in flight while the first request at a target breaks off.
+        """Record that a target has broken off a request with shared parts."""
+        self._exit_reporting.record_broken(call, run)
 
-        :param call: :class:`~cowslipcourse.entry.calls.Call` with shared parts.
-        :param run: :class:`~cowslipcourse.entry.attempts.TargetRun`, which has ended.
-        """
-        if run.target_key in self._broken_targets:
-            return
-        in_flight = self._runs.in_flight_with(call, run)
-        self._broken_targets[run.target_key] = _BrokenTarget(_now(), in_flight)
-        if len(self._broken_targets) > MAX_BROKEN_TARGETS:
-            self._broken_targets.popitem(last=False)
+    def report_exit(self, target_key, runs):
+        """Report a target that has exited; see :meth:`ExitReporting.report_exit`."""
+        self._exit_reporting.report_exit(target_key, runs)
 
     def retry_delay_s(self, call):
         """Return the seconds for which a request waits that its target broke off.
@@ -216,35 +195,6 @@
         )
         return RETRY_DELAY_S if is_unproven else 0.0
 
-    def report_exit(self, target_key, runs):
-        """Report that a target has exited, with the requests that were in flight there.
-
-        :param target_key: id and incarnation of the target.
-        :param runs: list of
-            :class:`~cowslipcourse.quarantine_runtime.crash_reporting.ExitedRun`
-        """
-        broken = self._broken_targets.get(target_key)
-        if broken is None:
-            return
-        history = self._histories.of_pool(pool_key(runs[0].call))
-        report = make_exit_report(
-            self._peers.address, target_key, runs, broken.in_flight, history.sample
-        )
-        self._send_report(report, broken.at)
-        loop = asyncio.get_running_loop()
-        for delay_s in REPORT_RESEND_DELAYS_S:
-            loop.call_later(delay_s, self._send_report, report, broken.at)
-
-    def _send_report(self, report, exited_at):
-        report = report._replace(age_s=_now() - exited_at)
-        addresses = service_evaluators(self._peers, report.parts[0].part)
-        if self._peers.address in addresses:
-            self._add_reports([report])
-        self._peers.send(
-            ExitReports((report,)),
-            [address for address in addresses if address != self._peers.address],
-        )
-
     def record_answer(self, call, run):
         """Record a whole answer, which clears the parts of its prompt of earlier exits.
 
@@ -384,7 +334,7 @@
                     await self._news.wait()
             except TimeoutError:
                 """Waiting times may have ended, or answers have come."""
-        self._last_logged.clear()
+        self._weight_log.clear()
 
     def _weigh_services(self, suspected_since):
         now = _now()
@@ -400,8 +350,7 @@
                 self._holds.held_since,
             )
             weights = evidence.weigh(context)
-            for weight in weights[:MAX_LOGGED_WEIGHTS]:
-                self._log_weight(weight, weights)
+            self._weight_log.log(weights)
             for weight in weights:
                 weighed.add(weight.part)
                 suspected_since.setdefault(weight.part, now)
@@ -484,31 +433,6 @@
         if self._verdicts.get(part) is None and self._holds.hold(part, exited_at):
             log.warning("part-held", part=part.hex())
 
-    def _log_weight(self, weight, weights):
-        """Log what is known of a part when its exits or its probability change.
-
-        :param weights: those of all suspected parts of the service, the worst first.
-        """
-        shown = len(weight.exits), round(weight.probability, 2), weight.obstacle
-        if self._last_logged.get(weight.part) == shown:
-            return
-        self._last_logged[weight.part] = shown
-        log.info(
-            "part-weighed",
-            part=weight.part.hex(),
-            probability=round(weight.probability, 4),
-            targets=",".join(target for target, _ in weight.exits),
-            requests=weight.request_count,
-            share=round(weight.share, 4),
-            answered_before=weight.was_answered,
-            obstacle=weight.obstacle,
-            rivals=",".join(
-                f"{other.part.hex()}:{other.probability:.2f}"
-                for other in weights[:MAX_LOGGED_RIVALS]
-                if other.part != weight.part
-            ),
-        )
-
     # Storage.
 
     def _save_new_exits(self, suspected_since):
