The line part-weighed says what spoke for and against a part at each exit

An engineer on call could read the probability of a part and the reason why it is not convicted, but not the evidence: how much more common it was at each exit than among all requests in flight, at how many exits it was not, and its probability before any. The line now has ratios, other_exits and prior. The figures in the new scenario of part_judging.feature are worked out by hand (one of two requests there, one of forty in flight: 20); without the fields it fails. No decision differs. Ruled out: a line for each exit and part, of which there are hundreds.

--- a/cowslipcourse/quarantine/part_evidence.py
+++ b/cowslipcourse/quarantine/part_evidence.py
@@ -83,7 +83,13 @@
     :param part: fingerprint.
     :param probability: probability that it is a cause of the exits.
     :param share: estimated fraction of the requests that have it.
+    :param prior: that probability before any exit, as answers to requests with it and
+        without it say.
     :param exits: ``(target, incarnation)`` and loop time of its exits.
+    :param ratios: its share of the requests at each of these exits over that of all
+        requests in flight, by ``(target, incarnation)``; above 1.0 it speaks against
+        the part, below for it.
+    :param other_exit_count: number of exits at which it was not in flight.
     :param request_count: number of requests with it at them.
     :param was_answered: whether a request with it was answered before.
     :param is_only_stored: whether all its exits were read from the store.
@@ -91,8 +97,11 @@
 
     part: bytes
     probability: float
+    prior: float
     share: float
     exits: dict
+    ratios: dict
+    other_exit_count: int
     request_count: int
     was_answered: bool
     is_only_stored: bool
@@ -214,18 +223,27 @@
         priors = self._merged_priors(suspects, context)
         evidence = self._evidence(exits, context)
         probabilities = part_probabilities(split_clusters(evidence), priors)
+        ratios_by_key = {
+            each.key: ratios.ratios
+            for each, ratios in zip(exits, evidence, strict=True)
+        }
         weights = [
-            self._part_weight(part, probability, suspects[part], context)
+            self._part_weight(
+                part, probability, priors[part], suspects[part], ratios_by_key, context
+            )
             for part, probability in probabilities.items()
         ]
         return sorted(weights, key=lambda weight: weight.probability, reverse=True)
 
-    def _part_weight(self, part, probability, exits, context):
+    def _part_weight(self, part, probability, prior, exits, ratios_by_key, context):
         return PartWeight(
             part,
             probability,
+            prior,
             self._shares.share(part),
             {each.key: each.at for each in exits},
+            {each.key: ratios_by_key[each.key][part, None] for each in exits},
+            len(ratios_by_key) - len(exits),
             len({request for _, request in _runs_with(part, exits)}),
             context.answered_at(part) > float("-inf"),
             all(each.is_stored for each in exits),
--- a/cowslipcourse/quarantine_runtime/weight_log.py
+++ b/cowslipcourse/quarantine_runtime/weight_log.py
@@ -40,7 +40,11 @@
         "part-weighed",
         part=weight.part.hex(),
         probability=round(weight.probability, 4),
-        targets=",".join(target for target, _ in weight.exits),
+        prior=round(weight.prior, 4),
+        ratios=",".join(
+            f"{target}:{ratio:.2f}" for (target, _), ratio in weight.ratios.items()
+        ),
+        other_exits=weight.other_exit_count,
         requests=weight.request_count,
         share=round(weight.share, 4),
         answered_before=weight.was_answered,
--- a/features/quarantine/part_judging.feature
+++ b/features/quarantine/part_judging.feature
@@ -38,6 +38,13 @@
       | exits                                                                                                                          | answers | at | parts |
       | 0 t1 r1:begun:A+B s1:writing:A+C, 0.4 t2 r2:begun:A+E, 0.9 t3 r3:begun:A+B, 1.2 t4 r4:begun:A+E s4:writing:A+C, 1.7 t5 r5:begun:A+B, 2.1 t6 r6:begun:A+E, 2.6 t7 r7:begun:A+B, 3 t8 r8:begun:A+E | none | 9 | B, E |
 
+  Scenario: What speaks for and against a part can be read from the log
+    Given requests in flight, of which these fractions have these parts: A 1, C 0.1
+    And these exits: 0 t1 r1:begun:A+B s1:writing:A+C, 0.7 t2 r2:begun:A+B, 1.4 t3 s2:writing:A+C
+    When the evaluator logs what it knows at 3 s
+    Then the line of part B says: prior 0.03, ratios t1:20.00 and t2:30.00, other exits 1
+    And the line of part C says: prior 0.03, ratios t1:4.00 and t3:8.00, other exits 1
+
   Scenario Outline: A retry that ends a second target at once is evidence of its own
     Given requests in flight, of which these fractions have these parts: B 0.55
     And these exits: <exits>
--- a/features/steps/part_judging_steps.py
+++ b/features/steps/part_judging_steps.py
@@ -1,12 +1,14 @@
 """Steps for decisions on the parts of prompts."""
 
 import random
+from unittest import mock
 
 from behave import given, then, when
 
 from cowslipcourse.quarantine import StoredExit
 from cowslipcourse.quarantine.part_evidence import CONVICTION_PROBABILITY, MAX_EXITS
 from cowslipcourse.quarantine.part_weighing import part_probabilities
+from cowslipcourse.quarantine_runtime import weight_log
 from features.support.part_judging import Judge, part, words
 from features.support.weighing_oracle import oracle_probabilities, random_clusters
 
@@ -59,6 +61,24 @@
     )
 
 
+@when("the evaluator logs what it knows at {at:g} s")
+def step_log(context, at):
+    with mock.patch.object(weight_log, "log") as log:
+        weight_log.WeightLog().log(context.judge.weigh(at))
+    context.lines = {call.kwargs["part"]: call.kwargs for call in log.info.mock_calls}
+
+
+@then(
+    "the line of part {name} says: prior {prior:g}, ratios {first} and {second}, other "
+    "exits {count:d}"
+)
+def step_line(context, name, prior, first, second, count):
+    line = context.lines[part(name).hex()]
+    assert line["prior"] == prior, line
+    assert line["ratios"] == f"{first},{second}", line
+    assert line["other_exits"] == count, line
+
+
 @given("four stored exits under a part")
 def step_stored(context):
     known = Judge({})
