Support for cut answers and for judged requests is split by job; two steps share what they do

Found on reading the change as a newcomer: cut_answers.py (416 lines) held targets and callers, judging_steps.py (694) a site of daemons and the steps for retries. Targets are in cut_targets.py, the daemons in judged_daemons.py, the steps in retry_wait_steps.py; the two steps that play a random run without log lines share a function.

--- a/features/quarantine/judging.feature
+++ b/features/quarantine/judging.feature
@@ -35,7 +35,7 @@
   Scenario Outline: A request that may have ended its target is sent again once the exit is known
     Given a daemon that has answered a request with part A
     When a target breaks off a request with parts <parts>
-    Then it is sent to the next target after <seconds> s
+    Then the next target gets it <seconds> s later
 
     Examples:
       | parts | seconds |
--- a/features/steps/cut_answer_steps.py
+++ b/features/steps/cut_answer_steps.py
@@ -12,17 +12,16 @@
     _wait_until,
     start_platform,
 )
-from features.support.cut_answers import (
+from features.support.cut_answers import ask, request
+from features.support.cut_replies import WHOLE, cut_outcome, cut_replies
+from features.support.cut_targets import (
     KEPT_PATH,
     KINDS,
     CutSite,
     RelayedCutSite,
-    ask,
     cuts,
     exits,
-    request,
 )
-from features.support.cut_replies import WHOLE, cut_outcome, cut_replies
 
 CONCURRENT = 8
 
--- a/features/steps/judging_steps.py
+++ b/features/steps/judging_steps.py
@@ -3,36 +3,22 @@
 import asyncio
 import contextlib
 import random
-from types import SimpleNamespace
 
 from behave import given, then, when
 
-from cowslipcourse.admission.failure_attribution import TargetChoice
-from cowslipcourse.emulator.clock import run_in_virtual_time
-from cowslipcourse.emulator.group_oracle import Faults, World
-from cowslipcourse.emulator.messages import MessageNetwork
-from cowslipcourse.emulator.site_file import SiteSettings
 from cowslipcourse.entry.attempts import TargetRun
-from cowslipcourse.entry.fleet_view import FleetView
-from cowslipcourse.entry.graceful_stop import GracefulStop
-from cowslipcourse.entry.retries import try_targets
-from cowslipcourse.entry.settings import RetrySettings
-from cowslipcourse.entry.unloaded_components import AlwaysReachable
 from cowslipcourse.exceptions import (
     IncompleteResponse,
-    RequestHeld,
     RequestQuarantined,
     TargetFailed,
 )
-from cowslipcourse.platform.headers import CallerHeaders
-from cowslipcourse.ports import RowWrite, TargetEntry
+from cowslipcourse.ports import RowWrite
 from cowslipcourse.quarantine import (
     CrashReport,
     Suspects,
     Verdict,
     Verdicts,
     VerdictStore,
-    part_fingerprints,
 )
 from cowslipcourse.quarantine.verdict_store import (
     QUARANTINE_TABLE,
@@ -41,21 +27,17 @@
     _encode_verdicts,
 )
 from cowslipcourse.quarantine.verdicts import QUARANTINE_S, REQUEST_HOLD_S
-from cowslipcourse.quarantine_runtime import Quarantine, TargetExitDetector
-from cowslipcourse.quarantine_runtime.part_evaluation import PartEvaluation
-from cowslipcourse.routes import RequestKind, Route
-from features.support.saved_budgets import saved_budget
+from features.support.judged_daemons import (
+    FINGERPRINT,
+    make_call,
+    run_with_daemons,
+    target_entry,
+)
 
-FINGERPRINT = b"f" * 16
 HOUR_S = 3600.0
-RUN_S = 0.05
-"""Time from the arrival of a request at a target to its exit or its answer."""
-TIMER_MARGIN_S = 0.01
 DAY_S = 24 * HOUR_S
 CLOCK_ROUNDING_S = 1e-6
 """Rounding error of the loop's clock."""
-SITE = SiteSettings(domains={"d": "x"}, engines_a_domain=1, models=(), kinds=())
-ROUTE = Route("r", "h", "/", RequestKind.IDEMPOTENT, (("s", 1.0),), 8.0, 1.0, 1, 2)
 
 
 def _report(
@@ -230,131 +212,9 @@
     assert verdicts.add(context.verdict.after_trial_began(HOUR_S))
 
 
-class _Call(SimpleNamespace):
-    """The attributes of a call that a quarantine uses."""
-
-
-def _call(parts=()):
-    return _Call(
-        id="a1",
-        fingerprint=FINGERPRINT,
-        part_fingerprints=part_fingerprints("s", parts),
-        model="m",
-        caller_headers=CallerHeaders(),
-        route=ROUTE,
-        deadline=asyncio.get_running_loop().time() + ROUTE.timeout_s,
-    )
-
-
-class _Daemons:
-    """Daemons with quarantines, a store, and targets that crash under the request."""
-
-    def __init__(self, count):
-        loop = asyncio.get_running_loop()
-        self.network = MessageNetwork(SITE, random.Random(1))
-        faults = Faults(
-            late_order_fraction=0,
-            lost_order_fraction=0,
-            unanswered_order_fraction=0,
-            pause_fraction=0,
-            store_failure_fraction=0,
-        )
-        self.store = World(random.Random(1), faults, ())
-        self.clock = loop.time
-        self.sent_target_ids = []
-        self.crashes_targets = True
-        self.quarantines = [self.start(f"a{index}") for index in range(count)]
-
-    def start(self, name):
-        """Start or restart a daemon, and return its quarantine."""
-        fleet = FleetView()
-        fleet.apply([_entry(n) for n in range(50)], ())
-        verdict_store = VerdictStore(self.store, self.clock)
-        exit_detector = TargetExitDetector(fleet.is_expected, self._probe)
-        quarantine = Quarantine(
-            self.network.peers_of(name), exit_detector, verdict_store
-        )
-        self.network.attach(name, quarantine)
-        return quarantine
-
-    async def _probe(self, address):
-        return self.crashes_targets
-
-    async def request(self, quarantine, on_attempt=None, parts=()):
-        """Send a request to targets; return the error that its caller gets, if any.
-
-        :param on_attempt: coroutine function awaited with each run at a target.
-        :param parts: ids of the shared parts of its prompt.
-        """
-        call = _call(parts)
-
-        async def choose(tried):
-            return TargetChoice(_entry(len(self.sent_target_ids)))
-
-        async def attempt(run, is_last):
-            self.sent_target_ids.append(run.entry.id)
-            run.answer_started = True
-            if on_attempt is not None:
-                await on_attempt(run)
-            await asyncio.sleep(RUN_S)
-            if self.crashes_targets:
-                run.ended_by_target = True
-                raise IncompleteResponse("the connection ended")
-            run.succeeded = True
-
-        budget = saved_budget(RetrySettings(), ["s"], asyncio.get_running_loop().time())
-        tools = SimpleNamespace(
-            quarantine=quarantine,
-            retry_budget=budget,
-            fleet=None,
-            conditions=SimpleNamespace(pause_left_s=lambda entry: 0.0),
-            reachability=AlwaysReachable(),
-            configuration_version=1,
-            silence_detector=SimpleNamespace(own_late_s=0.0),
-            count_hedge=None,
-            count_retry=lambda service, outcome: None,
-            stop=GracefulStop(),
-        )
-        try:
-            await quarantine.admit(call)
-            await try_targets(tools, call, "s", choose, attempt)
-        except (RequestHeld, RequestQuarantined, TargetFailed) as error:
-            return error
-        finally:
-            quarantine.record_finished(call)
-        return None
-
-    async def request_at_all(self):
-        """Send the request to all daemons at once; return the error of each caller."""
-        return await asyncio.gather(*(self.request(q) for q in self.quarantines))
-
-    async def stop(self):
-        """Stop the daemons."""
-        self.network.stop()
-        await asyncio.sleep(0)
-
-
-def _entry(number):
-    return TargetEntry(f"t{number}", "s", f"10.0.0.{number}:1", "x", 6)
-
-
-def _run_with_daemons(count, scenario):
-    """Run a coroutine function with daemons in virtual time."""
-
-    async def run():
-        daemons = _Daemons(count)
-        await asyncio.sleep(0.1)
-        try:
-            await scenario(daemons)
-        finally:
-            await daemons.stop()
-
-    run_in_virtual_time(run())
-
-
 async def _quarantine_request(daemons):
     """Let the request crash targets until all daemons refuse it."""
-    while not all(q.is_quarantined(_call()) for q in daemons.quarantines):
+    while not all(q.is_quarantined(make_call()) for q in daemons.quarantines):
         await daemons.request(daemons.quarantines[0])
         await asyncio.sleep(0.5)
     await asyncio.sleep(1)
@@ -393,7 +253,7 @@
                 await daemons.request_at_all(),
             )
 
-        _run_with_daemons(8, scenario)
+        run_with_daemons(8, scenario)
 
 
 @when("the request arrives at one of them, and its target is silent for 1 s")
@@ -409,7 +269,7 @@
         await daemons.request(daemons.quarantines[0], be_silent)
         context.sent_target_ids = daemons.sent_target_ids
 
-    _run_with_daemons(8, scenario)
+    run_with_daemons(8, scenario)
 
 
 @then("it was sent to one target")
@@ -450,7 +310,7 @@
         context.errors = await daemons.request_at_all()
         context.sent_target_ids = list(daemons.sent_target_ids)
 
-    _run_with_daemons(8, scenario)
+    run_with_daemons(8, scenario)
 
 
 @then("all refuse it without a retry time")
@@ -480,7 +340,7 @@
         stored = await VerdictStore(daemons.store, daemons.clock).read()
         context.stored = {verdict.fingerprint for verdict in stored.verdicts}
 
-    _run_with_daemons(2, scenario)
+    run_with_daemons(2, scenario)
 
 
 @then("a daemon that starts reads none, and reports it")
@@ -508,12 +368,12 @@
         context.stored = (await verdict_store.read()).reports
         daemons.quarantines[0] = daemons.start("a0")
         await asyncio.sleep(REQUEST_HOLD_S + 0.5)
-        assert not daemons.quarantines[0].is_quarantined(_call())
+        assert not daemons.quarantines[0].is_quarantined(make_call())
         await daemons.request(daemons.quarantines[0])
         await asyncio.sleep(0.5)
-        context.is_quarantined = daemons.quarantines[0].is_quarantined(_call())
+        context.is_quarantined = daemons.quarantines[0].is_quarantined(make_call())
 
-    _run_with_daemons(1, scenario)
+    run_with_daemons(1, scenario)
 
 
 @then("a daemon that starts knows the verdict")
@@ -552,7 +412,7 @@
         stored = await VerdictStore(daemons.store, daemons.clock).read()
         context.stored = stored.verdicts
 
-    _run_with_daemons(2, scenario)
+    run_with_daemons(2, scenario)
 
 
 @then("soon neither refuses it, and no verdict on it is stored")
@@ -581,7 +441,7 @@
         context.duration_s = daemons.clock() - started_at
         context.sent_target_ids = list(daemons.sent_target_ids)
 
-    _run_with_daemons(1, scenario)
+    run_with_daemons(1, scenario)
 
     async def run_then_quarantine(daemons):
         quarantine = daemons.quarantines[0]
@@ -596,7 +456,7 @@
         )
         context.run_count = len(daemons.sent_target_ids)
 
-    _run_with_daemons(1, run_then_quarantine)
+    run_with_daemons(1, run_then_quarantine)
 
 
 @then(
@@ -635,60 +495,18 @@
 def step_becomes_quarantined(context):
     async def scenario(daemons):
         quarantine = daemons.quarantines[0]
-        run = TargetRun(_entry(0))
+        run = TargetRun(target_entry(0))
         run.connection = context.connection
         with contextlib.ExitStack() as stack:
-            stack.enter_context(quarantine.tracking(_call(), run))
+            stack.enter_context(quarantine.tracking(make_call(), run))
             assert context.connection.error is None
             quarantine._apply_verdict(
                 Verdict(FINGERPRINT, daemons.clock() + QUARANTINE_S)
             )
 
-    _run_with_daemons(1, scenario)
+    run_with_daemons(1, scenario)
 
 
 @then("the run is aborted")
 def step_run_aborted(context):
     assert isinstance(context.connection.error, IncompleteResponse)
-
-
-# Retries.
-
-
-@given("a daemon that has answered a request with part A")
-def step_answered_part(context):
-    async def answer(daemons):
-        daemons.crashes_targets = False
-        quarantine = daemons.quarantines[0]
-        quarantine.load_part_evaluation(PartEvaluation)
-        assert await daemons.request(quarantine, parts=("A",)) is None
-
-    context.answer = answer
-
-
-@when("a target breaks off a request with parts {parts}")
-def step_broken_off(context, parts):
-    context.sent_at = []
-
-    async def on_attempt(run):
-        context.sent_at.append(asyncio.get_running_loop().time())
-
-    async def scenario(daemons):
-        await context.answer(daemons)
-        daemons.crashes_targets = True
-        asyncio.get_running_loop().call_later(1.4 * RUN_S, _restore_targets, daemons)
-        names = () if parts == "none" else tuple(parts.split(", "))
-        await daemons.request(daemons.quarantines[0], on_attempt, names)
-
-    _run_with_daemons(1, scenario)
-
-
-def _restore_targets(daemons):
-    daemons.crashes_targets = False
-
-
-@then("it is sent to the next target after {seconds:g} s")
-def step_sent_again(context, seconds):
-    assert len(context.sent_at) > 1, context.sent_at
-    waited_s = context.sent_at[1] - context.sent_at[0] - RUN_S
-    assert abs(waited_s - seconds) < TIMER_MARGIN_S, waited_s
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -50,22 +50,23 @@
     context.simulate_run = simulate_part_crashes
 
 
-@when("a random run with crashing parts is made with seed {seed:d}")
-def step_random_run(context, seed):
+def _quiet_violations(violations, seed):
+    """Return the violations of a random run, without its log lines."""
     logging.disable(logging.CRITICAL)
     try:
-        context.violations = part_violations(seed)
+        return violations(seed)
     finally:
         logging.disable(logging.NOTSET)
 
 
+@when("a random run with crashing parts is made with seed {seed:d}")
+def step_random_run(context, seed):
+    context.violations = _quiet_violations(part_violations, seed)
+
+
 @when("a random run with parts that crash targets in different ways has seed {seed:d}")
 def step_random_forms(context, seed):
-    logging.disable(logging.CRITICAL)
-    try:
-        context.violations = part_form_violations(seed)
-    finally:
-        logging.disable(logging.NOTSET)
+    context.violations = _quiet_violations(part_form_violations, seed)
 
 
 @given("targets that crash {form}")
