The stand-in for the evaluation of parts is in the module of the protocol that it implements

Cause: gave UnloadedPartEvaluation a module of its own, the 456th of at most 455. Ruled out: a higher bound, as each module is processor time of all daemons after a power cut; a lazy import of settings_reload or graceful_stop, which could then be those of a newer build.

--- a/cowslipcourse/quarantine_runtime/enforcement.py
+++ b/cowslipcourse/quarantine_runtime/enforcement.py
@@ -26,10 +26,8 @@
 from cowslipcourse.quarantine.verdicts import QUARANTINE_S
 from cowslipcourse.quarantine_runtime.crash_reporting import (
     CrashReporting,
-    is_first_evaluator,
-)
-from cowslipcourse.quarantine_runtime.unloaded_part_evaluation import (
     UnloadedPartEvaluation,
+    is_first_evaluator,
 )
 
 __all__ = ["Quarantine"]
