A held part is released by time only after a target has survived a request with it

What callers saw: all targets were lost at once under requests with bad parts; when some were back, 11 s later, all requests with these parts were sent at once and ended them too: 17 requests later than allowed. Cause: a hold ended 10 s after the last exit whatever had happened since. Without targets no probe can run, so that time said nothing for the part. Ruled out: a clock of the hold that runs only while targets are listed (the groups that come back first cannot run what waits); a permit as proof of a probe (it is given before a target is chosen); a longer time (loading takes minutes). What keeps a sound part from being held for long: a daemon needs one request of its own that is answered for 2 s or whole, and the first evaluator that has released the part permits at once. As an evaluator may now hold a part that others have released, the weighing counts it as held only up to 10 s after its last exit, as before.

--- a/cowslipcourse/quarantine/part_evidence.py
+++ b/cowslipcourse/quarantine/part_evidence.py
@@ -64,8 +64,8 @@
         those without it, if it were sound.
     :param daemon_count: number of daemons.
     :param is_refused: callable that returns whether requests with a part are refused.
-    :param held_since: callable that returns the loop time from which on a part is held,
-        or infinity.
+    :param held_since: callable that takes a part and a loop time, and returns from
+        which loop time on all daemons held the part then, or infinity.
     """
 
     now: float
@@ -284,7 +284,7 @@
     def _exit_ratios(self, each, known_share_of, context):
         def share_of(part):
             # Of a part that is held only its probes are in flight.
-            is_held = each.at - context.held_since(part) >= DRAINING_S
+            is_held = each.at - context.held_since(part, each.at) >= DRAINING_S
             return 0.0 if is_held else known_share_of(part)
 
         ratios = each.ratios(share_of, context.daemon_count, context.now)
--- a/cowslipcourse/quarantine/part_holds.py
+++ b/cowslipcourse/quarantine/part_holds.py
@@ -1,16 +1,18 @@
 """Holds of suspected parts of prompts: requests with them wait, but for one at a time.
 
 A hold lasts until the part is convicted, or a request with it is answered whole, or for
-a while after the last exit. After each exit under a request with the part all requests
-with it are refused for a moment. Then the first evaluator of the service permits one
-daemon after the other to let a request through, a probe.
+a while after the last exit, but not before a target has survived a request with it:
+while no target serves, time says nothing for the part. After each exit under a request
+with the part all requests with it are refused for a moment. Then the first evaluator of
+the service permits one daemon after the other to let a request through, a probe.
 """
 
 from typing import NamedTuple
 
 from cowslipcourse.quarantine.fingerprints import SERVICE_BYTES
+from cowslipcourse.quarantine.verdicts import PART_SUSPICION_S
 
-__all__ = ["HOLD_S", "PartHolds"]
+__all__ = ["HOLD_S", "SURVIVAL_S", "PartHolds"]
 
 REFUSAL_S = 0.5
 """Time after an exit for which all requests with a held part are refused: requests that
@@ -18,7 +20,10 @@
 PERMIT_S = 2.0
 """Time from a permit for a probe to the next one: most probes are over by then."""
 HOLD_S = 10.0
-"""Time after the last exit for which a part is held."""
+"""Time after the last exit for which a part is held that a target survives."""
+SURVIVAL_S = 2.0
+"""Time for which a target answers a request until it is taken to survive it: most of
+those that exit do so within their first events."""
 MAX_HOLDS = 64
 """Held parts; the one held the longest ago is released first."""
 
@@ -28,10 +33,17 @@
 
     :param since: loop time of the exit from which on it is held.
     :param exited_at: loop time of the last exit under a request with it.
+    :param is_survived: whether a target has survived a request with it since then.
     """
 
     since: float
     exited_at: float
+    is_survived: bool = False
+
+    @property
+    def ends_at(self):
+        """Loop time at which it ends, if there are no more exits."""
+        return self.exited_at + (HOLD_S if self.is_survived else PART_SUSPICION_S)
 
 
 class _Permit(NamedTuple):
@@ -56,6 +68,9 @@
     def __len__(self):
         return len(self._holds)
 
+    def __iter__(self):
+        return iter(self._holds)
+
     def __contains__(self, part):
         return part in self._holds
 
@@ -66,8 +81,13 @@
         :returns: whether it was not held before.
         """
         known = self._holds.pop(part, None)
-        hold = _Hold(exited_at, exited_at) if known is None else known
-        self._holds[part] = hold._replace(exited_at=max(hold.exited_at, exited_at))
+        new = _Hold(exited_at, exited_at)
+        if known is None or exited_at >= known.exited_at + HOLD_S:
+            self._holds[part] = new
+        elif exited_at > known.exited_at:
+            self._holds[part] = new._replace(since=known.since)
+        else:
+            self._holds[part] = known
         if len(self._holds) > MAX_HOLDS:
             self.release(next(iter(self._holds)))
         return known is None
@@ -77,19 +97,33 @@
         self._probes.pop(part, None)
         return self._holds.pop(part, None) is not None
 
+    def record_survived(self, part, begun_at):
+        """Record that a target has survived a request with a part.
+
+        :param begun_at: loop time at which the target began to answer it.
+        """
+        hold = self._holds.get(part)
+        if hold is not None and begun_at > hold.exited_at:
+            self._holds[part] = hold._replace(is_survived=True)
+
     def expire(self, now):
-        """Release the parts at no exit for a while; return them."""
-        expired = [
-            part for part, hold in self._holds.items() if now - hold.exited_at >= HOLD_S
-        ]
+        """Release the parts that were held for long enough; return them."""
+        expired = [part for part, hold in self._holds.items() if now >= hold.ends_at]
         for part in expired:
             self.release(part)
         return expired
 
-    def held_since(self, part):
-        """Return the loop time from which on a part is held, or infinity."""
+    def held_since(self, part, at):
+        """Return from which loop time on a part was held at another one, or infinity.
+
+        Later than :data:`HOLD_S` after the last exit other daemons may no longer hold
+        it.
+
+        :param at: loop time.
+        """
         hold = self._holds.get(part)
-        return float("inf") if hold is None else hold.since
+        is_held = hold is not None and at < hold.exited_at + HOLD_S
+        return hold.since if is_held else float("inf")
 
     def last_exit_at(self, part):
         """Return the loop time of the last exit known of a held part, or ``-inf``."""
--- a/cowslipcourse/quarantine_runtime/part_evaluation.py
+++ b/cowslipcourse/quarantine_runtime/part_evaluation.py
@@ -26,7 +26,7 @@
     PartEvidence,
     WeighingContext,
 )
-from cowslipcourse.quarantine.part_holds import HOLD_S, PartHolds
+from cowslipcourse.quarantine.part_holds import HOLD_S, SURVIVAL_S, PartHolds
 from cowslipcourse.quarantine.part_shares import PoolHistories
 from cowslipcourse.quarantine_runtime.crash_reporting import service_evaluators
 from cowslipcourse.quarantine_runtime.exit_reporting import ExitReporting
@@ -144,7 +144,11 @@
         self._holds.end_probe(call)
 
     def expire_holds(self, now):
-        """Release the parts at no exit for a while."""
+        """Release the parts at no exit for a while that targets survive."""
+        for part in list(self._holds):
+            for run in self._runs.with_part(part):
+                if run.answer_started and now - run.begun_at >= SURVIVAL_S:
+                    self._holds.record_survived(part, run.begun_at)
         for part in self._holds.expire(now):
             log.info("part-released", part=part.hex(), why="expired")
 
@@ -215,6 +219,7 @@
                     begun_s=round(_now() - begun_at, 3),
                 )
             self._answers.record_own(part, begun_at)
+            self._holds.record_survived(part, begun_at)
             verdict = self._verdicts.get(part)
             if verdict is None:
                 continue
@@ -367,7 +372,8 @@
 
         While it is held no requests with it are sent.
         """
-        until = min(self._holds.held_since(part), _now())
+        now = _now()
+        until = min(self._holds.held_since(part, now), now)
         return self._histories.expected_answers(part, since, until)
 
     @property
--- a/features/support/part_judging.py
+++ b/features/support/part_judging.py
@@ -97,7 +97,7 @@
             lambda each, since: 0.0,
             1,
             lambda each: False,
-            lambda each: float("inf"),
+            lambda each, at: float("inf"),
         )
         return self.evidence.weigh(context)
 
