The search for survived runs of held parts is a method of its own

Found on reading the change as a newcomer: expire_holds released parts only after three nested conditions that say which runs count as survived. Moved, not changed. Ruled out: the same in PartHolds, which knows no runs. part_holds.feature and part_verdicts.feature pass before and after.

--- a/cowslipcourse/quarantine_runtime/part_evaluation.py
+++ b/cowslipcourse/quarantine_runtime/part_evaluation.py
@@ -145,12 +145,15 @@
 
     def expire_holds(self, now):
         """Release the parts at no exit for a while that targets survive."""
+        self._record_survived_runs(now)
+        for part in self._holds.expire(now):
+            log.info("part-released", part=part.hex(), why="expired")
+
+    def _record_survived_runs(self, now):
         for part in list(self._holds):
             for run in self._runs.with_part(part):
                 if run.answer_started and now - run.begun_at >= SURVIVAL_S:
                     self._holds.record_survived(part, run.begun_at)
-        for part in self._holds.expire(now):
-            log.info("part-released", part=part.hex(), why="expired")
 
     # Observations of this daemon.
 
