--- /dev/null
+++ b/review/5/case.py
@@ -0,0 +1,77 @@
+"""A standby that has lost the store is trusted until it is needed."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent))
+
+from site2 import (  # noqa: E402
+    ZONES,
+    Site,
+    has_trouble,
+    judge_leaving,
+    run_case,
+    serve_until_exit,
+)
+
+LAYOUT = (
+    *((f"front-hall-{n}", ZONES[0]) for n in (1, 2, 3)),
+    *((f"front-quais-{n}", ZONES[1]) for n in (1, 2, 3)),
+    *((f"front-sanit-{n}", ZONES[2]) for n in (1, 2)),
+)
+LEAVER = "i-leaver"
+TARGETS = {"i-a1": ZONES[0], "i-b1": ZONES[1], "i-c1": ZONES[2], LEAVER: ZONES[0]}
+SETTLE_S = 4.0
+CUT_BEFORE_S = 1.0
+CUT_S = 5.5
+"""Time for which one machine is partitioned from the store."""
+LEAVES_AFTER_S = 0.1
+DARK_S = 3.5
+"""Time for which another one is without power."""
+EARLIEST_EXIT_S = 2.1
+LATEST_EXIT_S = 6.0
+"""Time from its report in which the leaver exits: ``drainMs`` and a little longer."""
+
+
+async def case(folder):
+    """Run the case."""
+    site = Site(folder, LAYOUT)
+    try:
+        if not await site.start(TARGETS):
+            return 2
+        return await _play(site)
+    finally:
+        await site.stop("--keep" in sys.argv)
+
+
+async def _play(site):
+    await asyncio.sleep(SETTLE_S)
+    first, second, third = site.registered(ZONES[0])
+    callers = [
+        asyncio.create_task(site.press(third, kind, 20)) for kind in ("look", "book")
+    ]
+    await asyncio.sleep(1.0)
+    if has_trouble():
+        site.turned_away.add(second)
+        site.record.say("partitioned from the store:", second)
+        loop = asyncio.get_running_loop()
+        loop.call_later(CUT_S, site.turned_away.clear)
+    await asyncio.sleep(CUT_BEFORE_S)
+    if has_trouble():
+        site.signal(first, signal.SIGKILL)
+        asyncio.get_running_loop().call_later(DARK_S, site.start_daemon, first)
+    await asyncio.sleep(LEAVES_AFTER_S)
+    left_at = site.targets[LEAVER].publish("draining")
+    await serve_until_exit(site, LEAVER, left_at, EARLIEST_EXIT_S, LATEST_EXIT_S)
+    await asyncio.sleep(SETTLE_S)
+    for task in callers:
+        task.cancel()
+    await asyncio.gather(*callers, return_exceptions=True)
+    return judge_leaving(site, LEAVER, left_at, third)
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(FOLDER, case))
