--- a/review/site2.py
+++ b/review/site2.py
@@ -13,7 +13,6 @@
 import re
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -48,6 +47,7 @@
 
 from cowslipcourse.adapters.http_server import WebServer  # noqa: E402
 from features.support.platform_store import Store  # noqa: E402
+from harness.ports import free_ports  # noqa: E402
 
 HOST = "ficu95.example"
 KEY = "n2ctnfzs989anu6wsjnb"
@@ -69,10 +69,8 @@
 
 
 def free_port():
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that is free now and that no outgoing connection uses."""
+    return free_ports(1)[0]
 
 
 def free_address():
