--- a/review/4/case.py
+++ b/review/4/case.py
@@ -81,7 +81,7 @@
     for task in callers:
         task.cancel()
     await asyncio.gather(*callers, return_exceptions=True)
-    return judge_leaving(site, LEAVER, removed_at, second)
+    return judge_leaving(site, LEAVER, removed_at, [second])
 
 
 if __name__ == "__main__":
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -69,7 +69,7 @@
     for task in callers:
         task.cancel()
     await asyncio.gather(*callers, return_exceptions=True)
-    return judge_leaving(site, LEAVER, left_at, fourth)
+    return judge_leaving(site, LEAVER, left_at, [fourth])
 
 
 if __name__ == "__main__":
--- a/review/site2.py
+++ b/review/site2.py
@@ -253,21 +253,23 @@
     site.record.say("target", target_id, f"exits {exited_s:.2f} s after it left")
 
 
-def judge_leaving(site, target_id, left_at, calm):
+def judge_leaving(site, target_id, left_at, calm, in_touch_from=0.0):
     """Judge the rule DRAIN and return the exit code of the case.
 
     :param target_id: id of a target that left the service.
     :param left_at: time at which the store acknowledged that.
-    :param calm: name of the daemon that was in touch all the while.
+    :param calm: names of the daemons that are in touch.
+    :param in_touch_from: time from which on they are.
     """
+    due_at = max(left_at + DRAIN_S, in_touch_from)
     sent = {each.attempt_id: each for each in site.sent}
     late = [
         run
         for run in site.runs
         if run.target == target_id
-        and run.at > left_at + DRAIN_S
+        and run.at > due_at
         and run.attempt_id in sent
-        and sent[run.attempt_id].daemon == calm
+        and sent[run.attempt_id].daemon in calm
     ]
     for run in late:
         request = sent[run.attempt_id]
@@ -276,10 +278,12 @@
         if request.status != 200:
             site.record.say("ran and was lost:", request.kind, run.attempt_id)
     last_s = max((run.at - left_at for run in late), default=0.0)
+    names = ", ".join(calm)
+    due_s = due_at - left_at
     site.record.say(
-        f"{len(late)} requests through {calm} reached {target_id} later than {DRAIN_S} "
-        f"s after it left, the last one {last_s:.2f} s after it; "
-        f"{len(site.sent)} requests in all"
+        f"{len(late)} of {len(site.sent)} requests reached {target_id} later than "
+        f"{due_s:.2f} s after it left, the last one {last_s:.2f} s after it, through "
+        f"{names}"
     )
     return 1 if late else 0
 
