--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,6 +11,7 @@
 from site2 import (  # noqa: E402
     ZONES,
     Site,
+    Target,
     has_trouble,
     judge_leaving,
     run_case,
@@ -27,17 +28,19 @@
     "i-a2": ZONES[0],
     "i-b1": ZONES[1],
     "i-c1": ZONES[2],
-    "i-leaver": ZONES[0],
 }
-LEAVER = "i-leaver"
+ROUNDS = 3
+"""Rounds that are played until one of them breaks the rule."""
 TURNED_AWAY_S = 4.0
 CALM_S = 7.0
 """Time after that: over twice ``contactMs``."""
 DARK_S = 2.0
 SETTLE_S = 4.0
 EARLIEST_EXIT_S = 2.5
-LATEST_EXIT_S = 8.0
+LATEST_EXIT_S = 6.0
 """Time after its removal in which the leaver exits: ``drainMs`` and a little longer."""
+RECOVERY_S = 8.0
+"""Time between two rounds, over twice ``contactMs``."""
 
 
 async def case(folder):
@@ -53,13 +56,26 @@
 
 async def _play(site):
     await asyncio.sleep(SETTLE_S)
+    for number in range(1, ROUNDS + 1):
+        if await _play_round(site, number):
+            return 1
+        if number < ROUNDS:
+            await asyncio.sleep(RECOVERY_S)
+    return 0
+
+
+async def _play_round(site, number):
+    """Play one round; return whether it broke the rule."""
     first, second, third = site.registered(ZONES[0])
     killed = (first, third, *site.registered(ZONES[1])[:2])
+    leaver = Target(site, f"i-leaver-{number}", ZONES[0])
+    site.targets[leaver.id] = leaver
+    await leaver.start()
     callers = [
         asyncio.create_task(site.press(second, kind, per_s))
         for kind, per_s in (("look", 12), ("book", 6))
     ]
-    await asyncio.sleep(1.0)
+    await asyncio.sleep(1.5)
     if has_trouble():
         site.turned_away |= {first, second}
         site.record.say("store turns away", first, "and", second)
@@ -71,17 +87,17 @@
         for name in killed:
             site.signal(name, signal.SIGKILL)
     await asyncio.sleep(0.3)
-    removed_at = site.drop_entry(LEAVER)
+    removed_at = site.drop_entry(leaver.id)
     await asyncio.sleep(DARK_S)
     if has_trouble():
         for name in killed:
             site.start_daemon(name)
-    await serve_until_exit(site, LEAVER, removed_at, EARLIEST_EXIT_S, LATEST_EXIT_S)
-    await asyncio.sleep(SETTLE_S)
+    await serve_until_exit(site, leaver.id, removed_at, EARLIEST_EXIT_S, LATEST_EXIT_S)
+    await asyncio.sleep(1.0)
     for task in callers:
         task.cancel()
     await asyncio.gather(*callers, return_exceptions=True)
-    return judge_leaving(site, LEAVER, removed_at, [second])
+    return judge_leaving(site, leaver.id, removed_at, [second])
 
 
 if __name__ == "__main__":
