--- a/review/5/case.py
+++ b/review/5/case.py
@@ -11,6 +11,7 @@
 from site2 import (  # noqa: E402
     ZONES,
     Site,
+    Target,
     has_trouble,
     judge_leaving,
     run_case,
@@ -23,8 +24,9 @@
     *((f"front-quais-{n}", ZONES[1]) for n in (1, 2, 3)),
     *((f"front-sanit-{n}", ZONES[2]) for n in (1, 2)),
 )
-LEAVER = "i-leaver"
-TARGETS = {"i-a1": ZONES[0], "i-b1": ZONES[1], "i-c1": ZONES[2], LEAVER: ZONES[0]}
+TARGETS = {"i-a1": ZONES[0], "i-b1": ZONES[1], "i-c1": ZONES[2]}
+ROUNDS = 3
+"""Rounds that are played until one of them breaks the rule."""
 SETTLE_S = 4.0
 CUT_BEFORE_S = 1.0
 CUT_S = 5.5
@@ -33,6 +35,8 @@
 EARLIEST_EXIT_S = 2.1
 LATEST_EXIT_S = 6.0
 """Time from its report in which the leaver exits: ``drainMs`` and a little longer."""
+RECOVERY_S = 8.0
+"""Time between two rounds, over twice ``contactMs``."""
 
 
 async def case(folder):
@@ -48,7 +52,18 @@
 
 async def _play(site):
     await asyncio.sleep(SETTLE_S)
+    for number in range(1, ROUNDS + 1):
+        if await _play_round(site, number):
+            return 1
+    return 0
+
+
+async def _play_round(site, number):
+    """Play one round; return whether it broke the rule."""
     first, second, _, fourth = site.registered(ZONES[0])
+    leaver = Target(site, f"i-leaver-{number}", ZONES[0])
+    site.targets[leaver.id] = leaver
+    await leaver.start()
     callers = [
         asyncio.create_task(site.press(fourth, kind, 20)) for kind in ("look", "book")
     ]
@@ -63,13 +78,18 @@
     await asyncio.sleep(CUT_BEFORE_S)
     site.signal(first, signal.SIGTERM)
     await asyncio.sleep(LEAVES_AFTER_S)
-    left_at = site.targets[LEAVER].publish("draining")
-    await serve_until_exit(site, LEAVER, left_at, EARLIEST_EXIT_S, LATEST_EXIT_S)
+    left_at = leaver.publish("draining")
+    await serve_until_exit(site, leaver.id, left_at, EARLIEST_EXIT_S, LATEST_EXIT_S)
+    site.drop_entry(leaver.id)
     await asyncio.sleep(SETTLE_S)
     for task in callers:
         task.cancel()
     await asyncio.gather(*callers, return_exceptions=True)
-    return judge_leaving(site, LEAVER, left_at, [fourth])
+    is_broken = judge_leaving(site, leaver.id, left_at, [fourth])
+    if not is_broken and number < ROUNDS:
+        site.start_daemon(first)
+        await asyncio.sleep(RECOVERY_S)
+    return is_broken
 
 
 if __name__ == "__main__":
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,6 +10,7 @@
 from site2 import (  # noqa: E402
     ZONES,
     Site,
+    Target,
     has_trouble,
     judge_leaving,
     run_case,
@@ -21,8 +22,9 @@
     *((f"front-quais-{n}", ZONES[1]) for n in (1, 2, 3)),
     *((f"front-sanit-{n}", ZONES[2]) for n in (1, 2)),
 )
-LEAVER = "i-leaver"
-TARGETS = {"i-a1": ZONES[0], "i-b1": ZONES[1], "i-c1": ZONES[2], LEAVER: ZONES[0]}
+TARGETS = {"i-a1": ZONES[0], "i-b1": ZONES[1], "i-c1": ZONES[2]}
+ROUNDS = 3
+"""Rounds that are played until one of them breaks the rule."""
 SETTLE_S = 4.0
 DOWN_S = 3.0
 """Time for which the store is down."""
@@ -30,8 +32,10 @@
 """``contactMs`` of the site, and the time from a daemon to a target."""
 WATCHED_S = 0.25
 """Time for which the leaver serves on at least after the machines are in touch."""
-LATEST_EXIT_S = 14.0
+LATEST_EXIT_S = 9.0
 """Time from its removal in which the leaver exits: ``drainMs`` and many seconds."""
+RECOVERY_S = 8.0
+"""Time between two rounds, over twice ``contactMs``."""
 
 
 async def case(folder):
@@ -47,14 +51,27 @@
 
 async def _play(site):
     await asyncio.sleep(SETTLE_S)
+    for number in range(1, ROUNDS + 1):
+        if await _play_round(site, number):
+            return 1
+        if number < ROUNDS:
+            await asyncio.sleep(RECOVERY_S)
+    return 0
+
+
+async def _play_round(site, number):
+    """Play one round; return whether it broke the rule."""
     names = [name for name, _ in LAYOUT]
+    leaver = Target(site, f"i-leaver-{number}", ZONES[0])
+    site.targets[leaver.id] = leaver
+    await leaver.start()
     callers = [
         asyncio.create_task(site.press(name, kind, 5))
         for name in names
         for kind in ("look", "book")
     ]
     await asyncio.sleep(2.0)
-    left_at = site.drop_entry(LEAVER)
+    left_at = site.drop_entry(leaver.id)
     if has_trouble():
         site.turned_away.update(names)
         site.record.say("store is down")
@@ -63,12 +80,12 @@
     returned_at = site.record.now()
     site.record.say("store answers")
     settled_s = returned_at + CONTACT_S + WATCHED_S - left_at
-    await serve_until_exit(site, LEAVER, left_at, settled_s, LATEST_EXIT_S)
+    await serve_until_exit(site, leaver.id, left_at, settled_s, LATEST_EXIT_S)
     await asyncio.sleep(1.0)
     for task in callers:
         task.cancel()
     await asyncio.gather(*callers, return_exceptions=True)
-    return judge_leaving(site, LEAVER, left_at, names, returned_at + CONTACT_S)
+    return judge_leaving(site, leaver.id, left_at, names, returned_at + CONTACT_S)
 
 
 if __name__ == "__main__":
--- a/review/site2.py
+++ b/review/site2.py
@@ -57,6 +57,7 @@
 """``drainMs`` of the site."""
 APPLY_S = 2.0
 """``applyMs`` of the site."""
+MAX_RUN_S = 115.0
 READY_TIMEOUT_S = 25.0
 TIME_BUDGET_MS = 2500
 """Deadline of the callers of the plain service, as on the site's sheet."""
@@ -659,7 +660,16 @@
     # Stand-ins that are stopped log the connections that they cut.
     logging.disable(logging.CRITICAL)
     try:
-        return asyncio.run(case(folder))
-    except Exception as error:
+        return asyncio.run(_run_bounded(folder, case))
+    except (Exception, asyncio.CancelledError) as error:
         print("could not run:", repr(error), flush=True)
         return 2
+
+
+async def _run_bounded(folder, case):
+    """Run a case, and end its processes after ``MAX_RUN_S`` or on a signal."""
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    async with asyncio.timeout(MAX_RUN_S):
+        return await case(folder)
