A relay is not blamed for an answer that its target cuts

What callers saw: at a daemon without links to the targets, 503 "no target accepted the request" for up to ten tries in a row. Cause: a failed attempt at a relay rests that relay for 1 s, also when the relay had begun to answer and only passed on that the target cut its stream. Two such streams rest both relays of a small site. Ruled out: lost links of the relays (they served whenever asked), the target (it accepted all connections), the machine's load as the cause (the new scenario fails alone, at once). A relay that does not begin to answer still rests. Why it works: a head from the relay proves that it relays; one that ends later is left out by its heartbeats or by the next connection.

--- a/cowslipcourse/entry/retries.py
+++ b/cowslipcourse/entry/retries.py
@@ -368,7 +368,9 @@
         context, call = self._context, self._call
         now = asyncio.get_running_loop().time()
         if run.is_relayed:
-            context.relays.record_failure(run.entry)
+            # A relay that has begun to answer passes on the end of its target.
+            if not run.answer_started:
+                context.relays.record_failure(run.entry)
         elif isinstance(error, TargetUnreachable):
             context.fleet.suspect(run.entry.id, now)
         log.info(
--- a/features/exchange/cut_relayed_answers.feature
+++ b/features/exchange/cut_relayed_answers.feature
@@ -20,6 +20,11 @@
       | answers after an interim response |
       | second answers on a connection    |
 
+  Scenario: A relay is not blamed for an answer that its target cuts
+    Given daemons, the asked one of which relays, and a target that stops at a byte
+    When 8 streams that may not be resumed are cut after their first events, one after the other
+    Then each has arrived at once
+
   Scenario Outline: No relay passes on the end of a target that exits as that of its answer
     Given daemons, the asked one of which relays, and a target that stops at a byte
     When callers ask for <kind> that end with their connection as the target exits
--- a/features/steps/cut_answer_steps.py
+++ b/features/steps/cut_answer_steps.py
@@ -12,15 +12,17 @@
     _wait_until,
     start_platform,
 )
-from features.support.cut_answers import ask, request
+from features.support.cut_answers import ask, ask_once, request
 from features.support.cut_replies import WHOLE, cut_outcome, cut_replies
 from features.support.cut_targets import (
     KEPT_PATH,
     KINDS,
+    Cut,
     CutSite,
     RelayedCutSite,
     cuts,
     exits,
+    make_answer,
 )
 
 CONCURRENT = 8
@@ -105,6 +107,36 @@
     _run_in_loop(context, run())
 
 
+@when(
+    "{count:d} streams that may not be resumed are cut after their first events, one "
+    "after the other"
+)
+def step_ask_in_turn(context, count):
+    kind = KINDS["streams that may not be resumed"]
+    answer = make_answer(kind, "chunks", b"a000000")
+    first_event_end = len(answer.head) + len(answer.pieces[0][0])
+    planned = [
+        Cut("chunks", first_event_end + number, is_reset=False, exits=False)
+        for number in range(1, count + 1)
+    ]
+
+    async def run():
+        site = context.platform
+        async with aiohttp.ClientSession() as session:
+            await _start_target(session, site, kind)
+            context.exchanges = [
+                await ask_once(session, site, site.asked_addresses[0], kind, cut)
+                for cut in planned
+            ]
+
+    _run_in_loop(context, run())
+
+
+@then("each has arrived at once")
+def step_all_arrived(context):
+    assert all(each.has_arrived for each in context.exchanges), context.exchanges
+
+
 @when("callers ask for {kind} that end with their connection as the target exits")
 def step_ask_exiting(context, kind):
     async def run():
--- a/features/support/cut_answers.py
+++ b/features/support/cut_answers.py
@@ -8,7 +8,7 @@
 from features.support.cut_targets import KEPT_PATH, ROUTES, Cut, make_answer
 from features.support.platform_site import HOST, KEY
 
-__all__ = ["Exchange", "ask", "request"]
+__all__ = ["Exchange", "ask", "ask_once", "request"]
 
 BUDGET_S = 5.0
 MAX_ATTEMPTS = 10
@@ -86,14 +86,15 @@
     :param cut: :class:`Cut`
     """
     for _ in range(MAX_ATTEMPTS):
-        exchange = await _ask_once(session, site, front, kind, cut)
+        exchange = await ask_once(session, site, front, kind, cut)
         if exchange.has_arrived or exchange.is_success:
             break
         await asyncio.sleep(RETRY_WAIT_S)
     return exchange
 
 
-async def _ask_once(session, site, front, kind, cut):
+async def ask_once(session, site, front, kind, cut):
+    """Send a request to a target that stops, once; return the :class:`Exchange`."""
     if kind.is_kept:
         await request(session, site, front, kind, f"{KEPT_PATH}-{cut.to_path()}")
     status, body, is_whole = await request(session, site, front, kind, cut.to_path())
