Reads of a silent store overlap, and the second read waits for no poll

Cause: entries were kept from the first read that succeeded, up to 2 s after the store's return, and the read that drops them waited for a poll of up to 1 s. Ruled out: lost pushes, the length of the outage. Only daemons that read for their data centre, and the first registered one, overlap their reads. In calm nothing changes.

--- a/cowslipcourse/entry/roles.py
+++ b/cowslipcourse/entry/roles.py
@@ -79,7 +79,7 @@
     :param settings: :class:`~cowslipcourse.entry.settings.EntrySettings`
     :param registry: :class:`~cowslipcourse.peer_protocol.PeerRegistry`
     :param registrar: :class:`~cowslipcourse.entry.daemon_registration.DaemonRegistrar`
-    :param replica: has ``set_following(active)`` and
+    :param replica: has ``set_following(active, may_overlap)`` and
         ``note_peer_read()``.
     :param daemon: has ``heartbeat()`` and ``is_draining``.
     """
@@ -143,7 +143,10 @@
     def _assign_reading(self, own, now):
         reading_order = self._registry.reading_order(own, now)
         name = own.member.name
+        may_overlap = name in reading_order or self._registry.is_first_registered(
+            own, now
+        )
         is_reader = self._readers.selects(name, reading_order, now)
-        self._replica.set_following(is_reader)
+        self._replica.set_following(is_reader, may_overlap)
         if reading_order[:1] != [name] and self._readers.has_proven(now):
             self._replica.note_peer_read()
--- a/cowslipcourse/entry/state_replica.py
+++ b/cowslipcourse/entry/state_replica.py
@@ -50,6 +50,8 @@
 RESTORED_HOLD_S = 5.0
 """Time for which an evacuation that a restored store has lost goes on, so that its
 operator can ask for it again before requests return."""
+REREAD_RETRY_S = 0.2
+"""Delay of another attempt at the read that ends the recovery after an outage."""
 CHECK_INTERVAL_S = 0.1
 """Interval of checks for due removals and for a need to read a peer."""
 FIRST_CHECK_INTERVAL_S = 0.02
@@ -129,16 +131,18 @@
             return not any(follower.has_failed_recently for follower in followers)
         return all(follower.is_current for follower in followers)
 
-    def set_following(self, active):
+    def set_following(self, active, may_overlap=False):
         """Start or stop following the store.
 
         A daemon stops only once it knows a configuration and targets.
+
+        :param may_overlap: whether the store is read again before earlier reads end.
         """
         if not active and not (self.configuration_version and self.targets_version):
             return
         self._follows_store = active
-        self._configuration_follower.set_following(active)
-        self._target_follower.set_following(active)
+        self._configuration_follower.set_following(active, may_overlap)
+        self._target_follower.set_following(active, may_overlap)
 
     def note_peer_read(self):
         """Record that the store answers another daemon of the data centre."""
@@ -432,11 +436,12 @@
             self._recovery_pending.clear()
 
     async def _read_again(self):
-        """Read all targets again whenever that is due; this may take a second."""
+        """Read all targets again whenever that is due, until it succeeds."""
         while True:
             await self._reread_due.wait()
             self._reread_due.clear()
-            await self._target_follower.read_again()
+            while not await self._target_follower.read_now():
+                await asyncio.sleep(REREAD_RETRY_S)
 
     # From peers.
 
--- a/cowslipcourse/peer_protocol/registry.py
+++ b/cowslipcourse/peer_protocol/registry.py
@@ -380,6 +380,13 @@
         punctual = [own_heartbeat, *self._received_within(reading_timeout_s, now)]
         return _names_by_registration([h for h in punctual if h.is_healthy])
 
+    def is_first_registered(self, own_heartbeat, now):
+        """Whether this daemon registered first of those alive in its data centre."""
+        local_heartbeats = [own_heartbeat, *self.local_heartbeats(now)]
+        return _names_by_registration(local_heartbeats)[:1] == [
+            own_heartbeat.member.name
+        ]
+
     def suggests_outage(self, now):
         """Whether others fail as they would in an outage of the store.
 
--- a/features/knowledge/readers.feature
+++ b/features/knowledge/readers.feature
@@ -29,6 +29,17 @@
       | 4       | 2   | is killed | is taken out     |
       | 12      | 2   | is killed | reports draining |
 
+  Scenario Outline: A target that left just before an outage is dropped once daemons are in touch again
+    Given 3 data centres of <daemons> daemons that read the store
+    When the store is silent for <seconds> s just after a target is taken out
+    Then all have dropped it within 3.0 s of its return, whenever that happens
+
+    Examples:
+      | daemons | seconds |
+      | 3       | 3.0     |
+      | 3       | 6.0     |
+      | 12      | 3.0     |
+
   Scenario Outline: Targets whose entries lapse in an outage and return stay in use
     Given 3 data centres of <daemons> daemons that read the store
     When the store is silent for <seconds> s, and an entry that lapses meanwhile returns 1.8 s later
--- a/features/support/daemon_network.py
+++ b/features/support/daemon_network.py
@@ -55,7 +55,7 @@
     def apply_push(self, message):
         """Do nothing: no targets are pushed in this network."""
 
-    def set_following(self, active):
+    def set_following(self, active, may_overlap=False):
         """Record whether the store would be read."""
         self.follows_store = active
 
