A status is checked before it is believed

What callers saw: at a target that answers with status 000 or 099, 504 at the deadline although the broken answer came at once; at 600 or 999, for requests that may not be repeated, a connection that ends without an answer. Status 000 itself never reached a caller. Cause: every status below 200 counted as interim, every other one as final; the HTTP server cannot write 600 and above. The class: a status is believed before it is known to be one. Ruled out: a reader of its own that passes statuses on; all but older gateways' service calls read with one connection class, and those check by the same constants now. Why it works: decided once where a head is read; what is none is no answer and may have run. Errors that no type foresees get a typed 502 while no head is sent.

--- a/cowslipcourse/adapters/targets.py
+++ b/cowslipcourse/adapters/targets.py
@@ -17,6 +17,7 @@
     TargetRefused,
     TargetUnreachable,
 )
+from cowslipcourse.http_framing import FINAL_STATUSES
 from cowslipcourse.ports import EngineLoad, EngineStatus, ServiceResponse
 from cowslipcourse.quarantine_runtime import refuses_connections
 
@@ -144,6 +145,8 @@
             raise TargetUnreachable(repr(error)) from error
         if response.headers.get("x-attempt") != attempt_id:
             raise MalformedResponse("response to another call")
+        if response.status not in FINAL_STATUSES:
+            raise MalformedResponse(f"{response.status} is no status")
         if not _states_its_end(response.headers):
             raise TargetUnreachable("the response states neither a length nor chunks")
         if response.status == HTTP_CONFLICT and "x-not-started" in response.headers:
--- a/cowslipcourse/entry/caller_app.py
+++ b/cowslipcourse/entry/caller_app.py
@@ -13,6 +13,7 @@
     GatewayDraining,
     NoConfiguration,
     NotAuthorised,
+    OutcomeUnknown,
     RelayRefused,
     RequestError,
     UnknownRoute,
@@ -82,10 +83,14 @@
         except RequestError as error:
             outcome, result.cause = error.code, error.cause
             await self._send_error(error, scope, receive, send, responder, result)
-        except Exception:
+        except Exception as error:
             outcome = "crashed"
             log.exception("request-crashed", path=scope["path"])
-            raise
+            if responder.started:
+                raise
+            unknown = OutcomeUnknown("the daemon failed", cause=type(error).__name__)
+            result.cause = unknown.cause
+            await self._send_error(unknown, scope, receive, send, responder, result)
         finally:
             self.in_flight -= 1
             self._metrics.observe_request(outcome, time.monotonic() - started_at)
--- a/cowslipcourse/http_client/connection.py
+++ b/cowslipcourse/http_client/connection.py
@@ -21,7 +21,11 @@
     TargetUnreachable,
 )
 from cowslipcourse.http_client.request import encode_request
-from cowslipcourse.http_framing import ResponseBounds
+from cowslipcourse.http_framing import (
+    FINAL_STATUSES,
+    INTERIM_STATUSES,
+    ResponseBounds,
+)
 
 __all__ = ["ResponseHead", "TargetConnection"]
 
@@ -314,12 +318,15 @@
         """Accept the response if it belongs to the pending request."""
         parsed = self._parsed_response
         status = self._parser.get_status_code()
-        head = ResponseHead(status, tuple(parsed.headers))
-        if self._response is not None and self._response.complete:
+        if self._closed or (self._response is not None and self._response.complete):
             return
-        if status < 200:
+        if status in INTERIM_STATUSES:
             self._bounds.add_interim()
             return
+        if status not in FINAL_STATUSES:
+            self.abort(MalformedResponse(f"{status} is no status"))
+            return
+        head = _response_head(status, parsed.headers)
         if not self._matches_request(head):
             self._has_stray_data = True
             return
@@ -377,6 +384,13 @@
                 self.keep_alive_s = float(seconds)
 
 
+def _response_head(status, headers):
+    """Return a head, without the length of a body that its status rules out."""
+    if status in _BODILESS_STATUSES:
+        headers = [each for each in headers if each[0] != b"content-length"]
+    return ResponseHead(status, tuple(headers))
+
+
 def _is_close_delimited(head):
     if head.status in _BODILESS_STATUSES:
         return False
--- a/cowslipcourse/http_framing.py
+++ b/cowslipcourse/http_framing.py
@@ -1,6 +1,8 @@
 """Bounds on HTTP messages, beyond which they are no messages."""
 
 __all__ = [
+    "FINAL_STATUSES",
+    "INTERIM_STATUSES",
     "MAX_BODY_BYTES",
     "MAX_FRAMING_BYTES",
     "MAX_HEADERS",
@@ -9,6 +11,10 @@
     "ResponseBounds",
 ]
 
+FINAL_STATUSES = range(200, 600)
+INTERIM_STATUSES = (100, *range(102, 200))
+"""Statuses of responses that precede the final one. A connection that changes its
+protocol (101) carries no further response."""
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Largest body: a page of the store holds 1 MB of rows, encoded in twice as much."""
 MAX_FRAMING_BYTES = 64 * 1024
