The memory of all answers that are held is bounded together

What callers saw: none of ours yet. Other operators: a target sent bytes without end, the machine that had called it kept them all and ran out of memory. Here each answer was bounded (4 MiB), their sum was not. Cause: an answer is read as a whole before it is passed on; many at once, from a target that takes a second to send too much, were held together. Two multipliers: the error of a failed read keeps what was read through its traceback until the request ends, and each read allocated up to 256 KiB. Ruled out by measuring: reservations alone (+138 MB), reservations without the traceback's parts (+27 MB), pausing reads at 64 KiB alone (no change). Why it works: an answer of over 64 KiB reserves its largest size, in order; received bytes share one buffer. Short answers never wait. Not counted: what callers have not read yet.

--- a/cowslipcourse/entry/context.py
+++ b/cowslipcourse/entry/context.py
@@ -1,12 +1,13 @@
 """Objects shared by the components of a daemon."""
 
-from contextlib import nullcontext
+from contextlib import contextmanager, nullcontext
 
 from cowslipcourse.admission import MIN_DAEMON_COUNT
 from cowslipcourse.entry.graceful_stop import GracefulStop
 from cowslipcourse.entry.settings import BalancingSettings
 from cowslipcourse.entry.target_placing import TargetPlacing
 from cowslipcourse.entry.unloaded_components import AlwaysReachable, NoRelays
+from cowslipcourse.http_framing import AnswerHold, HeldAnswers
 from cowslipcourse.load_balancing.target_speeds import UnobservedRequest
 
 __all__ = ["DaemonContext"]
@@ -47,6 +48,7 @@
         self.data_centre = settings.data_centre
         self.admission = settings.admission
         self.answers = settings.answers
+        self.held_answers = HeldAnswers(settings.answers.max_held_bytes)
         self.fleet = fleet
         self.attempt_sender = attempt_sender
         self.retry_budget = retry_budget
@@ -111,6 +113,15 @@
         sender = self.relays if run.is_relayed else self.attempt_sender
         return sender.open(call, run, last_event_id)
 
+    @contextmanager
+    def holding_answers(self):
+        """Yield an :class:`~cowslipcourse.http_framing.AnswerHold` for one request."""
+        hold = AnswerHold(self.held_answers)
+        try:
+            yield hold
+        finally:
+            hold.release()
+
     def observing(self, call, run):
         """Observe the time of a request, unless another daemon does.
 
--- a/cowslipcourse/entry/daemon.py
+++ b/cowslipcourse/entry/daemon.py
@@ -274,6 +274,7 @@
         self._control.settings = settings.control
         self._context.admission = settings.admission
         self._context.answers = settings.answers
+        self._context.held_answers.max_bytes = settings.answers.max_held_bytes
         self._placing.apply_settings(settings.balancing)
 
     @property
--- a/cowslipcourse/entry/settings.py
+++ b/cowslipcourse/entry/settings.py
@@ -137,10 +137,13 @@
     :param max_bytes: largest body of an answer that is not a stream. It is held in
         memory until it is complete.
     :param max_stream_bytes: largest stream.
+    :param max_held_bytes: largest memory of all answers together that are held, beside
+        64 KiB each.
     """
 
     max_bytes: int = Field(default=4 * 1024 * 1024, ge=1024, le=64 * 1024 * 1024)
     max_stream_bytes: int = Field(default=16 * 1024 * 1024, ge=1024)
+    max_held_bytes: int = Field(default=16 * 1024 * 1024, ge=1024)
 
 
 class EntrySettings(Section):
--- a/cowslipcourse/entry/stream_forwarder.py
+++ b/cowslipcourse/entry/stream_forwarder.py
@@ -159,13 +159,14 @@
 
     async def _relay_error(self, progress, run, head, attempt):
         responder = progress.responder
-        body = await attempt.connection.read_all()
-        await attempt.confirm_end()
-        is_proven = run.is_relayed or head.status not in NOT_EXECUTED_STATUSES
-        if responder.started or run.has_rivals or not is_proven:
-            raise IncompleteResponse(f"answered {head.status}")
-        await responder.start(head.status, response_headers(head.headers))
-        await responder.finish(body)
+        with self._context.holding_answers() as hold:
+            body = await attempt.connection.read_all(hold)
+            await attempt.confirm_end()
+            is_proven = run.is_relayed or head.status not in NOT_EXECUTED_STATUSES
+            if responder.started or run.has_rivals or not is_proven:
+                raise IncompleteResponse(f"answered {head.status}")
+            await responder.start(head.status, response_headers(head.headers))
+            await responder.finish(body)
 
 
 async def _finish(progress, run, head):
--- a/cowslipcourse/entry/unary_forwarder.py
+++ b/cowslipcourse/entry/unary_forwarder.py
@@ -35,10 +35,11 @@
 
         async def attempt(run, is_last):
             nonlocal head, observed
-            head, body, observed = await self._attempt(call, run, is_last)
-            run.supersede_rivals()
-            await responder.start(head.status, response_headers(head.headers))
-            await responder.finish(body)
+            with self._context.holding_answers() as hold:
+                head, body, observed = await self._attempt(call, run, is_last, hold)
+                run.supersede_rivals()
+                await responder.start(head.status, response_headers(head.headers))
+                await responder.finish(body)
 
         head, observed = None, None
         delivery = await try_targets(self._context, call, service, choose, attempt)
@@ -62,13 +63,13 @@
             )
         return TargetChoice(candidate.entry)
 
-    async def _attempt(self, call, run, is_last):
+    async def _attempt(self, call, run, is_last, hold):
         async with self._context.open_attempt(call, run) as attempt:
             # Nothing precedes the response, so the request may be running already.
             run.answer_started = True
             try:
                 with self._context.observing(call, run) as observed:
-                    head, body = await _read_answer(attempt, observed)
+                    head, body = await _read_answer(attempt, observed, hold)
             except (TargetError, asyncio.CancelledError):
                 attempt.connection.abort()
                 raise
@@ -79,15 +80,16 @@
         return head, body, observed
 
 
-async def _read_answer(attempt, observed):
+async def _read_answer(attempt, observed, hold):
     """Return head and body of a response.
 
     :param observed: observation of the request that is told of a successful answer.
+    :param hold: :class:`~cowslipcourse.http_framing.AnswerHold` of the body.
     """
     head = await attempt.read_head()
     if is_not_executed(head):
         raise TargetRefused(f"answered {head.status}")
-    body = await attempt.connection.read_all()
+    body = await attempt.connection.read_all(hold)
     await attempt.confirm_end()
     if head.status < MIN_FAILURE_STATUS:
         observed.record_answer(asyncio.get_running_loop().time())
--- a/cowslipcourse/http_client/connection.py
+++ b/cowslipcourse/http_client/connection.py
@@ -29,9 +29,12 @@
 
 __all__ = ["ResponseHead", "TargetConnection"]
 
-MAX_BUFFERED_BYTES = 256 * 1024
+MAX_BUFFERED_BYTES = 64 * 1024
 """Unread body bytes above which reading from the target is paused."""
 _BODILESS_STATUSES = (204, 304)
+_receive_buffer = memoryview(bytearray(64 * 1024))
+"""Bytes that have just been received, until they are parsed. All connections share it;
+a buffer of each one's own would be as large, and mostly empty."""
 
 
 class ResponseHead(NamedTuple):
@@ -64,7 +67,7 @@
         self.is_close_delimited = False
 
 
-class TargetConnection(asyncio.Protocol):
+class TargetConnection(asyncio.BufferedProtocol):
     """A connection with one exchange at a time.
 
     :param address: ``ip:port`` of the target.
@@ -207,15 +210,31 @@
             self._reading_paused = False
         return chunk
 
-    async def read_all(self):
+    async def read_all(self, hold=None):
         """Return the rest of the body.
 
+        :param hold: :class:`~cowslipcourse.http_framing.AnswerHold` that accounts for
+            it, or ``None``.
         :raises IncompleteResponse: the response ended before it was complete.
         """
-        chunks_read = []
-        while chunk := await self.read():
-            chunks_read.append(chunk)
-        return b"".join(chunks_read)
+        chunks_read, size_bytes = [], 0
+        try:
+            while chunk := await self.read():
+                chunks_read.append(chunk)
+                size_bytes += len(chunk)
+                if hold is not None:
+                    await hold.grow(size_bytes, self._max_body_bytes())
+            return b"".join(chunks_read)
+        finally:
+            # The traceback of an error would keep them.
+            chunks_read.clear()
+
+    def _max_body_bytes(self):
+        """Return the size that the body of the response may reach."""
+        stated_length = self._response.head.get(b"content-length")
+        if stated_length is None or not stated_length.isdigit():
+            return self._bounds.max_body_bytes
+        return int(stated_length)
 
     def reject_end(self):
         """Declare a response incomplete whose only end was that of the connection."""
@@ -252,11 +271,15 @@
     # Called by the event loop.
 
     def connection_made(self, transport):
-        """See :class:`asyncio.Protocol`."""
+        """See :class:`asyncio.BufferedProtocol`."""
         self._transport = transport
 
-    def data_received(self, data):
-        """See :class:`asyncio.Protocol`."""
+    def get_buffer(self, sizehint):
+        """See :class:`asyncio.BufferedProtocol`."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes):
+        """See :class:`asyncio.BufferedProtocol`."""
         if self._parser is None or (
             self._response is not None and self._response.complete
         ):
@@ -264,9 +287,9 @@
             self._has_stray_data = True
             self._abort_transport()
             return
-        self._bounds.add_received(len(data))
+        self._bounds.add_received(nbytes)
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(_receive_buffer[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._response is not None and self._response.complete:
                 self._has_stray_data = True
@@ -283,14 +306,14 @@
             self.abort(ResponseTooLarge(f"no answer: {self._bounds.excess}"))
 
     def eof_received(self):
-        """See :class:`asyncio.Protocol`."""
+        """See :class:`asyncio.BufferedProtocol`."""
         response = self._response
         if response is not None and response.is_close_delimited:
             response.complete = not self._bounds.excess
         return False
 
     def connection_lost(self, error):
-        """See :class:`asyncio.Protocol`."""
+        """See :class:`asyncio.BufferedProtocol`."""
         self._closed = True
         self._was_reset = error is not None
         is_complete = self._response is not None and self._response.complete
--- a/features/endless_bytes/answers.feature
+++ b/features/endless_bytes/answers.feature
@@ -95,3 +95,16 @@
       | one header name                         |
       | request target                          |
       | a chunk extension                       |
+
+  Scenario: Answers that are held wait for room in the order in which they grow
+    Given 16 MB for answers that are held, and four answers of 4 MB that hold them
+    When answers of 4 MB, 1 MB and 60 KB are read
+    Then the one of 60 KB does not wait, and the others do
+    When one of the four has been passed on, and the first that waits is given up
+    Then the one of 1 MB is read
+    And nothing is held once all have ended
+
+  Scenario: An answer that is larger than the room for all is read alone
+    Given 2 MB for answers that are held, and no answers
+    When answers of 4 MB, 1 MB and 60 KB are read
+    Then the one of 4 MB is read, and that of 1 MB after it
--- a/features/steps/endless_process_steps.py
+++ b/features/steps/endless_process_steps.py
@@ -1,15 +1,25 @@
 """Steps for daemon processes some of whose targets answer without end."""
 
+import asyncio
+
 from behave import given, then, when
 
 from features.steps.platform_steps import start_platform
-from features.support.endless_site import EndlessSite, call_daemons, peak_memory_kb
+from features.support.endless_site import (
+    EndlessSite,
+    call_daemons,
+    call_together,
+    peak_memory_kb,
+)
 
 SOUND_S = 4.0
 ENDLESS_S = 8.0
 MAX_GROWTH_KB = 40_000
 """A few answers of the largest size at a time, each held twice."""
 MIN_ENDLESS_REQUESTS = 20
+DAEMON = "a1"
+KNOWN_S = 1.0
+"""Time for a daemon to know a new target."""
 
 
 @given("a platform with two daemons as processes, which have served for some seconds")
@@ -33,6 +43,30 @@
     assert site.endless_request_count >= MIN_ENDLESS_REQUESTS
 
 
+@when(
+    "a target whose answers have no end joins, and {count:d} requests at once come to "
+    "a daemon, four times"
+)
+def step_together(context, count):
+    site = context.platform
+
+    async def call():
+        await site.start_paced_target()
+        await asyncio.sleep(KNOWN_S)
+        context.answers = []
+        for _ in range(4):
+            context.answers += await call_together(site, DAEMON, count)
+
+    context.runner.run(call())
+    assert site.endless_request_count >= MIN_ENDLESS_REQUESTS
+
+
+@then("its peak memory has grown by {limit:d} MB at most")
+def step_growth(context, limit):
+    grown_kb = peak_memory_kb(context.platform)[DAEMON] - context.peaks_before[DAEMON]
+    assert grown_kb <= limit * 1024, grown_kb
+
+
 @then("the peak memory of the daemons stays flat, and all of them run")
 def step_memory(context):
     peaks = peak_memory_kb(context.platform)
--- a/features/support/endless_server.py
+++ b/features/support/endless_server.py
@@ -3,11 +3,19 @@
 import asyncio
 import itertools
 
-__all__ = ["ANSWERS", "ENDLESS", "SLOW", "EndlessServer", "send_endlessly"]
+__all__ = [
+    "ANSWERS",
+    "ENDLESS",
+    "SLOW",
+    "EndlessServer",
+    "PacedServer",
+    "send_endlessly",
+]
 
 MAX_SENT_BYTES = 64_000_000
 SLOW_INTERVAL_S = 0.05
 SLOW_PIECE_BYTES = 64
+PACED_INTERVAL_S = 0.02
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 OTHER = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 5\r\n\r\nhello"
@@ -143,3 +151,32 @@
         for start in range(0, len(content), SLOW_PIECE_BYTES):
             writer.write(content[start : start + SLOW_PIECE_BYTES])
             await asyncio.sleep(SLOW_INTERVAL_S)
+
+
+class PacedServer(EndlessServer):
+    """Answers each request with a body that takes a second to become too large."""
+
+    def __init__(self):
+        super().__init__(OK, PIECE)
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        try:
+            request = await reader.readuntil(b"\r\n\r\n")
+            self.request_count += 1
+            writer.write(self._first + _attempt_id_line(request) + b"\r\n")
+            while not writer.is_closing():
+                writer.write(self._repeated)
+                await writer.drain()
+                self._count(len(self._repeated))
+                await asyncio.sleep(PACED_INTERVAL_S)
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+
+def _attempt_id_line(request):
+    lines = request.split(b"\r\n")
+    found = (line for line in lines if line.lower().startswith(b"x-attempt-id:"))
+    return next(found) + b"\r\n"
--- a/features/support/endless_site.py
+++ b/features/support/endless_site.py
@@ -7,10 +7,10 @@
 import aiohttp
 from starlette.responses import StreamingResponse
 
-from features.support.endless_server import ENDLESS, EndlessServer
+from features.support.endless_server import ENDLESS, EndlessServer, PacedServer
 from features.support.platform_site import HOST, KEY, PlatformSite, stream_events
 
-__all__ = ["Answer", "EndlessSite", "call_daemons", "peak_memory_kb"]
+__all__ = ["Answer", "EndlessSite", "call_daemons", "call_together", "peak_memory_kb"]
 
 DAEMON_COUNT = 2
 ENDLESS_TARGETS = (
@@ -66,6 +66,13 @@
             await server.__aenter__()
             self.publish_plain_target(f"e{number}", server.address)
 
+    async def start_paced_target(self):
+        """Add a plain target whose answers take a second to become too large."""
+        server = PacedServer()
+        self._endless_servers.append(server)
+        await server.__aenter__()
+        self.publish_plain_target("e0", server.address)
+
     async def stop(self):
         """See :meth:`PlatformSite.stop`."""
         await super().stop()
@@ -100,6 +107,36 @@
     return peaks
 
 
+async def _call(site, session, name, daemon, kind):
+    """Send a request and return its :class:`Answer`."""
+    loop = asyncio.get_running_loop()
+    headers = {
+        "Host": HOST,
+        "X-Attempt-Id": name,
+        "X-Model": "large",
+        "X-Time-Budget-Ms": str(int(TIME_BUDGET_S * 1000)),
+        "Authorization": f"Bearer {KEY}",
+    }
+    url = f"http://{site.front_addresses[daemon]}/{kind}/{name}"
+    sent_at, status, body = loop.time(), None, b""
+    try:
+        async with session.post(url, headers=headers) as response:
+            body = await response.read()
+            status = response.status
+    except aiohttp.ClientError:
+        """The daemon has ended the answer without its end."""
+    return Answer(kind, name, status, body, loop.time() - sent_at)
+
+
+async def call_together(site, daemon, count):
+    """Send some plain requests to a daemon at once; return each :class:`Answer`."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        names = (f"y{number}" for number in range(count))
+        calls = (_call(site, session, name, daemon, "look") for name in names)
+        return await asyncio.gather(*calls)
+
+
 async def call_daemons(site, duration_s):
     """Send plain requests and streams to all daemons for a time.
 
@@ -115,23 +152,7 @@
     async with aiohttp.ClientSession() as session:
 
         async def call(number, daemon, kind):
-            name = f"z{number}"
-            headers = {
-                "Host": HOST,
-                "X-Attempt-Id": name,
-                "X-Model": "large",
-                "X-Time-Budget-Ms": str(int(TIME_BUDGET_S * 1000)),
-                "Authorization": f"Bearer {KEY}",
-            }
-            url = f"http://{site.front_addresses[daemon]}/{kind}/{name}"
-            sent_at, status, body = loop.time(), None, b""
-            try:
-                async with session.post(url, headers=headers) as response:
-                    body = await response.read()
-                    status = response.status
-            except aiohttp.ClientError:
-                """The daemon has ended the answer without its end."""
-            answers.append(Answer(kind, name, status, body, loop.time() - sent_at))
+            answers.append(await _call(site, session, f"z{number}", daemon, kind))
 
         ends_at = loop.time() + duration_s
         for number, (daemon, kind) in enumerate(targets):
