--- a/cowslipcourse/entry/roles.py
+++ b/cowslipcourse/entry/roles.py
@@ -8,7 +8,7 @@
 __all__ = ["ReaderSelection", "RoleAssignment", "is_settled"]
 
 ROLE_CHECK_INTERVAL_S = 0.1
-"""Interval at which a daemon checks whether it is a reporter."""
+"""Interval at which a daemon checks its roles."""
 REGISTRATION_SETTLE_S = 0.6
 """Time between registration and taking a role. Daemons that registered earlier answer
 the first heartbeat at once, but one of those datagrams may be lost. Without the delay,
@@ -98,7 +98,7 @@
 
     @property
     def is_reporter(self):
-        """Whether this daemon is an active or a standby reader of the store."""
+        """Whether this daemon speaks for its data centre, or stands by to do so."""
         return self._is_reporter
 
     @property
