--- a/cowslipcourse/emulator/connections.py
+++ b/cowslipcourse/emulator/connections.py
@@ -149,7 +149,7 @@
             await self._wait()
         return self._chunks.popleft()
 
-    async def read_all(self):
+    async def read_all(self, hold=None):
         """Return the rest of the body, which is always empty."""
         return b""
 
--- a/features/support/scripted_streams.py
+++ b/features/support/scripted_streams.py
@@ -135,7 +135,7 @@
             raise chunk
         return chunk
 
-    async def read_all(self):
+    async def read_all(self, hold=None):
         return b""
 
     def abort(self, error=None):
